--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,62 @@
+import js from '@eslint/js'
+import tseslint from 'typescript-eslint'
+
+/** Domain folders: they hold decisions and must not depend on programs or on HTTP. */
+const DOMAIN_FILES = [
+  'src/{configuration,membership,lookup,operations,slots,shift,gateway,control}/*.ts',
+]
+const ADAPTER_FILES = [
+  'src/**/*Server.ts',
+  'src/**/*Client.ts',
+  'src/**/http*.ts',
+  'src/**/*Daemon.ts',
+  'src/**/*Settings.ts',
+]
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/', '**/*.cjs'] },
+  js.configs.recommended,
+  tseslint.configs.strictTypeChecked,
+  tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: { allowDefaultProject: ['bin/*.js', 'eslint.config.js'] } },
+      globals: { process: 'readonly', console: 'readonly' },
+    },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true, allowBoolean: true },
+      ],
+      'no-restricted-exports': ['error', { restrictDefaultExports: { direct: true } }],
+    },
+  },
+  {
+    files: DOMAIN_FILES,
+    ignores: ADAPTER_FILES,
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: ['@hapi/hapi', '@hapi/wreck', 'node:http', 'node:net', 'commander'],
+          patterns: [
+            {
+              group: ['**/*Server.js', '**/*Daemon.js', '**/http*.js', '**/cli/**'],
+              message:
+                'Domain modules depend on interfaces; put HTTP and programs into an adapter file.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['**/__tests__/*.ts'],
+    rules: { '@typescript-eslint/no-unused-expressions': 'off' },
+  },
+  {
+    files: ['eslint.config.js', 'bin/*.js'],
+    ...tseslint.configs.disableTypeChecked,
+    rules: { ...tseslint.configs.disableTypeChecked.rules, 'no-restricted-exports': 'off' },
+  },
+)
--- /dev/null
+++ b/src/common/hashing.ts
@@ -0,0 +1,34 @@
+/** Non-cryptographic hashing by `xxhash-wasm`, initialized once. */
+import xxhash from 'xxhash-wasm'
+
+const hasher = await xxhash()
+
+/** Returns a 32-bit hash of a text. */
+export function hashText(text: string, seed = 0): number {
+  return hasher.h32(text, seed)
+}
+
+/** Returns a 32-bit hash of bytes. */
+export function hashBytes(bytes: Uint8Array, seed = 0): number {
+  return hasher.h32Raw(bytes, seed)
+}
+
+/** Returns a 64-bit hash of a text as 16 hexadecimal digits. */
+export function hashText64(text: string): string {
+  return hasher.h64(text).toString(16).padStart(16, '0')
+}
+
+/**
+ * Rendezvous hashing: orders `candidates` by their score for `key`, best first.
+ * Removing a candidate changes the place of no other.
+ */
+export function rendezvousOrder<Candidate>(
+  key: string,
+  candidates: readonly Candidate[],
+  identify: (candidate: Candidate) => string,
+): Candidate[] {
+  return candidates
+    .map((candidate) => ({ candidate, score: hasher.h32(`${key}\n${identify(candidate)}`) }))
+    .sort((left, right) => right.score - left.score)
+    .map(({ candidate }) => candidate)
+}
--- /dev/null
+++ b/src/common/logger.ts
@@ -0,0 +1,34 @@
+/** Logs by `debug`: one parsable JSON line per event under `tamarackdrift:<area>`. */
+import createDebug from 'debug'
+
+/** Fields of a log line. Never put secrets or bodies in here. */
+export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>
+
+/** Writes one line per event. */
+export interface Logger {
+  /** Logs a routing or placement decision, with its reason. */
+  decision(event: string, fields: LogFields): void
+  /** Logs anything else worth an operator's attention. */
+  event(event: string, fields: LogFields): void
+}
+
+/** Creates the logger of an area, for example `gateway`. */
+export function createLogger(area: string): Logger {
+  const write = createDebug(`tamarackdrift:${area}`)
+  const line = (type: string, event: string, fields: LogFields): void => {
+    if (write.enabled) write('%s', JSON.stringify({ type, event, ...fields }))
+  }
+  return {
+    decision: (event, fields) => {
+      line('decision', event, fields)
+    },
+    event: (event, fields) => {
+      line('event', event, fields)
+    },
+  }
+}
+
+/** Enables log areas, in the syntax of `debug`, for example `tamarackdrift:*`. */
+export function enableLogs(namespaces: string): void {
+  createDebug.enable(namespaces)
+}
--- /dev/null
+++ b/src/common/rpc.ts
@@ -0,0 +1,62 @@
+/** Calls between the system's processes, independent of their transport. */
+import type { Schema } from 'joi'
+import type { ErrorDetails } from './errors.js'
+import { SteeringError } from './errors.js'
+import type { Result } from './results.js'
+
+/** How a call between processes can fail. */
+export enum RpcErrorKind {
+  /** The connection was never established, so the other side has not seen the call. */
+  NotSent = 'rpcNotSent',
+  /** No answer in time; the other side may have acted. */
+  TimedOut = 'rpcTimedOut',
+  /** The connection broke or the answer was malformed; the other side may have acted. */
+  Broken = 'rpcBroken',
+  /** The other side answered with an error; `details.remote` holds it. */
+  Remote = 'rpcRemote',
+}
+
+/** Failure of a call between processes. */
+export class RpcError extends SteeringError<RpcErrorKind> {
+  /** The other side's typed error, for kind `Remote`. */
+  readonly remote: ErrorDetails | undefined
+
+  constructor(kind: RpcErrorKind, problem: string, remedy: string, remote?: ErrorDetails) {
+    super(kind, problem, remedy, remote === undefined ? undefined : { remote })
+    this.remote = remote
+  }
+}
+
+/** Options of one call. */
+export interface CallOptions {
+  /** Time until the call counts as failed, in milliseconds. */
+  readonly timeoutMs: number
+  /** Aborts the call; the other side sees its connection close. */
+  readonly signal?: AbortSignal
+}
+
+/** Calls methods of other processes. */
+export interface RpcCaller {
+  /** Calls `method` at `address` (`host:port`). Never rejects. */
+  call(
+    address: string,
+    method: string,
+    params: unknown,
+    options: CallOptions,
+  ): Promise<Result<unknown, RpcError>>
+}
+
+/** What a method learns of its call. */
+export interface CallContext {
+  /** Aborted when the caller closes the connection before the answer. */
+  readonly signal: AbortSignal
+}
+
+/** A method: gets validated parameters; throws {@link SteeringError} for typed failures. */
+export type RpcMethod = (params: never, context: CallContext) => Promise<unknown>
+
+/** Accepts the methods that a module serves to its peers. */
+export interface RpcMethodRegistry {
+  /** Adds a method; its parameters must match `schema`. */
+  addMethod(name: string, schema: Schema, method: RpcMethod): void
+}
--- /dev/null
+++ b/src/common/settings.ts
@@ -0,0 +1,138 @@
+/** Settings from flags and environment variables, checked at the start with every fault listed at once. */
+import { Command, Option } from 'commander'
+import type { Schema } from 'joi'
+import { SteeringError } from './errors.js'
+import type { Result } from './results.js'
+import { Err, Ok } from './results.js'
+
+/** One setting: flag `--peer-token` and variable `TAMARACKDRIFT_PEER_TOKEN` for the name `peerToken`. */
+export interface SettingDefinition {
+  /** Name in camelCase. */
+  readonly name: string
+  readonly description: string
+  /** Allowed values in words, for messages and the reference page. */
+  readonly range: string
+  /** Unit, for example `ms`; empty for texts. */
+  readonly unit: string
+  /** Converts and checks the text. */
+  readonly schema: Schema
+  /** Text used when neither flag nor variable is given; without one the setting is required. */
+  readonly defaultValue?: string
+  /** Secrets are left out of messages and of logs. */
+  readonly secret?: boolean
+}
+
+/** A wrong setting. */
+export interface SettingFault {
+  readonly name: string
+  readonly value: string
+  readonly range: string
+  readonly unit: string
+  readonly problem: string
+}
+
+/** Kinds of errors from {@link parseSettings}. */
+export enum SettingsErrorKind {
+  Invalid = 'settingsInvalid',
+}
+
+/** All faults of the settings in one error. */
+export class SettingsError extends SteeringError<SettingsErrorKind> {
+  readonly faults: readonly SettingFault[]
+
+  constructor(faults: readonly SettingFault[]) {
+    const lines = faults.map(
+      (fault) =>
+        `\n  ${flagOf(fault.name)} (${variableOf(fault.name)}) = ${fault.value}: ${fault.problem}; ` +
+        `allowed: ${fault.range}${fault.unit === '' ? '' : `, unit: ${fault.unit}`}`,
+    )
+    super(
+      SettingsErrorKind.Invalid,
+      `${String(faults.length)} settings are wrong:${lines.join('')}\n`,
+      'correct each of them and start again',
+    )
+    this.faults = faults
+  }
+}
+
+/** Returns the flag of a setting. */
+export function flagOf(name: string): string {
+  return `--${name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`
+}
+
+/** Returns the environment variable of a setting. */
+export function variableOf(name: string): string {
+  return `TAMARACKDRIFT_${name.replace(/[A-Z]/g, (letter) => `_${letter}`).toUpperCase()}`
+}
+
+/** Settings of a program and whether `--check` was given. */
+export interface ParsedSettings<Settings> {
+  readonly settings: Settings
+  readonly checkOnly: boolean
+}
+
+/** Adds an option per setting and `--check` to a command. */
+export function addSettingOptions(
+  command: Command,
+  definitions: readonly SettingDefinition[],
+): void {
+  for (const definition of definitions) {
+    const option = new Option(`${flagOf(definition.name)} <value>`, definition.description)
+    command.addOption(option.env(variableOf(definition.name)))
+  }
+  command.option('--check', 'only check the settings')
+}
+
+/**
+ * Reads the settings of a program.
+ *
+ * @param argv arguments after the program's name
+ * @returns the settings by name, in the types that the schemas convert to, or all faults at once
+ */
+export function parseSettings<Settings>(
+  programName: string,
+  definitions: readonly SettingDefinition[],
+  argv: readonly string[],
+): Result<ParsedSettings<Settings>, SettingsError> {
+  const command = new Command(programName)
+  addSettingOptions(command, definitions)
+  command.parse([...argv], { from: 'user' })
+  const given = command.opts<Record<string, string | boolean | undefined>>()
+  const checked = checkSettings<Settings>(definitions, given)
+  return checked.map((settings) => ({ settings, checkOnly: given.check === true }))
+}
+
+/** Checks raw texts against their definitions. */
+export function checkSettings<Settings>(
+  definitions: readonly SettingDefinition[],
+  given: Readonly<Record<string, string | boolean | undefined>>,
+): Result<Settings, SettingsError> {
+  const faults: SettingFault[] = []
+  const settings: Record<string, unknown> = {}
+  for (const definition of definitions) {
+    const text = given[definition.name] ?? definition.defaultValue
+    const { value, error } = definition.schema.required().validate(text) as {
+      value: unknown
+      error?: Error
+    }
+    settings[definition.name] = value
+    if (error !== undefined) faults.push(describeFault(definition, text, error))
+  }
+  return faults.length === 0 ? Ok(settings as Settings) : Err(new SettingsError(faults))
+}
+
+function describeFault(
+  definition: SettingDefinition,
+  text: string | boolean | undefined,
+  error: Error,
+): SettingFault {
+  const shown = definition.secret === true ? '(secret)' : String(text)
+  return {
+    name: definition.name,
+    value: text === undefined ? '(not given)' : shown,
+    range: definition.range,
+    unit: definition.unit,
+    // Joi quotes values in some messages, which must not happen to secrets.
+    problem: definition.secret === true ? 'missing or not allowed' : error.message,
+  }
+}
--- /dev/null
+++ b/src/configuration/__tests__/blockTable.spec.ts
@@ -0,0 +1,106 @@
+import { expect } from 'chai'
+import fastCheck from 'fast-check'
+import { BlockTable, NO_BLOCK } from '../blockTable.js'
+import type { ClientBlock } from '../document.js'
+
+function tableOf(blocks: readonly ClientBlock[]): BlockTable {
+  return BlockTable.empty().withChanges(blocks, []).unwrap()
+}
+
+const NESTED: readonly ClientBlock[] = [
+  { cidr: '10.0.0.0/8', site: 'wide', weight: 1 },
+  { cidr: '10.1.0.0/16', site: 'narrow', weight: 2 },
+  { cidr: '10.1.2.0/24', site: 'narrowest', weight: 3 },
+  { cidr: '2001:db8::/32', site: 'six', weight: 4 },
+]
+
+describe('BlockTable', () => {
+  describe('find', () => {
+    const table = tableOf(NESTED)
+    const siteOf = (address: string): string => {
+      const index = table.find(address)
+      return index === NO_BLOCK ? 'none' : table.siteAt(index)
+    }
+
+    it('prefers the most specific block, so that a wide block does not hide a narrow one', () => {
+      expect(siteOf('10.1.2.3')).to.equal('narrowest')
+      expect(siteOf('10.1.3.3')).to.equal('narrow')
+      expect(siteOf('10.2.0.0')).to.equal('wide')
+    })
+
+    it('finds no block beyond the ends of the table', () => {
+      expect(siteOf('11.0.0.0')).to.equal('none')
+      expect(siteOf('9.255.255.255')).to.equal('none')
+      expect(siteOf('not an address')).to.equal('none')
+    })
+
+    it('treats IPv4-mapped IPv6 addresses as IPv4', () => {
+      expect(siteOf('::ffff:10.1.2.3')).to.equal('narrowest')
+      expect(siteOf('2001:db8:1::1')).to.equal('six')
+    })
+
+    it('agrees with a linear search over random nested blocks', () => {
+      const block = fastCheck
+        .tuple(fastCheck.integer({ min: 0, max: 255 }), fastCheck.integer({ min: 1, max: 8 }))
+        .map(([byte, length]) => ({ byte: byte & (0xff << (8 - length)) & 0xff, length }))
+      fastCheck.assert(
+        fastCheck.property(
+          fastCheck.array(block, { maxLength: 40 }),
+          fastCheck.integer({ min: 0, max: 255 }),
+          (blocks, probe) => {
+            const random = tableOf(
+              blocks.map(({ byte, length }) => ({
+                cidr: `${String(byte)}.0.0.0/${String(length)}`,
+                site: `${String(byte)}/${String(length)}`,
+                weight: 1,
+              })),
+            )
+            const best = blocks
+              .filter(({ byte, length }) => (probe & (0xff << (8 - length)) & 0xff) === byte)
+              .sort((left, right) => right.length - left.length)[0]
+            const index = random.find(`${String(probe)}.1.2.3`)
+            const found = index === NO_BLOCK ? undefined : random.siteAt(index)
+            expect(found).to.equal(best && `${String(best.byte)}/${String(best.length)}`)
+          },
+        ),
+        { seed: 11 },
+      )
+    })
+  })
+
+  describe('withChanges', () => {
+    it('replaces, adds and removes without touching the earlier table', () => {
+      const before = tableOf(NESTED)
+      const after = before
+        .withChanges([{ cidr: '10.1.0.0/16', site: 'moved', weight: 9 }], ['10.1.2.0/24'])
+        .unwrap()
+      expect(after.siteAt(after.find('10.1.2.3'))).to.equal('moved')
+      expect(after.size).to.equal(3)
+      expect(before.siteAt(before.find('10.1.2.3'))).to.equal('narrowest')
+    })
+
+    it('refuses a malformed block and names it', () => {
+      const refused = BlockTable.empty().withChanges(
+        [{ cidr: '10.1.0.1/16', site: 's', weight: 1 }],
+        [],
+      )
+      expect(refused.err && refused.val.message).to.contain('10.1.0.1/16')
+    })
+  })
+
+  describe('pack', () => {
+    it('survives a round trip in small chunks', () => {
+      const packed = tableOf(NESTED).pack(64)
+      expect(packed.chunks.length).to.be.greaterThan(1)
+      expect(packed.chunks.every((chunk) => chunk.length <= 64)).to.equal(true)
+      const restored = BlockTable.unpack(packed)
+      const describeBlocks = (table: BlockTable): string[] =>
+        Array.from(
+          { length: table.size },
+          (_, index) =>
+            `${table.cidrAt(index)} ${table.siteAt(index)} ${String(table.weightAt(index))}`,
+        )
+      expect(describeBlocks(restored)).to.deep.equal(describeBlocks(tableOf(NESTED)))
+    })
+  })
+})
--- /dev/null
+++ b/src/configuration/blockTable.ts
@@ -0,0 +1,229 @@
+/** Packed table of client blocks: sorted typed arrays, no object per block. */
+import type { SteeringError } from '../common/errors.js'
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { BlockRow } from './blockColumns.js'
+import { BlockColumns, PACKED_BLOCK_BYTES, comparePrefixes } from './blockColumns.js'
+import type { ClientBlock } from './document.js'
+import type { BlockErrorKind, PackedPrefix } from './packedPrefix.js'
+import { AddressFamily, formatPrefix, parseAddress, parsePrefix } from './packedPrefix.js'
+
+/** Packed form of a table, for snapshots: texts that each stay below a size limit. */
+export interface PackedBlocks {
+  readonly siteNames: readonly string[]
+  readonly ipv4Count: number
+  readonly ipv6Count: number
+  /** Base64 chunks of whole blocks, IPv4 before IPv6. */
+  readonly chunks: readonly string[]
+}
+
+/** Index of an address that no block contains. */
+export const NO_BLOCK = -1
+
+/**
+ * Client blocks with their site and weight. Immutable: a change builds new
+ * columns, about 30 bytes per block, and leaves readers of the old ones alone.
+ * Block indexes are valid for one table only.
+ */
+export class BlockTable {
+  readonly #siteNames: readonly string[]
+  readonly #ipv4: BlockColumns
+  readonly #ipv6: BlockColumns
+
+  private constructor(siteNames: readonly string[], ipv4: BlockColumns, ipv6: BlockColumns) {
+    this.#siteNames = siteNames
+    this.#ipv4 = ipv4
+    this.#ipv6 = ipv6
+  }
+
+  static empty(): BlockTable {
+    return new BlockTable(
+      [],
+      new BlockColumns(AddressFamily.Ipv4, 0, []),
+      new BlockColumns(AddressFamily.Ipv6, 0, []),
+    )
+  }
+
+  /** Restores a table from its packed form. */
+  static unpack(packed: PackedBlocks): BlockTable {
+    const bytes = Buffer.concat(packed.chunks.map((chunk) => Buffer.from(chunk, 'base64')))
+    const ipv4 = unpackRows(bytes, AddressFamily.Ipv4, 0, packed.ipv4Count)
+    const ipv6 = unpackRows(bytes, AddressFamily.Ipv6, packed.ipv4Count, packed.ipv6Count)
+    return new BlockTable(
+      packed.siteNames,
+      new BlockColumns(AddressFamily.Ipv4, packed.ipv4Count, ipv4),
+      new BlockColumns(AddressFamily.Ipv6, packed.ipv6Count, ipv6),
+    )
+  }
+
+  /** Number of blocks; indexes go from 0 to `size - 1`. */
+  get size(): number {
+    return this.#ipv4.size + this.#ipv6.size
+  }
+
+  /** Returns the index of the most specific block of a client address, or {@link NO_BLOCK}. */
+  find(address: string): number {
+    const packed = parseAddress(address)
+    if (packed === undefined) return NO_BLOCK
+    if (packed.family === AddressFamily.Ipv4) return this.#ipv4.find(packed)
+    const index = this.#ipv6.find(packed)
+    return index === NO_BLOCK ? NO_BLOCK : index + this.#ipv4.size
+  }
+
+  siteAt(index: number): string {
+    const [columns, place] = this.#locate(index)
+    return this.#siteNames[columns.siteAt(place)] ?? ''
+  }
+
+  weightAt(index: number): number {
+    const [columns, place] = this.#locate(index)
+    return columns.weightAt(place)
+  }
+
+  /** 32-bit hash of the block's prefix; the same on every process and in every revision. */
+  hashAt(index: number): number {
+    const [columns, place] = this.#locate(index)
+    return columns.hashAt(place)
+  }
+
+  cidrAt(index: number): string {
+    const [columns, place] = this.#locate(index)
+    return formatPrefix(columns.rowAt(place))
+  }
+
+  /** Returns the table after removals and then additions; a CIDR that is there already is replaced. */
+  withChanges(
+    put: readonly ClientBlock[],
+    remove: readonly string[],
+  ): Result<BlockTable, SteeringError<BlockErrorKind>> {
+    const siteNames = [...this.#siteNames]
+    const siteIndexes = new Map(siteNames.map((name, index) => [name, index]))
+    const changes = new Map<string, BlockRow | PackedPrefix>()
+    for (const cidr of remove) {
+      const prefix = parsePrefix(cidr)
+      if (prefix.err) return Err(prefix.val)
+      changes.set(prefixKey(prefix.val), prefix.val)
+    }
+    for (const block of put) {
+      const prefix = parsePrefix(block.cidr)
+      if (prefix.err) return Err(prefix.val)
+      const siteIndex = siteIndexes.get(block.site) ?? siteNames.push(block.site) - 1
+      siteIndexes.set(block.site, siteIndex)
+      changes.set(prefixKey(prefix.val), { ...prefix.val, siteIndex, weight: block.weight })
+    }
+    const sorted = [...changes.values()].sort(comparePrefixes)
+    const ofFamily = (family: AddressFamily): (BlockRow | PackedPrefix)[] =>
+      sorted.filter((change) => change.family === family)
+    return Ok(
+      new BlockTable(
+        siteNames,
+        mergeColumns(this.#ipv4, ofFamily(AddressFamily.Ipv4)),
+        mergeColumns(this.#ipv6, ofFamily(AddressFamily.Ipv6)),
+      ),
+    )
+  }
+
+  /** Returns the packed form in chunks of at most `maxChunkLength` characters. */
+  pack(maxChunkLength: number): PackedBlocks {
+    const bytes = Buffer.alloc(this.size * PACKED_BLOCK_BYTES)
+    for (let index = 0; index < this.size; index++) {
+      const [columns, place] = this.#locate(index)
+      columns.packInto(bytes, index * PACKED_BLOCK_BYTES, place)
+    }
+    const blocksPerChunk = Math.max(
+      1,
+      Math.floor((maxChunkLength * 3) / 4 / PACKED_BLOCK_BYTES) - 1,
+    )
+    const chunkBytes = blocksPerChunk * PACKED_BLOCK_BYTES
+    const chunks: string[] = []
+    for (let start = 0; start < bytes.length; start += chunkBytes) {
+      chunks.push(bytes.subarray(start, start + chunkBytes).toString('base64'))
+    }
+    return {
+      siteNames: this.#siteNames,
+      ipv4Count: this.#ipv4.size,
+      ipv6Count: this.#ipv6.size,
+      chunks,
+    }
+  }
+
+  #locate(index: number): [columns: BlockColumns, place: number] {
+    return index < this.#ipv4.size ? [this.#ipv4, index] : [this.#ipv6, index - this.#ipv4.size]
+  }
+}
+
+function prefixKey(prefix: PackedPrefix): string {
+  return `${String(prefix.family)}/${String(prefix.high)}/${String(prefix.low)}/${String(prefix.length)}`
+}
+
+function isRow(change: BlockRow | PackedPrefix): change is BlockRow {
+  return 'siteIndex' in change
+}
+
+/** Merges sorted changes into sorted columns; a change without a site removes its block. */
+function mergeColumns(
+  columns: BlockColumns,
+  changes: readonly (BlockRow | PackedPrefix)[],
+): BlockColumns {
+  if (changes.length === 0) return columns
+  const present = changes.map((change) => indexOfPrefix(columns, change))
+  const added = changes.filter((change, place) => isRow(change) && present[place] === -1).length
+  const removed = changes.filter((change, place) => !isRow(change) && present[place] !== -1).length
+  return new BlockColumns(
+    columns.family,
+    columns.size + added - removed,
+    mergedRows(columns, changes),
+  )
+}
+
+function* mergedRows(
+  columns: BlockColumns,
+  changes: readonly (BlockRow | PackedPrefix)[],
+): Generator<BlockRow> {
+  let next = 0
+  for (let index = 0; index < columns.size; index++) {
+    const row = columns.rowAt(index)
+    let change = changes[next]
+    while (change !== undefined && comparePrefixes(change, row) < 0) {
+      if (isRow(change)) yield change
+      change = changes[++next]
+    }
+    if (change !== undefined && comparePrefixes(change, row) === 0) {
+      if (isRow(change)) yield change
+      next++
+    } else {
+      yield row
+    }
+  }
+  for (const change of changes.slice(next)) if (isRow(change)) yield change
+}
+
+function indexOfPrefix(columns: BlockColumns, prefix: PackedPrefix): number {
+  let low = 0
+  let high = columns.size
+  while (low < high) {
+    const middle = (low + high) >>> 1
+    if (comparePrefixes(columns.rowAt(middle), prefix) < 0) low = middle + 1
+    else high = middle
+  }
+  return low < columns.size && comparePrefixes(columns.rowAt(low), prefix) === 0 ? low : -1
+}
+
+function* unpackRows(
+  bytes: Buffer,
+  family: AddressFamily,
+  first: number,
+  count: number,
+): Generator<BlockRow> {
+  for (let index = first; index < first + count; index++) {
+    const offset = index * PACKED_BLOCK_BYTES
+    yield {
+      family,
+      high: bytes.readUInt32BE(offset),
+      low: bytes.readUInt32BE(offset + 4),
+      weight: bytes.readFloatBE(offset + 8),
+      siteIndex: bytes.readUInt16BE(offset + 12),
+      length: bytes.readUInt8(offset + 14),
+    }
+  }
+}
