--- /dev/null
+++ b/src/gateway/gatewayDaemon.ts
@@ -0,0 +1,240 @@
+/** The gateway daemon: assembly of its parts and its graceful shutdown. */
+import type { DependencyContainer } from 'tsyringe'
+import { container as rootContainer, instanceCachingFactory } from 'tsyringe'
+import type { Clock } from '../common/clock.js'
+import { nonDecreasingClock, sleep } from '../common/clock.js'
+import type { Logger } from '../common/logger.js'
+import type { Metrics } from '../common/metrics.js'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import { OperationLedger } from '../operations/operationLedger.js'
+import { OperationPrefixCodec } from '../operations/operationPrefix.js'
+import type { RegionLoadView } from '../shift/regionLoad.js'
+import type { SlotSource } from '../slots/slotSource.js'
+import { HttpBackendClient } from './backendClient.js'
+import type { GatewayAnswer } from './exchange.js'
+import { registerGatewayMethods } from './gatewayMethods.js'
+import { GatewayServer } from './gatewayServer.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+import { LinkBudget } from './linkBudget.js'
+import type { LeavingListener } from './localRun.js'
+import { LocalRunner } from './localRun.js'
+import { MovedTrafficBudget } from './movedTrafficBudget.js'
+import { Forwarding } from './ownerForwarding.js'
+import { RegionRouting } from './regionRouting.js'
+import { RequestExecutor } from './requestExecutor.js'
+import { RetryBudget } from './retryBudget.js'
+
+/** What the gateway takes from the parts that all daemons share, and from dispatch. */
+export interface GatewayNode {
+  readonly clock: Clock
+  readonly configuration: ConfigurationView
+  readonly membership: MembershipView
+  readonly loads: RegionLoadView
+  readonly rpc: RpcCaller
+  readonly methods: RpcMethodRegistry
+  readonly slots: SlotSource
+  readonly log: Logger
+  readonly metrics: Metrics
+  readonly onLeaving: LeavingListener
+  /** Pushes this member's record as leaving. */
+  announceLeaving(): Promise<void>
+  /** Resolves once no slot of this gateway is lent; bounded by the deadlines of the loans. */
+  loansReturned(): Promise<void>
+}
+
+/** Tokens of the gateway's parts. */
+export const gatewayTokens = {
+  node: Symbol('GatewayNode'),
+  settings: Symbol('GatewaySettings'),
+  codec: Symbol('OperationPrefixCodec'),
+  backend: Symbol('HttpBackendClient'),
+  retryBudget: Symbol('RetryBudget'),
+  routing: Symbol('RegionRouting'),
+  forwarding: Symbol('Forwarding'),
+  localRunner: Symbol('LocalRunner'),
+  executor: Symbol('RequestExecutor'),
+  server: Symbol('GatewayServer'),
+}
+
+const POLL_MS = 20
+const REQUEST_ID_PREFIX_LENGTH = 8
+
+/** A running gateway without the parts that all daemons share. */
+export class GatewayDaemon {
+  readonly #node: GatewayNode
+  readonly #settings: GatewaySettings
+  readonly #executor: RequestExecutor
+  readonly #server: GatewayServer
+  readonly #backend: HttpBackendClient
+  #draining: Promise<void> | undefined
+
+  constructor(parts: DependencyContainer) {
+    this.#node = parts.resolve(gatewayTokens.node)
+    this.#settings = parts.resolve(gatewayTokens.settings)
+    this.#executor = parts.resolve(gatewayTokens.executor)
+    this.#server = parts.resolve(gatewayTokens.server)
+    this.#backend = parts.resolve(gatewayTokens.backend)
+    registerGatewayMethods(this.#node.methods, this.#executor, parts.resolve(gatewayTokens.codec))
+  }
+
+  /** Port for callers, after {@link start}. */
+  get callerPort(): number {
+    return this.#server.port
+  }
+
+  /** Requests in flight. */
+  get inFlight(): number {
+    return this.#executor.inFlight
+  }
+
+  async start(): Promise<void> {
+    await this.#server.start()
+  }
+
+  /**
+   * Leaves: announces it, serves until answers that name this gateway have expired
+   * and everything in flight is done, then closes. Further calls join the same drain.
+   */
+  drain(): Promise<void> {
+    this.#draining ??= this.#drain()
+    return this.#draining
+  }
+
+  async #drain(): Promise<void> {
+    const { clock, log, metrics } = this.#node
+    const startedAtMs = clock()
+    log.event('drainStarted', { inFlight: this.#executor.inFlight })
+    this.#server.startLeaving()
+    await this.#node.announceLeaving()
+    await sleep(this.#settings.lookupCacheMs)
+    this.#executor.refuseNew()
+    await this.#untilIdle(clock() + this.#settings.maxTimeoutMs)
+    await this.#node.loansReturned()
+    await this.#server.stop(this.#settings.maxTimeoutMs)
+    this.#backend.close()
+    const durationMs = clock() - startedAtMs
+    metrics.timing('gateway.drain', durationMs, {})
+    log.event('drainEnded', { durationMs, inFlight: this.#executor.inFlight })
+  }
+
+  /** Every request ends by its deadline, so that the wait is bounded. */
+  async #untilIdle(latestMs: number): Promise<void> {
+    while (this.#executor.inFlight > 0 && this.#node.clock() < latestMs) await sleep(POLL_MS)
+  }
+}
+
+/** Assembles a gateway. */
+export function createGateway(node: GatewayNode, settings: GatewaySettings): GatewayDaemon {
+  const parts = rootContainer.createChildContainer()
+  parts.register(gatewayTokens.node, { useValue: node })
+  parts.register(gatewayTokens.settings, { useValue: settings })
+  registerBudgets(parts, node, settings)
+  registerRequestPath(parts, node, settings)
+  return new GatewayDaemon(parts)
+}
+
+function registerOnce<Part>(
+  parts: DependencyContainer,
+  token: symbol,
+  create: (parts: DependencyContainer) => Part,
+): void {
+  parts.register<Part>(token, { useFactory: instanceCachingFactory(create) })
+}
+
+function registerBudgets(
+  parts: DependencyContainer,
+  node: GatewayNode,
+  settings: GatewaySettings,
+): void {
+  registerOnce(parts, gatewayTokens.codec, () => new OperationPrefixCodec(settings.peerToken))
+  registerOnce(parts, gatewayTokens.retryBudget, () => new RetryBudget())
+  registerOnce(
+    parts,
+    gatewayTokens.backend,
+    () =>
+      new HttpBackendClient({
+        maxConnectionsPerWorker: settings.maxConnectionsPerWorker,
+        idleMs: settings.backendIdleMs,
+        clock: node.clock,
+      }),
+  )
+  registerOnce(
+    parts,
+    gatewayTokens.routing,
+    () =>
+      new RegionRouting({
+        membership: node.membership,
+        loads: node.loads,
+        movedTraffic: new MovedTrafficBudget(),
+      }),
+  )
+}
+
+function registerRequestPath(
+  parts: DependencyContainer,
+  node: GatewayNode,
+  settings: GatewaySettings,
+): void {
+  registerOnce(
+    parts,
+    gatewayTokens.forwarding,
+    (known) =>
+      new Forwarding({
+        ...node,
+        routing: known.resolve<RegionRouting>(gatewayTokens.routing),
+        linkBudget: new LinkBudget(),
+        retryBudget: known.resolve<RetryBudget>(gatewayTokens.retryBudget),
+      }),
+  )
+  registerOnce(
+    parts,
+    gatewayTokens.localRunner,
+    (known) =>
+      new LocalRunner({
+        ...node,
+        backend: known.resolve<HttpBackendClient>(gatewayTokens.backend),
+        retryBudget: known.resolve<RetryBudget>(gatewayTokens.retryBudget),
+      }),
+  )
+  registerOnce(parts, gatewayTokens.executor, (known) => createExecutor(known, node, settings))
+  registerOnce(
+    parts,
+    gatewayTokens.server,
+    (known) =>
+      new GatewayServer(
+        {
+          ...settings,
+          port: settings.callerPort,
+          requestIdPrefix: node.membership.self().incarnation.slice(0, REQUEST_ID_PREFIX_LENGTH),
+        },
+        {
+          clock: node.clock,
+          configuration: node.configuration,
+          executor: known.resolve<RequestExecutor>(gatewayTokens.executor),
+          codec: known.resolve<OperationPrefixCodec>(gatewayTokens.codec),
+        },
+      ),
+  )
+}
+
+function createExecutor(
+  parts: DependencyContainer,
+  node: GatewayNode,
+  settings: GatewaySettings,
+): RequestExecutor {
+  return new RequestExecutor({
+    ...node,
+    ledgerClock: nonDecreasingClock(node.clock),
+    ledger: new OperationLedger<GatewayAnswer>({
+      maxEntries: settings.ledgerEntries,
+      maxBytes: settings.ledgerBytes,
+      retentionMs: settings.outcomeRetentionMs,
+    }),
+    routing: parts.resolve<RegionRouting>(gatewayTokens.routing),
+    forwarding: parts.resolve<Forwarding>(gatewayTokens.forwarding),
+    localRunner: parts.resolve<LocalRunner>(gatewayTokens.localRunner),
+    maxInFlight: settings.maxInFlight,
+  })
+}
--- /dev/null
+++ b/src/gateway/gatewayServer.ts
@@ -0,0 +1,234 @@
+/** Callers' HTTP: checks requests, hands them to the executor, writes whole answers. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
+import type { Lifecycle, Request, ResponseToolkit, Server } from '@hapi/hapi'
+import { server as createHapiServer } from '@hapi/hapi'
+import type { Clock } from '../common/clock.js'
+import {
+  OPERATION_HEADER,
+  OUTCOME_HEADER,
+  SERVICE_HEADER,
+  TIMEOUT_HEADER,
+} from '../common/headers.js'
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { OperationIdentifier, OperationPrefixCodec } from '../operations/operationPrefix.js'
+import { headerOf } from './backendAttempt.js'
+import { pairsOf } from './backendClient.js'
+import { answerParserErrors } from './callerSockets.js'
+import { createDeadline, parseTimeout } from './deadline.js'
+import type { GatewayAnswer, GatewayRequest, HeaderPair } from './exchange.js'
+import { Arrival } from './exchange.js'
+import { endToEndRequestHeaders, findHeaderFault } from './headerRules.js'
+import { RefusalKind, refuse } from './refusals.js'
+import type { RequestExecutor } from './requestExecutor.js'
+
+/** Settings of the callers' server. */
+export interface GatewayServerOptions {
+  readonly host: string
+  /** TCP port; 0 takes a free one. */
+  readonly port: number
+  /** Bound on request bodies of any service, in bytes. */
+  readonly maxRequestBytes: number
+  readonly maxHeaderBytes: number
+  /** Timeout of a request without a header, for services without a default, in ms. */
+  readonly defaultTimeoutMs: number
+  readonly maxTimeoutMs: number
+  readonly clockSkewMs: number
+  /** Start of all request identifiers of this process. */
+  readonly requestIdPrefix: string
+}
+
+/** What the server needs. */
+export interface GatewayServerParts {
+  readonly clock: Clock
+  readonly executor: RequestExecutor
+  readonly codec: OperationPrefixCodec
+  readonly configuration: ConfigurationView
+}
+
+const HEADERS_TIMEOUT_MS = 10_000
+const REQUEST_TIMEOUT_MS = 30_000
+/** Longer than usual callers keep idle connections, so that they close them and not this side. */
+const KEEP_ALIVE_MS = 75_000
+const STATUS_WITHOUT_BODY = new Set([204, 304])
+
+/** HTTP server for callers. */
+export class GatewayServer {
+  readonly #options: GatewayServerOptions
+  readonly #parts: GatewayServerParts
+  readonly #hapi: Server
+  #lastRequest = 0
+  #leaving = false
+
+  constructor(options: GatewayServerOptions, parts: GatewayServerParts) {
+    this.#options = options
+    this.#parts = parts
+    this.#hapi = createHapiServer({
+      host: options.host,
+      port: options.port,
+      listener: createServer({
+        maxHeaderSize: options.maxHeaderBytes,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        // A missing Host is refused below, with a reason.
+        requireHostHeader: false,
+      }),
+      compression: false,
+    })
+    answerParserErrors(this.#hapi.listener, () => this.#nextRequestId())
+    this.#addRoutes()
+  }
+
+  /** Port in use, after {@link start}. */
+  get port(): number {
+    return this.#hapi.info.port as number
+  }
+
+  async start(): Promise<void> {
+    await this.#hapi.start()
+  }
+
+  /** Asks callers to close their connections after their next answer. */
+  startLeaving(): void {
+    this.#leaving = true
+  }
+
+  /** Stops accepting connections and waits up to `timeoutMs` for requests in flight. */
+  async stop(timeoutMs: number): Promise<void> {
+    await this.#hapi.stop({ timeout: timeoutMs })
+  }
+
+  #addRoutes(): void {
+    this.#hapi.ext('onRequest', (request, toolkit) => this.#checkHeaders(request, toolkit))
+    this.#hapi.ext('onPreResponse', (request, toolkit) => this.#replaceError(request, toolkit))
+    this.#hapi.route({
+      method: '*',
+      path: '/{path*}',
+      options: {
+        payload: { parse: false, output: 'data', maxBytes: this.#options.maxRequestBytes },
+        state: { parse: false, failAction: 'ignore' },
+      },
+      handler: (request, toolkit) => this.#handle(request, toolkit),
+    })
+  }
+
+  #checkHeaders(request: Request, toolkit: ResponseToolkit): Lifecycle.ReturnValue {
+    const headers = pairsOf(request.raw.req.rawHeaders)
+    const fault = findHeaderFault(headers) ?? findTargetFault(request.raw.req)
+    if (fault === undefined) return toolkit.continue
+    return this.#end(request, toolkit, refuse(fault.kind, this.#nextRequestId(), fault))
+  }
+
+  async #handle(request: Request, toolkit: ResponseToolkit): Promise<symbol> {
+    const response = request.raw.res
+    const away = new AbortController()
+    response.once('close', () => {
+      if (!response.writableFinished) away.abort()
+    })
+    const requestId = this.#nextRequestId()
+    const checked = this.#parse(request, requestId, away.signal)
+    const answer = checked.err
+      ? refuse(checked.val, requestId)
+      : await this.#parts.executor.execute(checked.val, Arrival.Caller)
+    return this.#end(request, toolkit, answer)
+  }
+
+  #parse(
+    request: Request,
+    requestId: string,
+    signal: AbortSignal,
+  ): Result<GatewayRequest, RefusalKind> {
+    const arrivedAtMs = this.#parts.clock()
+    const headers = pairsOf(request.raw.req.rawHeaders)
+    const operation = this.#parseOperation(headers)
+    if (operation.err) return operation
+    const service = headerOf(headers, SERVICE_HEADER) ?? operation.val?.grant.service
+    if (service === undefined || service === '') return Err(RefusalKind.ServiceMissing)
+    const timeoutMs = this.#parseTimeout(headers, service)
+    if (timeoutMs === undefined) return Err(RefusalKind.TimeoutMalformed)
+    return Ok({
+      requestId,
+      service,
+      method: request.raw.req.method ?? 'GET',
+      target: request.raw.req.url ?? '/',
+      headers: endToEndRequestHeaders(headers),
+      body: Buffer.isBuffer(request.payload) ? request.payload : Buffer.alloc(0),
+      operation: operation.val,
+      deadline: createDeadline(arrivedAtMs, timeoutMs, this.#options.clockSkewMs),
+      signal,
+    })
+  }
+
+  #parseOperation(
+    headers: readonly HeaderPair[],
+  ): Result<OperationIdentifier | undefined, RefusalKind> {
+    const text = headerOf(headers, OPERATION_HEADER)
+    if (text === undefined) return Ok(undefined)
+    return this.#parts.codec.decode(text).mapErr(() => RefusalKind.OperationMalformed)
+  }
+
+  #parseTimeout(headers: readonly HeaderPair[], service: string): number | undefined {
+    const record = this.#parts.configuration.current()?.document.services.get(service)
+    return parseTimeout(
+      headerOf(headers, TIMEOUT_HEADER),
+      record?.defaultTimeoutMs ?? this.#options.defaultTimeoutMs,
+      this.#options.maxTimeoutMs,
+    )
+  }
+
+  /** Turns errors of hapi (too large, too slow, malformed path) into refusals. */
+  #replaceError(request: Request, toolkit: ResponseToolkit): Lifecycle.ReturnValue {
+    const response = request.response
+    if (!('isBoom' in response)) return toolkit.continue
+    const status = response.output.statusCode
+    const kind = kindOfStatus(status)
+    const answer = refuse(kind, this.#nextRequestId(), { detail: response.message })
+    const exact = kind === RefusalKind.MalformedRequest ? { ...answer, status } : answer
+    return this.#end(request, toolkit, exact)
+  }
+
+  #end(request: Request, toolkit: ResponseToolkit, answer: GatewayAnswer): symbol {
+    const { req, res } = request.raw
+    // An unread body would be taken for the next request of the connection.
+    writeAnswer(res, answer, this.#leaving || !req.complete)
+    return toolkit.abandon
+  }
+
+  #nextRequestId(): string {
+    this.#lastRequest += 1
+    return `${this.#options.requestIdPrefix}-${String(this.#lastRequest)}`
+  }
+}
+
+function findTargetFault(
+  request: IncomingMessage,
+): { readonly kind: RefusalKind; readonly detail: string } | undefined {
+  const kind = RefusalKind.MalformedRequest
+  if (request.headers.host === undefined) return { kind, detail: 'Host is missing' }
+  if (request.url?.startsWith('/') !== true) {
+    return { kind, detail: 'the request target is not a path' }
+  }
+  return undefined
+}
+
+function kindOfStatus(status: number): RefusalKind {
+  if (status === 413) return RefusalKind.RequestTooLarge
+  return status < 500 ? RefusalKind.MalformedRequest : RefusalKind.InternalFault
+}
+
+function writeAnswer(response: ServerResponse, answer: GatewayAnswer, close: boolean): void {
+  if (response.headersSent || response.destroyed) return
+  const flat = answer.headers.flatMap(([name, value]) => [name, value])
+  if (headerOf(answer.headers, 'date') !== undefined) response.sendDate = false
+  flat.push(OUTCOME_HEADER, answer.outcome)
+  const needsLength = headerOf(answer.headers, 'content-length') === undefined
+  if (needsLength && !STATUS_WITHOUT_BODY.has(answer.status)) {
+    flat.push('Content-Length', String(answer.body.length))
+  }
+  if (close) flat.push('Connection', 'close')
+  response.writeHead(answer.status, flat)
+  response.end(answer.body)
+}
--- /dev/null
+++ b/src/gateway/headerRules.ts
@@ -0,0 +1,102 @@
+/** Which headers of a caller's request or of a backend server's answer pass, and which requests are refused for theirs. */
+import {
+  DEADLINE_HEADER,
+  LEAVING_HEADER,
+  NOT_STARTED_HEADER,
+  OPERATION_HEADER,
+  OUTCOME_HEADER,
+  REQUEST_HEADER,
+  SERVICE_HEADER,
+  TIMEOUT_HEADER,
+} from '../common/headers.js'
+import type { HeaderPair } from './exchange.js'
+import { RefusalKind } from './refusals.js'
+
+const CALLER_HEADERS = new Set([OPERATION_HEADER, TIMEOUT_HEADER, SERVICE_HEADER])
+const INTERNAL_HEADERS = new Set([
+  DEADLINE_HEADER,
+  REQUEST_HEADER,
+  OUTCOME_HEADER,
+  NOT_STARTED_HEADER,
+  LEAVING_HEADER,
+])
+const HOP_BY_HOP_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  // The whole body is buffered, so its length is set anew and "expect" is answered here.
+  'content-length',
+  'expect',
+])
+/** Headers that may not be named in `Connection`: dropping them would change what the request means. */
+const PROTECTED_FROM_CONNECTION = new Set(['host', 'content-type', 'content-encoding'])
+
+/** Why a request is refused for its headers. */
+export interface HeaderFault {
+  readonly kind: RefusalKind
+  readonly detail: string
+}
+
+/** Checks the raw headers of a caller's request; returns the first fault. */
+export function findHeaderFault(headers: readonly HeaderPair[]): HeaderFault | undefined {
+  const names = headers.map(([name]) => name.toLowerCase())
+  const count = (wanted: string): number => names.filter((name) => name === wanted).length
+  if (count('content-length') > 1) {
+    return { kind: RefusalKind.AmbiguousLength, detail: 'Content-Length is repeated' }
+  }
+  if (count('transfer-encoding') > 0 && count('content-length') > 0) {
+    return {
+      kind: RefusalKind.AmbiguousLength,
+      detail: 'Transfer-Encoding and Content-Length are both present',
+    }
+  }
+  const encoding = headers.filter(([name]) => name.toLowerCase() === 'transfer-encoding')
+  if (encoding.some(([, value]) => value.trim().toLowerCase() !== 'chunked')) {
+    return {
+      kind: RefusalKind.AmbiguousLength,
+      detail: 'Transfer-Encoding is not exactly "chunked"',
+    }
+  }
+  if (count('host') > 1) return { kind: RefusalKind.MalformedRequest, detail: 'Host is repeated' }
+  const internal = names.find((name) => INTERNAL_HEADERS.has(name))
+  if (internal !== undefined) return { kind: RefusalKind.InternalHeader, detail: internal }
+  const repeated = [...CALLER_HEADERS].find((name) => count(name) > 1)
+  if (repeated !== undefined) return { kind: RefusalKind.InternalHeader, detail: repeated }
+  return undefined
+}
+
+/** Returns the headers that go on from a caller to a backend server. */
+export function endToEndRequestHeaders(headers: readonly HeaderPair[]): HeaderPair[] {
+  const dropped = connectionOptions(headers)
+  return headers.filter(([given]) => {
+    const name = given.toLowerCase()
+    // The operation identifier goes on, so that a backend server can log or check it.
+    if (name === OPERATION_HEADER || name === SERVICE_HEADER) return true
+    return !HOP_BY_HOP_HEADERS.has(name) && !CALLER_HEADERS.has(name) && !dropped.has(name)
+  })
+}
+
+/** Returns the headers that go on from a backend server to a caller. */
+export function endToEndAnswerHeaders(headers: readonly HeaderPair[]): HeaderPair[] {
+  const dropped = connectionOptions(headers)
+  return headers.filter(([given]) => {
+    const name = given.toLowerCase()
+    return !HOP_BY_HOP_HEADERS.has(name) && !INTERNAL_HEADERS.has(name) && !dropped.has(name)
+  })
+}
+
+function connectionOptions(headers: readonly HeaderPair[]): ReadonlySet<string> {
+  const options = new Set<string>()
+  for (const [name, value] of headers) {
+    if (name.toLowerCase() !== 'connection') continue
+    for (const option of value.split(',')) options.add(option.trim().toLowerCase())
+  }
+  for (const name of PROTECTED_FROM_CONNECTION) options.delete(name)
+  return options
+}
--- /dev/null
+++ b/src/gateway/linkBudget.ts
@@ -0,0 +1,120 @@
+/**
+ * Keeps the forwarding of this process within its part of the bandwidth between
+ * regions, shared among services by weight. What a service does not use goes
+ * to a reserve that the others may draw on.
+ */
+import type { ConfigurationDocument } from '../configuration/document.js'
+import { linkKey } from '../configuration/document.js'
+import { TokenBucket } from './tokenBucket.js'
+
+/** Part of a link that all gateways together may use. */
+const USABLE_SHARE = 0.8
+/**
+ * A direction of a link carries requests of the one region's gateways and
+ * answers to the other region's gateways; each side gets half.
+ */
+const SIDE_SHARE = 0.5
+/** Unused bandwidth accumulates for this long, in seconds. */
+const BURST_SECONDS = 0.25
+/** An answer or request of this size must fit an empty bucket, or it could never be forwarded. */
+const MIN_CAPACITY_BITS = 8 * 64 * 1024
+
+interface DirectionBudget {
+  readonly reserve: TokenBucket
+  readonly services: Map<string, TokenBucket>
+}
+
+/** A forwarding to be admitted. */
+export interface LinkUse {
+  readonly from: string
+  readonly to: string
+  readonly service: string
+  readonly requestBytes: number
+  readonly expectedAnswerBytes: number
+}
+
+/** Bandwidth budget of one process. */
+export class LinkBudget {
+  readonly #directions = new Map<string, DirectionBudget>()
+
+  /**
+   * Takes the bandwidth of a request and of its expected answer.
+   * @param gatewayCount largest recent count of live gateways in this region
+   */
+  take(
+    document: ConfigurationDocument,
+    use: LinkUse,
+    gatewayCount: number,
+    nowMs: number,
+  ): boolean {
+    const outward = this.#refilled(document, use.from, use.to, gatewayCount, nowMs)
+    const inward = this.#refilled(document, use.to, use.from, gatewayCount, nowMs)
+    if (outward === undefined || inward === undefined) return false
+    const requestBits = use.requestBytes * 8
+    const answerBits = use.expectedAnswerBytes * 8
+    if (!holds(inward, use.service, answerBits)) return false
+    if (!holds(outward, use.service, requestBits)) return false
+    spend(inward, use.service, answerBits)
+    spend(outward, use.service, requestBits)
+    return true
+  }
+
+  /** Corrects the reservation of an answer by its real size. */
+  settle(use: LinkUse, answerBytes: number): void {
+    const inward = this.#directions.get(linkKey(use.to, use.from))
+    inward?.services.get(use.service)?.charge((answerBytes - use.expectedAnswerBytes) * 8)
+  }
+
+  #refilled(
+    document: ConfigurationDocument,
+    from: string,
+    to: string,
+    gatewayCount: number,
+    nowMs: number,
+  ): DirectionBudget | undefined {
+    const key = linkKey(from, to)
+    const link = document.links.get(key)
+    if (link === undefined) return undefined
+    const rate = (link.bitsPerSecond * USABLE_SHARE * SIDE_SHARE) / Math.max(1, gatewayCount)
+    const direction = this.#directions.get(key) ?? {
+      reserve: new TokenBucket(capacityOf(rate), nowMs),
+      services: new Map<string, TokenBucket>(),
+    }
+    this.#directions.set(key, direction)
+    refill(direction, document, rate, nowMs)
+    return direction
+  }
+}
+
+function capacityOf(rate: number): number {
+  return Math.max(MIN_CAPACITY_BITS, rate * BURST_SECONDS)
+}
+
+function refill(
+  direction: DirectionBudget,
+  document: ConfigurationDocument,
+  rate: number,
+  nowMs: number,
+): void {
+  const services = [...document.services.values()]
+  const totalWeight = services.reduce((sum, service) => sum + service.linkWeight, 0)
+  for (const service of services) {
+    const share = totalWeight === 0 ? 1 / services.length : service.linkWeight / totalWeight
+    const bucket = direction.services.get(service.name) ?? new TokenBucket(0, nowMs)
+    direction.services.set(service.name, bucket)
+    const surplus = bucket.refill(rate * share, rate * share * BURST_SECONDS, nowMs)
+    direction.reserve.add(surplus, capacityOf(rate))
+  }
+}
+
+function holds(direction: DirectionBudget, service: string, bits: number): boolean {
+  const own = direction.services.get(service)?.tokens ?? 0
+  return own >= bits || Math.max(0, own) + direction.reserve.tokens >= bits
+}
+
+function spend(direction: DirectionBudget, service: string, bits: number): void {
+  const bucket = direction.services.get(service)
+  const own = Math.min(bits, Math.max(0, bucket?.tokens ?? 0))
+  bucket?.charge(own)
+  direction.reserve.charge(bits - own)
+}
--- /dev/null
+++ b/src/gateway/localRun.ts
@@ -0,0 +1,241 @@
+/** Runs a request on this region's backend servers: slot, attempt, classification, retry. */
+import type { Clock } from '../common/clock.js'
+import { LEAVING_HEADER, Outcome } from '../common/headers.js'
+import type { Logger } from '../common/logger.js'
+import type { Metrics } from '../common/metrics.js'
+import type { ServiceRecord } from '../configuration/document.js'
+import type { SlotError, SlotGrant, SlotSource } from '../slots/slotSource.js'
+import { SlotErrorKind, SlotUse } from '../slots/slotSource.js'
+import type { AttemptResult, BackendAnswer, BackendCaller } from './backendAttempt.js'
+import { AttemptKind, BreakReason, classify, Execution, headerOf } from './backendAttempt.js'
+import { maySend } from './deadline.js'
+import type { GatewayAnswer, GatewayRequest } from './exchange.js'
+import { endToEndAnswerHeaders } from './headerRules.js'
+import { RefusalKind, refuse } from './refusals.js'
+import type { RetryBudget } from './retryBudget.js'
+
+/** Attempts of one request; more would hold its caller back from another entry instance. */
+const MAX_ATTEMPTS = 4
+
+/** Called when a backend server's own answer says that it is leaving. */
+export type LeavingListener = (workerId: string, address: string) => void
+
+/** What a local run needs. */
+export interface LocalRunParts {
+  readonly clock: Clock
+  readonly slots: SlotSource
+  readonly backend: BackendCaller
+  readonly retryBudget: RetryBudget
+  readonly log: Logger
+  readonly metrics: Metrics
+  readonly onLeaving: LeavingListener
+}
+
+/** A request with what the configuration says of it. */
+export interface LocalTask {
+  readonly request: GatewayRequest
+  readonly service: ServiceRecord
+  readonly revision: number
+  /** Ends the run when the request is cancelled. */
+  readonly signal: AbortSignal
+}
+
+interface Progress {
+  attempts: number
+  /** True once an attempt may have been executed; the request is never "not run" after that. */
+  maybeRan: boolean
+  /** Why the last attempt gave no answer. */
+  lastFailure: RefusalKind
+  readonly excludedWorkers: Set<string>
+}
+
+/** Runs requests on the backend servers that a {@link SlotSource} offers. */
+export class LocalRunner {
+  readonly #parts: LocalRunParts
+
+  constructor(parts: LocalRunParts) {
+    this.#parts = parts
+  }
+
+  /** Runs one request. Never rejects. */
+  async run(task: LocalTask): Promise<GatewayAnswer> {
+    const progress: Progress = {
+      attempts: 0,
+      maybeRan: false,
+      lastFailure: RefusalKind.NoBackendServer,
+      excludedWorkers: new Set(),
+    }
+    this.#parts.retryBudget.recordRequest(task.service.name)
+    for (;;) {
+      const grant = await this.#acquire(task, progress)
+      if (grant.err) return this.#giveUp(task, progress, slotRefusal(grant.val, progress), grant.val)
+      const refusal = this.#recheck(task)
+      if (refusal !== undefined) {
+        grant.val.release(SlotUse.Unused, 0, this.#parts.clock())
+        return this.#giveUp(task, progress, refusal)
+      }
+      const result = await this.#attempt(task, grant.val, progress)
+      const execution = classify(result)
+      if (result.kind === AttemptKind.Answered && execution === Execution.Ran) {
+        return relay(result, task.request.method)
+      }
+      progress.maybeRan ||= execution === Execution.Possible
+      progress.lastFailure = failureKind(result)
+      progress.excludedWorkers.add(grant.val.workerId)
+      if (!this.#mayRetry(task, progress, execution)) {
+        return this.#giveUp(task, progress, progress.lastFailure)
+      }
+    }
+  }
+
+  async #acquire(
+    task: LocalTask,
+    progress: Progress,
+  ): ReturnType<SlotSource['acquire']> {
+    const { request, service } = task
+    const startedAtMs = this.#parts.clock()
+    const grant = await this.#parts.slots.acquire(
+      {
+        requestId: request.requestId,
+        service: service.name,
+        requestClass: requestClass(service.name, request),
+        deadlineMs: request.deadline.sendByMs,
+        excludedWorkers: progress.excludedWorkers,
+        signal: task.signal,
+      },
+      startedAtMs,
+    )
+    this.#parts.metrics.timing('gateway.slot_wait', this.#parts.clock() - startedAtMs, {
+      service: service.name,
+    })
+    return grant
+  }
+
+  /** Checks again after a wait: the process may have been paused, or the caller gone. */
+  #recheck(task: LocalTask): RefusalKind | undefined {
+    if (task.signal.aborted) return RefusalKind.Cancelled
+    const inTime = maySend(task.request.deadline, this.#parts.clock())
+    return inTime ? undefined : RefusalKind.DeadlineUnreachable
+  }
+
+  async #attempt(task: LocalTask, grant: SlotGrant, progress: Progress): Promise<AttemptResult> {
+    const { request } = task
+    progress.attempts += 1
+    const attemptId = `${request.requestId}.${String(progress.attempts)}`
+    const sentAtMs = this.#parts.clock()
+    const result = await this.#parts.backend.attempt({
+      address: grant.address,
+      attemptId,
+      method: request.method,
+      target: request.target,
+      headers: request.headers,
+      body: request.body,
+      deadlineMs: request.deadline.deadlineMs,
+      maxAnswerBytes: task.service.maxResponseBytes,
+      signal: task.signal,
+    })
+    const nowMs = this.#parts.clock()
+    grant.release(slotUse(result), nowMs - sentAtMs, nowMs)
+    if (result.kind === AttemptKind.Answered) this.#noteLeaving(grant, result)
+    this.#parts.log.decision('attempt', {
+      requestId: request.requestId,
+      attempt: progress.attempts,
+      service: task.service.name,
+      worker: grant.workerId,
+      reason: grant.reason,
+      result: result.kind === AttemptKind.Answered ? result.status : result.reason,
+      execution: classify(result),
+      revision: task.revision,
+      durationMs: nowMs - sentAtMs,
+    })
+    return result
+  }
+
+  #noteLeaving(grant: SlotGrant, answer: BackendAnswer): void {
+    if (headerOf(answer.headers, LEAVING_HEADER) === 'true') {
+      this.#parts.onLeaving(grant.workerId, grant.address)
+    }
+  }
+
+  #mayRetry(task: LocalTask, progress: Progress, execution: Execution): boolean {
+    const { request, service } = task
+    if (task.signal.aborted || progress.attempts >= MAX_ATTEMPTS) return false
+    const repeatable =
+      execution === Execution.CertainlyNot || service.idempotentMethods.includes(request.method)
+    if (!repeatable || !maySend(request.deadline, this.#parts.clock())) return false
+    return this.#parts.retryBudget.takeRetry(service.name)
+  }
+
+  #giveUp(
+    task: LocalTask,
+    progress: Progress,
+    kind: RefusalKind,
+    slotError?: SlotError,
+  ): GatewayAnswer {
+    const { requestId } = task.request
+    const certain = progress.maybeRan ? unknownKind(kind) : kind
+    this.#parts.metrics.increment('gateway.refusals', 1, { kind: certain })
+    if (certain !== kind || slotError === undefined) return refuse(certain, requestId)
+    return refuse(kind, requestId, { retryAfterMs: slotError.retryAfterMs })
+  }
+}
+
+/** Class of a request for the statistics: service, method and first two path segments. */
+export function requestClass(service: string, request: GatewayRequest): string {
+  const path = request.target.split('?', 1)[0] ?? ''
+  return `${service} ${request.method} ${path.split('/').slice(0, 3).join('/')}`
+}
+
+function relay(answer: BackendAnswer, method: string): GatewayAnswer {
+  const length = headerOf(answer.headers, 'content-length')
+  const headers = endToEndAnswerHeaders(answer.headers)
+  // An answer to HEAD tells the length of a body that it does not have.
+  if (method === 'HEAD' && length !== undefined) headers.push(['content-length', length])
+  return {
+    outcome: Outcome.Ran,
+    status: answer.status,
+    headers,
+    body: answer.body,
+    reason: 'answered',
+  }
+}
+
+const SLOT_REFUSALS: Readonly<Record<SlotErrorKind, RefusalKind>> = {
+  [SlotErrorKind.QueueFull]: RefusalKind.QueueFull,
+  [SlotErrorKind.DeadlineUnreachable]: RefusalKind.DeadlineUnreachable,
+  [SlotErrorKind.NoBackendServer]: RefusalKind.NoBackendServer,
+  [SlotErrorKind.Cancelled]: RefusalKind.Cancelled,
+}
+
+/** After an attempt, a lack of further backend servers is explained by that attempt. */
+function slotRefusal(error: SlotError, progress: Progress): RefusalKind {
+  return error.kind === SlotErrorKind.NoBackendServer
+    ? progress.lastFailure
+    : SLOT_REFUSALS[error.kind]
+}
+
+function failureKind(result: AttemptResult): RefusalKind {
+  if (result.kind === AttemptKind.Answered) return RefusalKind.BackendRefused
+  if (result.kind === AttemptKind.NotConnected) {
+    return result.reason === BreakReason.Cancelled
+      ? RefusalKind.Cancelled
+      : RefusalKind.BackendUnreachable
+  }
+  return result.reason === BreakReason.TimedOut
+    ? RefusalKind.DeadlinePassed
+    : RefusalKind.BrokenAnswer
+}
+
+/** The kind to report when an earlier attempt may have run. */
+function unknownKind(kind: RefusalKind): RefusalKind {
+  return kind === RefusalKind.DeadlinePassed || kind === RefusalKind.DeadlineUnreachable
+    ? RefusalKind.DeadlinePassed
+    : RefusalKind.BrokenAnswer
+}
+
+function slotUse(result: AttemptResult): SlotUse {
+  if (result.kind === AttemptKind.Answered) {
+    return classify(result) === Execution.Ran ? SlotUse.Completed : SlotUse.Shed
+  }
+  return result.reason === BreakReason.Cancelled ? SlotUse.Cancelled : SlotUse.Failed
+}
--- /dev/null
+++ b/src/slots/leastOutstandingSource.ts
@@ -0,0 +1,142 @@
+/**
+ * Baseline of the dispatch bench: each gateway counts only its own requests and
+ * takes the backend server with the fewest of them, within its slots.
+ */
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { WorkerRecord } from '../configuration/document.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { SlotGrant, SlotRequest, SlotSource } from './slotSource.js'
+import { SlotError, SlotErrorKind } from './slotSource.js'
+
+const RETRY_AFTER_MS = 250
+
+interface Waiter {
+  readonly request: SlotRequest
+  readonly settle: (result: Result<SlotGrant, SlotError>) => void
+  readonly timer: NodeJS.Timeout
+}
+
+/** {@link SlotSource} on local counts, first in, first out. */
+export class LeastOutstandingSource implements SlotSource {
+  readonly #configuration: ConfigurationView
+  readonly #region: string
+  readonly #isLeaving: (workerId: string, generation: number) => boolean
+  readonly #outstanding = new Map<string, number>()
+  readonly #queues = new Map<string, Waiter[]>()
+
+  constructor(
+    configuration: ConfigurationView,
+    region: string,
+    isLeaving: (workerId: string, generation: number) => boolean,
+  ) {
+    this.#configuration = configuration
+    this.#region = region
+    this.#isLeaving = isLeaving
+  }
+
+  acquire(request: SlotRequest, nowMs: number): Promise<Result<SlotGrant, SlotError>> {
+    const service = this.#configuration.current()?.document.services.get(request.service)
+    const usable = this.#usable(request)
+    if (service === undefined || usable.length === 0) {
+      return Promise.resolve(Err(failure(SlotErrorKind.NoBackendServer, request)))
+    }
+    const queue = this.#queues.get(request.service) ?? []
+    this.#queues.set(request.service, queue)
+    const free = queue.length === 0 ? this.#best(usable) : undefined
+    if (free !== undefined) return Promise.resolve(Ok(this.#grant(free, request.service)))
+    if (queue.length >= service.maxQueued) {
+      return Promise.resolve(Err(failure(SlotErrorKind.QueueFull, request)))
+    }
+    return this.#enqueue(queue, request, nowMs)
+  }
+
+  #enqueue(
+    queue: Waiter[],
+    request: SlotRequest,
+    nowMs: number,
+  ): Promise<Result<SlotGrant, SlotError>> {
+    return new Promise((resolve) => {
+      const end = (kind: SlotErrorKind): void => {
+        const index = queue.indexOf(waiter)
+        if (index >= 0) queue.splice(index, 1)
+        settle(Err(failure(kind, request)))
+      }
+      const onAbort = (): void => {
+        end(SlotErrorKind.Cancelled)
+      }
+      const settle = (result: Result<SlotGrant, SlotError>): void => {
+        clearTimeout(waiter.timer)
+        request.signal.removeEventListener('abort', onAbort)
+        resolve(result)
+      }
+      const timer = setTimeout(
+        () => {
+          end(SlotErrorKind.DeadlineUnreachable)
+        },
+        Math.max(0, request.deadlineMs - nowMs),
+      )
+      const waiter: Waiter = { request, settle, timer }
+      request.signal.addEventListener('abort', onAbort, { once: true })
+      queue.push(waiter)
+    })
+  }
+
+  #usable(request: SlotRequest): WorkerRecord[] {
+    const service = this.#configuration.current()?.document.services.get(request.service)
+    return (service?.workers ?? []).filter(
+      (worker) =>
+        worker.region === this.#region &&
+        !request.excludedWorkers.has(worker.workerId) &&
+        !this.#isLeaving(worker.workerId, worker.generation),
+    )
+  }
+
+  #best(workers: readonly WorkerRecord[]): WorkerRecord | undefined {
+    const count = (worker: WorkerRecord): number => this.#outstanding.get(worker.workerId) ?? 0
+    return workers
+      .filter((worker) => count(worker) < worker.slots)
+      .sort((left, right) => count(left) - count(right))[0]
+  }
+
+  #grant(worker: WorkerRecord, service: string): SlotGrant {
+    this.#outstanding.set(worker.workerId, (this.#outstanding.get(worker.workerId) ?? 0) + 1)
+    let released = false
+    return {
+      workerId: worker.workerId,
+      address: worker.address,
+      reason: 'fewestOutstanding',
+      release: () => {
+        if (released) return
+        released = true
+        const count = this.#outstanding.get(worker.workerId) ?? 1
+        this.#outstanding.set(worker.workerId, count - 1)
+        this.#serveQueue(service)
+      },
+    }
+  }
+
+  #serveQueue(service: string): void {
+    const queue = this.#queues.get(service) ?? []
+    for (let index = 0; index < queue.length;) {
+      const waiter = queue[index]
+      if (waiter === undefined) return
+      const worker = this.#best(this.#usable(waiter.request))
+      if (worker === undefined) {
+        index += 1
+        continue
+      }
+      queue.splice(index, 1)
+      waiter.settle(Ok(this.#grant(worker, service)))
+    }
+  }
+}
+
+function failure(kind: SlotErrorKind, request: SlotRequest): SlotError {
+  return new SlotError(
+    kind,
+    `No slot of ${request.service} for request ${request.requestId}`,
+    'try again later or at another entry instance',
+    RETRY_AFTER_MS,
+  )
+}
