--- /dev/null
+++ b/playground/deployment.ts
@@ -0,0 +1,180 @@
+/** The example deployments of the two users and how tests and examples load them. */
+import { readFileSync } from 'node:fs'
+import Joi from 'joi'
+import { SteeringError } from '../src/common/errors.js'
+import type { Result } from '../src/common/results.js'
+import { Err, Ok } from '../src/common/results.js'
+import type {
+  ConfigurationRecord,
+  ServiceRecord,
+  WorkerRecord,
+} from '../src/configuration/document.js'
+import { RecordKind } from '../src/configuration/document.js'
+import { NAME_SCHEMA, RECORDS_SCHEMA } from '../src/control/recordSchemas.js'
+
+/** Names of the deployments in `playground/deployments/`. */
+export enum DeploymentName {
+  Cruciverba = 'cruciverba',
+  Kirinyaga = 'kirinyaga',
+}
+
+/** An entry instance: one process each of look-up, gateway and control. */
+export interface EntryInstance {
+  readonly instanceId: string
+  readonly region: string
+  readonly zone: string
+  readonly site: string
+}
+
+/** A user's system as a list of records, with what stand-ins need besides. */
+export interface Deployment {
+  readonly name: string
+  readonly operator: string
+  /** Region that the key-value service runs in. */
+  readonly storeRegion: string
+  /** One-way delays in milliseconds. */
+  readonly latency: {
+    readonly betweenZonesMs: number
+    readonly betweenRegionsMs: number
+    readonly toClientsMs: number
+  }
+  readonly entryInstances: readonly EntryInstance[]
+  /** Applied as one change, they make the first configuration. */
+  readonly records: readonly ConfigurationRecord[]
+}
+
+/** Kinds of errors about deployment files. */
+export enum DeploymentErrorKind {
+  Invalid = 'deploymentInvalid',
+}
+
+/** A worker with the service that it serves. */
+export interface DeployedWorker extends WorkerRecord {
+  readonly service: string
+}
+
+const DEPLOYMENT_SCHEMA = Joi.object({
+  name: NAME_SCHEMA.required(),
+  operator: Joi.string().required(),
+  storeRegion: NAME_SCHEMA.required(),
+  latency: Joi.object({
+    betweenZonesMs: Joi.number().min(0).required(),
+    betweenRegionsMs: Joi.number().min(0).required(),
+    toClientsMs: Joi.number().min(0).required(),
+  }).required(),
+  entryInstances: Joi.array()
+    .items(
+      Joi.object({
+        instanceId: NAME_SCHEMA.required(),
+        region: NAME_SCHEMA.required(),
+        zone: NAME_SCHEMA.required(),
+        site: NAME_SCHEMA.required(),
+      }),
+    )
+    .unique('instanceId')
+    .required(),
+  records: RECORDS_SCHEMA.required(),
+})
+
+/** Returns the path of a deployment file; the compiled module is two folders below the root. */
+export function deploymentPath(name: DeploymentName): URL {
+  return new URL(`../../playground/deployments/${name}.json`, import.meta.url)
+}
+
+/** Loads and checks one of the example deployments. */
+export function loadDeployment(
+  name: DeploymentName,
+): Result<Deployment, SteeringError<DeploymentErrorKind>> {
+  return parseDeployment(JSON.parse(readFileSync(deploymentPath(name), 'utf8')))
+}
+
+/** Checks a deployment: its form, and that every name it refers to exists. */
+export function parseDeployment(
+  content: unknown,
+): Result<Deployment, SteeringError<DeploymentErrorKind>> {
+  const checked = DEPLOYMENT_SCHEMA.validate(content, { abortEarly: false })
+  if (checked.error !== undefined) return Err(invalid([checked.error.message]))
+  const deployment = checked.value as Deployment
+  const faults = referenceFaults(deployment)
+  return faults.length === 0 ? Ok(deployment) : Err(invalid(faults))
+}
+
+/** All workers in the order of the file. */
+export function workersOf(deployment: Deployment): DeployedWorker[] {
+  return servicesOf(deployment).flatMap((service) =>
+    service.workers.map((worker) => ({ ...worker, service: service.name })),
+  )
+}
+
+/**
+ * Returns the deployment with each worker at `127.0.0.1` and a port of its
+ * own, counted from `basePort` in the order of {@link workersOf}.
+ */
+export function assignLoopbackPorts(deployment: Deployment, basePort: number): Deployment {
+  let port = basePort
+  const records = deployment.records.map((record) => {
+    if (record.kind !== RecordKind.PutService) return record
+    const workers = record.service.workers.map((worker) => ({
+      ...worker,
+      address: `127.0.0.1:${String(port++)}`,
+    }))
+    return { ...record, service: { ...record.service, workers } }
+  })
+  return { ...deployment, records }
+}
+
+function servicesOf(deployment: Deployment): ServiceRecord[] {
+  return deployment.records.flatMap((record) =>
+    record.kind === RecordKind.PutService ? [record.service] : [],
+  )
+}
+
+function referenceFaults(deployment: Deployment): string[] {
+  const zones = new Map<string, string>()
+  const sites = new Map<string, string>()
+  const faults: string[] = []
+  for (const record of deployment.records) {
+    if (record.kind === RecordKind.PutRegion) {
+      for (const zone of record.region.zones) zones.set(zone, record.region.name)
+    }
+    if (record.kind === RecordKind.PutSite) sites.set(record.site.name, record.site.zone)
+  }
+  const regions = new Set(zones.values())
+  const needZone = (owner: string, zone: string, region: string): void => {
+    if (zones.get(zone) !== region) faults.push(`${owner}: zone ${zone} is not in region ${region}`)
+  }
+  const needRegion = (owner: string, region: string): void => {
+    if (!regions.has(region)) faults.push(`${owner}: there is no region ${region}`)
+  }
+  needRegion('storeRegion', deployment.storeRegion)
+  for (const record of deployment.records) {
+    if (record.kind === RecordKind.PutSite) {
+      needZone(`site ${record.site.name}`, record.site.zone, record.site.region)
+    } else if (record.kind === RecordKind.PutLink) {
+      needRegion('link', record.link.from)
+      needRegion('link', record.link.to)
+    } else if (record.kind === RecordKind.PutBlocks) {
+      for (const block of record.blocks) {
+        if (!sites.has(block.site)) faults.push(`${block.cidr}: there is no site ${block.site}`)
+      }
+    }
+  }
+  for (const worker of workersOf(deployment)) {
+    needZone(`worker ${worker.workerId}`, worker.zone, worker.region)
+  }
+  for (const instance of deployment.entryInstances) {
+    needZone(`entry instance ${instance.instanceId}`, instance.zone, instance.region)
+    if (sites.get(instance.site) !== instance.zone) {
+      faults.push(`entry instance ${instance.instanceId}: site ${instance.site} is elsewhere`)
+    }
+  }
+  return faults
+}
+
+function invalid(faults: readonly string[]): SteeringError<DeploymentErrorKind> {
+  return new SteeringError(
+    DeploymentErrorKind.Invalid,
+    `The deployment has ${String(faults.length)} faults: ${faults.join('; ')}`,
+    'correct the file',
+  )
+}
