--- /dev/null
+++ b/playground/instanceListServer.ts
@@ -0,0 +1,139 @@
+/**
+ * Stand-in of the platform's list of instances:
+ * `node dist/playground/instanceListServer.js --port 7001`.
+ *
+ * Serves `GET /v1/instances` of `src/platform/httpInstanceList.ts` and:
+ * - `POST /admin/instances` with a `ListedInstance`: adds or replaces it
+ * - `POST /admin/remove` with `{ instanceId }`
+ * - `POST /admin/faults` with any of `{ lagMs, outage, slownessMs }`
+ * - `GET /admin/calls`: `{ total }`
+ */
+import type { Request, ResponseObject, ResponseToolkit, Server } from '@hapi/hapi'
+import { server as createHapiServer } from '@hapi/hapi'
+import Joi from 'joi'
+import { sleep } from '../src/common/clock.js'
+import type { ListedInstance } from '../src/platform/instanceList.js'
+import { runStandIn } from './standInProgram.js'
+
+/** Faults of the stand-in. */
+export interface InstanceListFaults {
+  /** Age of the list that readers get, in milliseconds. */
+  lagMs: number
+  /** Answers 503. */
+  outage: boolean
+  /** Delay of each answer in milliseconds. */
+  slownessMs: number
+}
+
+interface TimedList {
+  readonly atMs: number
+  readonly instances: readonly ListedInstance[]
+}
+
+const FAULTS_SCHEMA = Joi.object<Partial<InstanceListFaults>>({
+  lagMs: Joi.number().min(0),
+  outage: Joi.boolean(),
+  slownessMs: Joi.number().min(0),
+})
+/** Earlier lists that are kept; older ones can't be shown by a long lag. */
+const MAX_HISTORY = 10_000
+
+/** Instance list in memory with settable lag. */
+export class InstanceListServer {
+  readonly #hapi: Server
+  readonly #faults: InstanceListFaults = { lagMs: 0, outage: false, slownessMs: 0 }
+  readonly #abort = new AbortController()
+  #history: TimedList[] = [{ atMs: Number.NEGATIVE_INFINITY, instances: [] }]
+  #calls = 0
+
+  /** @param port TCP port; 0 takes a free one */
+  constructor(port = 0, host = '127.0.0.1') {
+    this.#hapi = createHapiServer({ host, port })
+    this.#hapi.route([
+      { method: 'GET', path: '/v1/instances', handler: this.#serveList },
+      { method: 'POST', path: '/admin/instances', handler: this.#servePut },
+      { method: 'POST', path: '/admin/remove', handler: this.#serveRemove },
+      { method: 'POST', path: '/admin/faults', handler: this.#serveFaults },
+      { method: 'GET', path: '/admin/calls', handler: () => ({ total: this.#calls }) },
+    ])
+  }
+
+  /** Base URL, after {@link start}. */
+  get url(): string {
+    return `http://${this.#hapi.info.host}:${String(this.#hapi.info.port)}`
+  }
+
+  /** Reads of the list since the start. */
+  get calls(): number {
+    return this.#calls
+  }
+
+  async start(): Promise<void> {
+    await this.#hapi.start()
+  }
+
+  async stop(): Promise<void> {
+    this.#abort.abort()
+    await this.#hapi.stop({ timeout: 100 })
+  }
+
+  setFaults(faults: Partial<InstanceListFaults>): void {
+    Object.assign(this.#faults, faults)
+  }
+
+  /** Adds or replaces an instance. */
+  put(instance: ListedInstance): void {
+    const others = this.#latest().filter((other) => other.instanceId !== instance.instanceId)
+    this.#append([...others, instance])
+  }
+
+  remove(instanceId: string): void {
+    this.#append(this.#latest().filter((other) => other.instanceId !== instanceId))
+  }
+
+  /** Returns the list as it was `lagMs` before `nowMs`. */
+  listAt(nowMs: number): readonly ListedInstance[] {
+    const shownMs = nowMs - this.#faults.lagMs
+    return this.#history.findLast((list) => list.atMs <= shownMs)?.instances ?? []
+  }
+
+  #latest(): readonly ListedInstance[] {
+    return this.#history.at(-1)?.instances ?? []
+  }
+
+  #append(instances: readonly ListedInstance[]): void {
+    this.#history.push({ atMs: Date.now(), instances })
+    if (this.#history.length > MAX_HISTORY) this.#history = this.#history.slice(-MAX_HISTORY / 2)
+  }
+
+  readonly #serveList = async (
+    _request: Request,
+    toolkit: ResponseToolkit,
+  ): Promise<ResponseObject> => {
+    this.#calls++
+    if (this.#faults.slownessMs > 0) await sleep(this.#faults.slownessMs, this.#abort.signal)
+    if (this.#faults.outage) return toolkit.response({ message: 'outage' }).code(503)
+    return toolkit.response({ instances: this.listAt(Date.now()) })
+  }
+
+  readonly #servePut = (request: Request): object => {
+    this.put(request.payload as ListedInstance)
+    return {}
+  }
+
+  readonly #serveRemove = (request: Request): object => {
+    this.remove((request.payload as { instanceId: string }).instanceId)
+    return {}
+  }
+
+  readonly #serveFaults = (request: Request, toolkit: ResponseToolkit): ResponseObject => {
+    const checked = FAULTS_SCHEMA.validate(request.payload)
+    if (checked.error !== undefined) {
+      return toolkit.response({ message: checked.error.message }).code(400)
+    }
+    this.setFaults(checked.value)
+    return toolkit.response({ ...this.#faults })
+  }
+}
+
+await runStandIn(import.meta.url, 'instanceListServer', (port) => new InstanceListServer(port))
--- /dev/null
+++ b/playground/storeMethods.ts
@@ -0,0 +1,58 @@
+/** The store stand-in's methods as a lookup table; see `src/platform/httpKeyValueStore.ts`. */
+import { MAX_VALUE_BYTES } from './storeState.js'
+import type { StoreState } from './storeState.js'
+
+/** Fields of all requests. */
+export interface StoreRequest {
+  readonly key?: string
+  readonly prefix?: string
+  readonly value?: string
+  readonly expectedVersion?: number
+  readonly leaseId?: string
+  readonly timeToLiveMs?: number
+  readonly afterVersion?: number
+  readonly waitMs?: number
+}
+
+/** HTTP status and JSON body of an answer. */
+export interface StoreAnswer {
+  readonly status: number
+  readonly body: object
+}
+
+type StoreMethod = (state: StoreState, request: StoreRequest, nowMs: number) => StoreAnswer
+
+/** Methods whose answers can be dropped after they took effect. */
+export const WRITE_METHODS: ReadonlySet<string> = new Set([
+  'compareAndSwap',
+  'compareAndDelete',
+  'grantLease',
+  'renewLease',
+])
+
+const done = (body: object): StoreAnswer => ({ status: 200, body })
+const conflict: StoreAnswer = { status: 409, body: { message: 'another version' } }
+
+/** Handlers by method name; a watch is served as a read here, its wait is up to the server. */
+export const STORE_METHODS: Readonly<Record<string, StoreMethod>> = {
+  get: (state, { key = '' }, nowMs) => done({ found: state.get(key, nowMs) ?? null }),
+  list: (state, { prefix = '' }, nowMs) => done({ values: state.list(prefix, nowMs) }),
+  compareAndSwap: (state, { key = '', value = '', expectedVersion = 0, leaseId }, nowMs) => {
+    if (Buffer.byteLength(value) > MAX_VALUE_BYTES) {
+      return { status: 413, body: { message: 'value above one megabyte' } }
+    }
+    const version = state.compareAndSwap(key, value, expectedVersion, nowMs, leaseId)
+    return version === undefined ? conflict : done({ version })
+  },
+  compareAndDelete: (state, { key = '', expectedVersion = 0 }, nowMs) =>
+    state.compareAndDelete(key, expectedVersion, nowMs) ? done({}) : conflict,
+  grantLease: (state, { timeToLiveMs = 0 }, nowMs) =>
+    done({ leaseId: state.grantLease(timeToLiveMs, nowMs), timeToLiveMs }),
+  renewLease: (state, { leaseId = '' }, nowMs) => {
+    const timeToLiveMs = state.renewLease(leaseId, nowMs)
+    return timeToLiveMs === undefined
+      ? { status: 410, body: { message: 'the lease has expired' } }
+      : done({ leaseId, timeToLiveMs })
+  },
+  watch: (state, { key = '' }, nowMs) => done({ found: state.get(key, nowMs) ?? null }),
+}
--- /dev/null
+++ b/src/platform/httpJsonClient.ts
@@ -0,0 +1,115 @@
+/** JSON over HTTP POST (wreck) with a bound on the time of the whole call. */
+import { Agent } from 'node:http'
+import wreck from '@hapi/wreck'
+import { messageOf } from '../common/errors.js'
+
+/** How far a call got that has no usable answer. */
+export enum HttpFailureKind {
+  /** The connection was never established, so the other side has not seen the call. */
+  NotSent = 'notSent',
+  /** The call may have been received and executed. */
+  AnswerLost = 'answerLost',
+}
+
+/** A complete answer with a JSON body. */
+export interface HttpAnswer {
+  readonly status: number
+  readonly body: unknown
+}
+
+/** Absence of a usable answer. */
+export interface HttpFailure {
+  readonly failure: HttpFailureKind
+  readonly reason: string
+}
+
+/** Options of one call. */
+export interface HttpCallOptions {
+  /** Time from the start of the call to the end of the answer's body, in milliseconds. */
+  readonly timeoutMs: number
+  readonly signal?: AbortSignal
+}
+
+const NOT_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'ENOTFOUND',
+])
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+/** Calls JSON endpoints over kept connections. */
+export class HttpJsonClient {
+  readonly #baseUrl: string
+  readonly #agent: Agent
+  readonly #client: typeof wreck
+
+  /** @param baseUrl URL without a slash at its end */
+  constructor(baseUrl: string, maxSockets = 64) {
+    this.#baseUrl = baseUrl.replace(/\/+$/, '')
+    this.#agent = new Agent({ keepAlive: true, maxSockets, keepAliveMsecs: 1000 })
+    this.#client = wreck.defaults({ agent: this.#agent })
+  }
+
+  /** Sends `payload`, or no body with GET when it is `undefined`. Never rejects. */
+  async call(
+    path: string,
+    payload: unknown,
+    options: HttpCallOptions,
+  ): Promise<HttpAnswer | HttpFailure> {
+    const signal = options.signal
+    if (signal?.aborted === true) return notSent('the caller cancelled it')
+    const startedAt = performance.now()
+    const pending = this.#client.request(
+      payload === undefined ? 'GET' : 'POST',
+      `${this.#baseUrl}${path}`,
+      {
+        timeout: options.timeoutMs,
+        headers: { 'content-type': 'application/json' },
+        ...(payload === undefined ? {} : { payload: JSON.stringify(payload) }),
+      },
+    )
+    const abort = (): void => {
+      pending.req.destroy()
+    }
+    signal?.addEventListener('abort', abort, { once: true })
+    try {
+      const response = await pending
+      const remainingMs = Math.max(1, options.timeoutMs - (performance.now() - startedAt))
+      const body = await this.#client.read(response, {
+        timeout: remainingMs,
+        maxBytes: MAX_ANSWER_BYTES,
+      })
+      return {
+        status: response.statusCode ?? 0,
+        body: JSON.parse(body.toString('utf8')) as unknown,
+      }
+    } catch (error) {
+      return classify(error)
+    } finally {
+      signal?.removeEventListener('abort', abort)
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#agent.destroy()
+  }
+}
+
+/** Tells an answer from its absence. */
+export function isAnswer(outcome: HttpAnswer | HttpFailure): outcome is HttpAnswer {
+  return 'status' in outcome
+}
+
+function notSent(reason: string): HttpFailure {
+  return { failure: HttpFailureKind.NotSent, reason }
+}
+
+function classify(error: unknown): HttpFailure {
+  // Wreck wraps failures into Boom errors that keep the socket's error code.
+  const code = (error as { code?: string }).code
+  if (code !== undefined && NOT_SENT_CODES.has(code)) return notSent(code)
+  return { failure: HttpFailureKind.AnswerLost, reason: messageOf(error) }
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,7 @@
+/** Access to the platform's services: key-value store, instance list and status of backend servers. */
+export * from './backendStatus.js'
+export * from './httpBackendStatus.js'
+export * from './httpInstanceList.js'
+export * from './httpKeyValueStore.js'
+export * from './instanceList.js'
+export * from './keyValueStore.js'
