--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,32 @@
+/** `npm run bench -- <name> [--json] [--seed N] [--quick]`. Exits 0 when the bench itself ran. */
+import 'reflect-metadata'
+import { Argument, Command, InvalidArgumentError } from 'commander'
+import type { Bench } from './report.js'
+import { printReport } from './report.js'
+
+/** Loads a bench only when it is asked for, so that one bench's start-up cost is not part of another. */
+const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {}
+
+const DEFAULT_SEED = 20261204
+
+function parseSeed(text: string): number {
+  const seed = Number(text)
+  if (!Number.isSafeInteger(seed) || seed < 0) {
+    throw new InvalidArgumentError('give a whole number from 0')
+  }
+  return seed
+}
+
+const command = new Command('bench')
+  .addArgument(new Argument('<name>', 'bench to run').choices(Object.keys(BENCHES)))
+  .option('--json', 'print one JSON object as the last line', false)
+  .option('--quick', 'shorter run for a first look', false)
+  .option('--seed <number>', 'seed of all random numbers', parseSeed, DEFAULT_SEED)
+  .action(async (name: string, options: { json: boolean; quick: boolean; seed: number }) => {
+    const load = BENCHES[name]
+    if (load === undefined) throw new Error(`There is no bench ${name}`)
+    const bench = await load()
+    printReport(await bench(options), options.json)
+    process.exit(0)
+  })
+await command.parseAsync()
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,7 +20,9 @@
   tseslint.configs.stylisticTypeChecked,
   {
     languageOptions: {
-      parserOptions: { projectService: { allowDefaultProject: ['bin/*.js', 'eslint.config.js'] } },
+      parserOptions: {
+        projectService: { allowDefaultProject: ['bin/*.js', 'testing/*.mjs', 'eslint.config.js'] },
+      },
       globals: { process: 'readonly', console: 'readonly' },
     },
     rules: {
@@ -55,7 +57,7 @@
     rules: { '@typescript-eslint/no-unused-expressions': 'off' },
   },
   {
-    files: ['eslint.config.js', 'bin/*.js'],
+    files: ['eslint.config.js', 'bin/*.js', 'testing/*.mjs'],
     ...tseslint.configs.disableTypeChecked,
     rules: { ...tseslint.configs.disableTypeChecked.rules, 'no-restricted-exports': 'off' },
   },
