fix(operations): accept one spelling of an operation prefix only

Cause: the signature was compared after base64url decoding, which ignores padding and the unused low bits of the last character, so one operation had several valid identifiers and the ledger would have kept one entry for each. Ruled out: the payload, which the signature covers as text.

--- a/playground/managedProcess.ts
+++ b/playground/managedProcess.ts
@@ -28,7 +28,10 @@
     this.name = name
     this.#child = child
     for (const stream of [child.stdout, child.stderr]) {
-      if (stream !== null) createInterface({ input: stream }).on('line', (line) => { this.#keep(line); })
+      if (stream !== null)
+        createInterface({ input: stream }).on('line', (line) => {
+          this.#keep(line)
+        })
     }
     this.#exit = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
--- /dev/null
+++ b/src/common/__tests__/settings.spec.ts
@@ -0,0 +1,37 @@
+import { expect } from 'chai'
+import { NODE_SETTINGS } from '../../daemon/nodeSettings.js'
+import type { NodeSettings } from '../../daemon/nodeSettings.js'
+import { checkSettings, flagOf, variableOf } from '../settings.js'
+
+const VALID = {
+  memberId: 'sicilia-a-1/gateway',
+  region: 'sicilia',
+  zone: 'sicilia-a',
+  site: 'sicilia-a',
+  internalPort: '7001',
+  storeUrl: 'http://127.0.0.1:7000',
+  instanceListUrl: 'http://127.0.0.1:7002',
+  peerToken: 'secret-of-all-daemons',
+}
+
+describe('settings', () => {
+  it('names flag and variable after the setting', () => {
+    expect(flagOf('peerToken')).to.equal('--peer-token')
+    expect(variableOf('peerToken')).to.equal('TAMARACKDRIFT_PEER_TOKEN')
+  })
+
+  it('converts texts to their types and fills in defaults', () => {
+    const settings = checkSettings<NodeSettings>(NODE_SETTINGS, VALID).unwrap()
+    expect(settings).to.include({ internalPort: 7001, metricsPort: 8125, host: '127.0.0.1' })
+  })
+
+  it('lists every fault at once, without the value of a secret', () => {
+    const given = { ...VALID, internalPort: '70000', storeUrl: 'nowhere', peerToken: 'short' }
+    const checked = checkSettings<NodeSettings>(NODE_SETTINGS, given)
+    const message = checked.err ? checked.val.message : ''
+    expect(message).to.contain('3 settings are wrong')
+    expect(message).to.contain('--internal-port (TAMARACKDRIFT_INTERNAL_PORT) = 70000')
+    expect(message).to.contain('--store-url')
+    expect(message).not.to.contain('short')
+  })
+})
--- a/src/operations/operationPrefix.ts
+++ b/src/operations/operationPrefix.ts
@@ -1,9 +1,10 @@
 /** Signed operation prefixes: the right to run operations, bound to one incarnation of one gateway. */
-import { createHmac, timingSafeEqual } from 'node:crypto'
+import { createHmac } from 'node:crypto'
 import Joi from 'joi'
 import { SteeringError } from '../common/errors.js'
 import type { Result } from '../common/results.js'
 import { Err, Ok } from '../common/results.js'
+import { secretsEqual } from '../common/tokens.js'
 
 /** What a prefix says. */
 export interface OperationGrant {
@@ -73,7 +74,7 @@
       grant.nonce,
     ]
     const payload = Buffer.from(JSON.stringify(fields)).toString('base64url')
-    return `${payload}~${this.#sign(payload).toString('base64url')}`
+    return `${payload}~${this.#sign(payload)}`
   }
 
   /** Verifies an identifier `<prefix>.<number>`. */
@@ -90,9 +91,9 @@
       return Err(malformed('it does not have the form <prefix>.<number>'))
     }
     const payload = text.slice(0, tilde)
-    const signature = Buffer.from(text.slice(tilde + 1, dot), 'base64url')
-    const expected = this.#sign(payload)
-    if (signature.length !== expected.length || !timingSafeEqual(signature, expected)) {
+    // Compared as text: base64url has several spellings of the same bytes, and
+    // an operation with two spellings would be two operations to the ledger.
+    if (!secretsEqual(text.slice(tilde + 1, dot), this.#sign(payload))) {
       return Err(
         new SteeringError(
           OperationPrefixErrorKind.Forged,
@@ -104,8 +105,9 @@
     return parsePayload(payload).map((grant) => ({ grant, number: Number(number), text }))
   }
 
-  #sign(payload: string): Buffer {
-    return createHmac('sha256', this.#key).update(payload).digest().subarray(0, SIGNATURE_BYTES)
+  #sign(payload: string): string {
+    const digest = createHmac('sha256', this.#key).update(payload).digest()
+    return digest.subarray(0, SIGNATURE_BYTES).toString('base64url')
   }
 }
 
