--- /dev/null
+++ b/playground/backendServer.ts
@@ -0,0 +1,404 @@
+/**
+ * Stand-in of a backend server:
+ * `node dist/playground/backendServer.js --port 7100 --worker w1 --slots 4`.
+ *
+ * Executes any request in one of its slots for its service time and answers
+ * with JSON that repeats what was asked ({@link EchoedRequest}). Besides:
+ * - query `serviceMs=N`: service time of this request; a path that starts with
+ *   `/long` takes `longMs`
+ * - `GET /status`: health and load as they were `statusLagMs` ago
+ * - `POST /admin/faults`: see `backendFaults.ts`; `POST /admin/drain`: starts leaving
+ * - `GET /admin/record`: what was executed ({@link ExecutionRecord})
+ */
+import { createHash } from 'node:crypto'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { pathToFileURL } from 'node:url'
+import { Command } from 'commander'
+import { sleep } from '../src/common/clock.js'
+import { messageOf } from '../src/common/errors.js'
+import {
+  DEADLINE_HEADER,
+  LEAVING_HEADER,
+  NOT_STARTED_HEADER,
+  OPERATION_HEADER,
+  REQUEST_HEADER,
+} from '../src/common/headers.js'
+import type { BackendStatus } from '../src/platform/backendStatus.js'
+import { BackendHealth } from '../src/platform/backendStatus.js'
+import type { BackendFaults } from './backendFaults.js'
+import {
+  BACKEND_FAULTS_SCHEMA,
+  chooseFault,
+  noFaults,
+  RequestFault,
+  SeededNumbers,
+} from './backendFaults.js'
+
+/** Settings of a stand-in. */
+export interface BackendServerOptions {
+  /** TCP port; 0 takes a free one. */
+  readonly port: number
+  readonly workerId: string
+  readonly slots: number
+  /** Service time of most requests, ms. */
+  readonly shortMs: number
+  /** Service time of requests whose path starts with `/long`, ms. */
+  readonly longMs: number
+  /** Age of the load and health that `GET /status` reports, ms. */
+  readonly statusLagMs: number
+  /** Time after the start in which requests take up to `coldFactor` times longer, ms. */
+  readonly coldStartMs: number
+  readonly coldFactor: number
+  /** Seed of the random faults. */
+  readonly seed: number
+}
+
+/** Settings that are used unless others are given. */
+export const BACKEND_DEFAULTS: BackendServerOptions = {
+  port: 0,
+  workerId: 'worker',
+  slots: 4,
+  shortMs: 5,
+  longMs: 100,
+  statusLagMs: 500,
+  coldStartMs: 0,
+  coldFactor: 4,
+  seed: 1,
+}
+
+/** One execution, from its start on. */
+export interface ExecutionRecord {
+  readonly workerId: string
+  /** Operation identifier, or an empty string. */
+  readonly operation: string
+  /** Identifier of the gateway's attempt. */
+  readonly request: string
+  readonly method: string
+  readonly target: string
+  /** Milliseconds since the epoch. */
+  readonly startMs: number
+  /** `undefined` while it runs. */
+  endMs?: number
+  /** True if the connection closed before the end. */
+  cancelled?: boolean
+}
+
+/** Body of an answer. */
+export interface EchoedRequest {
+  readonly workerId: string
+  readonly operation: string
+  readonly request: string
+  readonly method: string
+  readonly target: string
+  /** SHA-256 of the request's body in hexadecimal digits. */
+  readonly bodySha256: string
+}
+
+const KEEP_ALIVE_MS = 30_000
+const MAX_STATUS_HISTORY = 1000
+
+/** Backend server in this process. */
+export class BackendServer {
+  readonly #options: BackendServerOptions
+  readonly #http: Server
+  readonly #records: ExecutionRecord[] = []
+  readonly #faults: BackendFaults = noFaults()
+  readonly #numbers: SeededNumbers
+  readonly #history: BackendStatus[] = []
+  #busy = 0
+  #startedAtMs = 0
+  #drainedAtMs: number | undefined
+
+  constructor(options: Partial<BackendServerOptions>) {
+    this.#options = { ...BACKEND_DEFAULTS, ...options }
+    this.#numbers = new SeededNumbers(this.#options.seed)
+    this.#http = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
+      this.#serve(request, response).catch((error: unknown) => {
+        response.destroy(error instanceof Error ? error : new Error(messageOf(error)))
+      })
+    })
+  }
+
+  get workerId(): string {
+    return this.#options.workerId
+  }
+
+  /** `host:port`, after {@link start}. */
+  get address(): string {
+    return `127.0.0.1:${String((this.#http.address() as AddressInfo).port)}`
+  }
+
+  /** Executions so far, in the order of their starts. */
+  get records(): readonly ExecutionRecord[] {
+    return this.#records
+  }
+
+  /** Requests being executed. */
+  get busy(): number {
+    return this.#busy
+  }
+
+  /** When it was told to leave, or `undefined`. */
+  get drainedAtMs(): number | undefined {
+    return this.#drainedAtMs
+  }
+
+  start(): Promise<void> {
+    this.#startedAtMs = Date.now()
+    return new Promise((resolve, reject) => {
+      this.#http.once('error', reject)
+      this.#http.listen(this.#options.port, '127.0.0.1', () => {
+        this.#noteStatus()
+        resolve()
+      })
+    })
+  }
+
+  /** Closes all connections, whatever is in flight. */
+  stop(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#http.close(() => {
+        resolve()
+      })
+      this.#http.closeAllConnections()
+    })
+  }
+
+  /** Changes faults; what is not named stays. */
+  setFaults(faults: Partial<BackendFaults>): void {
+    Object.assign(this.#faults, faults)
+  }
+
+  /** Starts leaving: answers and the status say so; requests are executed as before. */
+  drain(): void {
+    this.#drainedAtMs ??= Date.now()
+    this.#noteStatus()
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = request.url?.split('?', 1)[0] ?? '/'
+    if (path === '/status') {
+      sendJson(response, 200, this.#status())
+      return
+    }
+    const body = await readBody(request)
+    if (path.startsWith('/admin/')) this.#administer(path, body, response)
+    else await this.#execute(request, body, response)
+  }
+
+  async #execute(request: IncomingMessage, body: Buffer, response: ServerResponse): Promise<void> {
+    const fault = chooseFault(this.#faults, this.#numbers)
+    if (fault === RequestFault.ResetBefore) {
+      request.socket.resetAndDestroy()
+      return
+    }
+    const deadline = Number(request.headers[DEADLINE_HEADER] ?? Number.POSITIVE_INFINITY)
+    const late = Date.now() > deadline
+    if (late || this.#busy >= this.#options.slots || fault === RequestFault.Shed) {
+      this.#refuse(request, response, late ? 'deadlinePassed' : 'busy')
+      return
+    }
+    const record = this.#begin(request)
+    await this.#work(request, response, record)
+    if (record.cancelled !== true) this.#answer(request, response, record, body, fault)
+  }
+
+  #begin(request: IncomingMessage): ExecutionRecord {
+    const record: ExecutionRecord = {
+      workerId: this.#options.workerId,
+      operation: textHeader(request, OPERATION_HEADER),
+      request: textHeader(request, REQUEST_HEADER),
+      method: request.method ?? '',
+      target: request.url ?? '',
+      startMs: Date.now(),
+    }
+    this.#records.push(record)
+    return record
+  }
+
+  /** Holds a slot for the service time, or until the connection closes. */
+  async #work(
+    request: IncomingMessage,
+    response: ServerResponse,
+    record: ExecutionRecord,
+  ): Promise<void> {
+    this.#busy += 1
+    this.#noteStatus()
+    const cancel = new AbortController()
+    const onClose = (): void => {
+      cancel.abort()
+    }
+    response.once('close', onClose)
+    await sleep(this.#serviceMs(request), cancel.signal)
+    response.off('close', onClose)
+    this.#busy -= 1
+    this.#noteStatus()
+    record.endMs = Date.now()
+    if (cancel.signal.aborted) record.cancelled = true
+  }
+
+  #serviceMs(request: IncomingMessage): number {
+    const url = new URL(request.url ?? '/', 'http://backend')
+    const given = url.searchParams.get('serviceMs')
+    const byPath = url.pathname.startsWith('/long') ? this.#options.longMs : this.#options.shortMs
+    const nowMs = Date.now()
+    const slow = nowMs < this.#faults.slowUntilMs ? this.#faults.slowFactor : 1
+    const warmth = Math.min(1, (nowMs - this.#startedAtMs) / Math.max(1, this.#options.coldStartMs))
+    const cold =
+      this.#options.coldStartMs === 0 ? 1 : this.#options.coldFactor * (1 - warmth) + warmth
+    return (given === null ? byPath : Number(given)) * slow * cold
+  }
+
+  #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    record: ExecutionRecord,
+    body: Buffer,
+    fault: RequestFault | undefined,
+  ): void {
+    const { workerId, operation, method, target } = record
+    const bodySha256 = createHash('sha256').update(body).digest('hex')
+    const echoed: EchoedRequest = {
+      workerId,
+      operation,
+      request: record.request,
+      method,
+      target,
+      bodySha256,
+    }
+    const text = JSON.stringify(echoed)
+    if (fault === RequestFault.ResetAfter) request.socket.resetAndDestroy()
+    else if (fault === RequestFault.Garbage) request.socket.end('no HTTP at all\r\n\r\n')
+    else if (fault === RequestFault.Truncate) this.#cut(request, response, text)
+    else if (fault === RequestFault.Cross) {
+      const foreign = JSON.stringify({ ...echoed, request: 'another', target: '/another' })
+      this.#send(response, 200, foreign, { [REQUEST_HEADER]: 'another' })
+    } else this.#send(response, 200, text, { [REQUEST_HEADER]: record.request })
+  }
+
+  #cut(request: IncomingMessage, response: ServerResponse, text: string): void {
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+    })
+    response.write(text.slice(0, this.#faults.cutAfterBytes), () => {
+      request.socket.end()
+    })
+  }
+
+  #refuse(request: IncomingMessage, response: ServerResponse, reason: string): void {
+    this.#send(response, 503, JSON.stringify({ refused: reason }), {
+      [NOT_STARTED_HEADER]: 'true',
+      [REQUEST_HEADER]: textHeader(request, REQUEST_HEADER),
+    })
+  }
+
+  #send(
+    response: ServerResponse,
+    status: number,
+    text: string,
+    headers: Readonly<Record<string, string>>,
+  ): void {
+    const leaving = this.#drainedAtMs === undefined ? {} : { [LEAVING_HEADER]: 'true' }
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      ...headers,
+      ...leaving,
+    })
+    response.end(text)
+  }
+
+  #administer(path: string, body: Buffer, response: ServerResponse): void {
+    if (path === '/admin/record') sendJson(response, 200, { records: this.#records })
+    else if (path === '/admin/faults') this.#changeFaults(body, response)
+    else if (path === '/admin/drain') {
+      this.drain()
+      sendJson(response, 200, {})
+    } else sendJson(response, 404, {})
+  }
+
+  #changeFaults(body: Buffer, response: ServerResponse): void {
+    const content: unknown = JSON.parse(body.toString('utf8'))
+    const checked = BACKEND_FAULTS_SCHEMA.validate(content)
+    if (checked.error !== undefined) {
+      sendJson(response, 400, { message: checked.error.message })
+      return
+    }
+    const { slowForMs, ...faults } = checked.value
+    this.setFaults(faults)
+    if (slowForMs !== undefined) this.setFaults({ slowUntilMs: Date.now() + slowForMs })
+    sendJson(response, 200, {})
+  }
+
+  #status(): BackendStatus {
+    const lagged = Date.now() - this.#options.statusLagMs
+    const visible = this.#history.filter((status) => status.measuredAtMs <= lagged).at(-1)
+    const status = visible ?? this.#history[0] ?? this.#presentStatus()
+    const { reportedHealth } = this.#faults
+    return reportedHealth === '' ? status : { ...status, health: reportedHealth }
+  }
+
+  #presentStatus(): BackendStatus {
+    const health = this.#drainedAtMs === undefined ? BackendHealth.Healthy : BackendHealth.Draining
+    return { health, busySlots: this.#busy, measuredAtMs: Date.now() }
+  }
+
+  #noteStatus(): void {
+    this.#history.push(this.#presentStatus())
+    if (this.#history.length > MAX_STATUS_HISTORY) this.#history.shift()
+  }
+}
+
+function textHeader(request: IncomingMessage, name: string): string {
+  const value = request.headers[name]
+  return typeof value === 'string' ? value : ''
+}
+
+async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  return Buffer.concat(chunks)
+}
+
+function sendJson(response: ServerResponse, status: number, content: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(content))
+}
+
+/** Reads the command line, starts the stand-in and ends it by SIGTERM or SIGINT. */
+async function runProgram(): Promise<void> {
+  const command = new Command('backendServer')
+    .requiredOption('--port <number>', 'TCP port; 0: a free one')
+    .requiredOption('--worker <id>', 'worker identifier')
+    .requiredOption('--slots <number>', 'requests that are executed at the same time')
+    .option('--short-ms <number>', 'service time', String(BACKEND_DEFAULTS.shortMs))
+    .option('--long-ms <number>', 'service time under /long', String(BACKEND_DEFAULTS.longMs))
+    .option('--status-lag-ms <number>', 'age of reports', String(BACKEND_DEFAULTS.statusLagMs))
+    .option('--cold-start-ms <number>', 'cold time', String(BACKEND_DEFAULTS.coldStartMs))
+    .option('--seed <number>', 'seed of random faults', String(BACKEND_DEFAULTS.seed))
+    .parse()
+  const texts = command.opts<Record<string, string>>()
+  const server = new BackendServer({
+    port: Number(texts.port),
+    workerId: texts.worker ?? '',
+    slots: Number(texts.slots),
+    shortMs: Number(texts.shortMs),
+    longMs: Number(texts.longMs),
+    statusLagMs: Number(texts.statusLagMs),
+    coldStartMs: Number(texts.coldStartMs),
+    seed: Number(texts.seed),
+  })
+  await server.start()
+  process.stdout.write(`backendServer ${server.workerId} listens on http://${server.address}\n`)
+  const stop = (): void => {
+    void server.stop().then(() => process.exit(0))
+  }
+  process.once('SIGTERM', stop)
+  process.once('SIGINT', stop)
+}
+
+const program = process.argv[1]
+if (program !== undefined && pathToFileURL(program).href === import.meta.url) await runProgram()
--- /dev/null
+++ b/playground/gatewayCluster.ts
@@ -0,0 +1,273 @@
+/**
+ * Several gateways in this process with real sockets, a fixed configuration and
+ * a shared view of the members; for histories and benches.
+ */
+import { randomBytes } from 'node:crypto'
+import type { Clock } from '../src/common/clock.js'
+import { systemClock } from '../src/common/clock.js'
+import { hashText } from '../src/common/hashing.js'
+import { createLogger } from '../src/common/logger.js'
+import { noMetrics } from '../src/common/metrics.js'
+import { Ok } from '../src/common/results.js'
+import { HttpRpcCaller } from '../src/common/rpcClient.js'
+import { HttpRpcServer } from '../src/common/rpcServer.js'
+import { BlockTable } from '../src/configuration/blockTable.js'
+import type { ConfigurationDocument, ServiceRecord } from '../src/configuration/document.js'
+import type { Configuration, ConfigurationView } from '../src/configuration/view.js'
+import type { LookupAnswer, LookupSource } from '../src/client/lookupSource.js'
+import type { GatewayNode } from '../src/gateway/gatewayDaemon.js'
+import { createGateway, GatewayDaemon } from '../src/gateway/gatewayDaemon.js'
+import type { GatewaySettings } from '../src/gateway/gatewaySettings.js'
+import { GATEWAY_SETTINGS } from '../src/gateway/gatewaySettings.js'
+import { checkSettings } from '../src/common/settings.js'
+import type { Member, MemberRecord, MembershipView } from '../src/membership/memberRecord.js'
+import { MemberHealth, MemberRole, MemberState } from '../src/membership/memberRecord.js'
+import { OperationPrefixCodec } from '../src/operations/operationPrefix.js'
+import { LeastOutstandingSource } from '../src/slots/leastOutstandingSource.js'
+
+/** Secret of the cluster's daemons. */
+export const CLUSTER_TOKEN = 'peer-token-of-the-cluster'
+
+/** A configuration that changes only when the test says so. */
+export class FixedConfiguration implements ConfigurationView {
+  #current: Configuration | undefined
+  readonly #listeners = new Set<(configuration: Configuration) => void>()
+
+  /** Puts a new revision in force. */
+  set(document: Partial<ConfigurationDocument>): void {
+    const previous = this.#current?.document
+    const revision = (this.#current?.revision ?? 0) + 1
+    const empty: ConfigurationDocument = {
+      regions: new Map(),
+      links: new Map(),
+      sites: new Map(),
+      services: new Map(),
+      steering: new Map(),
+      shifts: new Map(),
+      leaving: new Map(),
+    }
+    const merged = { ...(previous ?? empty), ...document }
+    this.#current = { revision, document: merged, blocks: BlockTable.empty() }
+    for (const listener of this.#listeners) listener(this.#current)
+  }
+
+  current(): Configuration | undefined {
+    return this.#current
+  }
+
+  subscribe(listener: (configuration: Configuration) => void): () => void {
+    this.#listeners.add(listener)
+    return () => this.#listeners.delete(listener)
+  }
+}
+
+/** Members of the whole cluster, the same for all gateways. */
+export class SharedMembers {
+  readonly #members = new Map<string, Member>()
+
+  put(record: MemberRecord, health = MemberHealth.Alive): void {
+    this.#members.set(record.memberId, { ...record, health })
+  }
+
+  remove(memberId: string): void {
+    this.#members.delete(memberId)
+  }
+
+  /** The view of one member. */
+  viewOf(memberId: string): MembershipView {
+    return {
+      self: () => {
+        const own = this.#members.get(memberId)
+        if (own === undefined) throw new Error(`There is no member ${memberId}`)
+        return own
+      },
+      members: () => [...this.#members.values()],
+      find: (wanted) => this.#members.get(wanted),
+      largestGatewayCount: (region) =>
+        [...this.#members.values()].filter((member) => member.region === region).length,
+      subscribe: () => () => undefined,
+    }
+  }
+}
+
+/** A gateway of the cluster. */
+export interface ClusterGateway {
+  readonly memberId: string
+  readonly region: string
+  readonly incarnation: string
+  readonly daemon: GatewayDaemon
+  readonly callerAddress: string
+  /** Ends it without a drain. */
+  kill(): Promise<void>
+}
+
+/** Options of one gateway. */
+export interface ClusterGatewayOptions {
+  readonly memberId: string
+  readonly region: string
+  /** Settings in place of the defaults, as texts. */
+  readonly settings?: Readonly<Record<string, string>>
+  readonly clock?: Clock
+}
+
+/** Gateways in this process. */
+export class GatewayCluster {
+  readonly configuration = new FixedConfiguration()
+  readonly members = new SharedMembers()
+  readonly codec = new OperationPrefixCodec(CLUSTER_TOKEN)
+  readonly #gateways = new Map<string, ClusterGateway>()
+  readonly #leaving = new Set<string>()
+
+  /** Running gateways. */
+  get gateways(): readonly ClusterGateway[] {
+    return [...this.#gateways.values()]
+  }
+
+  /** Starts a gateway, as a new incarnation if the member ran before. */
+  async startGateway(options: ClusterGatewayOptions): Promise<ClusterGateway> {
+    const { memberId, region } = options
+    const incarnation = randomBytes(8).toString('hex')
+    const rpcServer = new HttpRpcServer({ host: '127.0.0.1', port: 0, token: CLUSTER_TOKEN })
+    const rpc = new HttpRpcCaller(CLUSTER_TOKEN)
+    await rpcServer.start()
+    this.members.put(this.#record(options, incarnation, '', rpcServer.port))
+    const node = this.#node(options, rpc, rpcServer)
+    const daemon = createGateway(node, settingsOf(options))
+    await daemon.start()
+    const callerAddress = `127.0.0.1:${String(daemon.callerPort)}`
+    this.members.put(this.#record(options, incarnation, callerAddress, rpcServer.port))
+    const kill = async (): Promise<void> => {
+      this.#gateways.delete(memberId)
+      rpc.close()
+      await Promise.all([daemon.kill(), rpcServer.stop(0)])
+    }
+    const gateway = { memberId, region, incarnation, daemon, callerAddress, kill }
+    this.#gateways.set(memberId, gateway)
+    return gateway
+  }
+
+  /** Ends all gateways. */
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map((gateway) => gateway.kill()))
+  }
+
+  /** Issues a prefix as a look-up daemon would. */
+  issuePrefix(
+    gateway: ClusterGateway,
+    service: string,
+    validMs: number,
+    extra: { readonly homeRegion?: string; readonly shiftId?: string } = {},
+  ): string {
+    return this.codec.encode({
+      gatewayId: gateway.memberId,
+      incarnation: gateway.incarnation,
+      service,
+      homeRegion: extra.homeRegion ?? gateway.region,
+      ...(extra.shiftId === undefined ? {} : { shiftId: extra.shiftId }),
+      acceptUntilMs: Date.now() + validMs,
+      nonce: randomBytes(8).toString('hex'),
+    })
+  }
+
+  /** Answers look-ups with the region's live gateways, rotated by the client's address. */
+  lookups(region: string, cacheMs: number): LookupSource {
+    return {
+      lookup: (service, clientAddress) => {
+        const live = this.gateways.filter(
+          (gateway) =>
+            gateway.region === region &&
+            this.members.viewOf(gateway.memberId).self().state === MemberState.Live,
+        )
+        const turn = hashText(clientAddress)
+        const entries = live
+          .map((_, index) => live[(index + turn) % live.length])
+          .filter((gateway) => gateway !== undefined)
+          .map((gateway) => ({
+            address: gateway.callerAddress,
+            operationPrefix: this.issuePrefix(gateway, service, cacheMs + 2000),
+          }))
+        const answer: LookupAnswer = { entries, cacheMs }
+        return Promise.resolve(Ok(answer))
+      },
+    }
+  }
+
+  #record(
+    options: ClusterGatewayOptions,
+    incarnation: string,
+    callerAddress: string,
+    internalPort: number,
+  ): MemberRecord {
+    return {
+      memberId: options.memberId,
+      role: MemberRole.Gateway,
+      incarnation,
+      startedAtMs: Date.now(),
+      version: 1,
+      state: MemberState.Live,
+      region: options.region,
+      zone: `${options.region}-a`,
+      site: `${options.region}-a`,
+      callerAddress,
+      internalAddress: `127.0.0.1:${String(internalPort)}`,
+    }
+  }
+
+  #node(options: ClusterGatewayOptions, rpc: HttpRpcCaller, server: HttpRpcServer): GatewayNode {
+    const membership = this.members.viewOf(options.memberId)
+    return {
+      clock: options.clock ?? systemClock,
+      configuration: this.configuration,
+      membership,
+      loads: { load: () => undefined, all: () => [] },
+      rpc,
+      methods: server,
+      slots: new LeastOutstandingSource(this.configuration, options.region, (workerId) =>
+        this.#leaving.has(workerId),
+      ),
+      log: createLogger('gateway'),
+      metrics: noMetrics,
+      onLeaving: (workerId) => this.#leaving.add(workerId),
+      announceLeaving: () => {
+        this.members.put({ ...membership.self(), state: MemberState.Leaving, version: 2 })
+        return Promise.resolve()
+      },
+      loansReturned: () => Promise.resolve(),
+    }
+  }
+}
+
+/** Settings of a cluster's gateway; `given` replaces defaults. */
+function settingsOf(options: ClusterGatewayOptions): GatewaySettings {
+  const checked = checkSettings<GatewaySettings>(GATEWAY_SETTINGS, {
+    memberId: options.memberId,
+    region: options.region,
+    zone: `${options.region}-a`,
+    site: `${options.region}-a`,
+    internalPort: '0',
+    callerPort: '0',
+    storeUrl: 'http://127.0.0.1:1',
+    instanceListUrl: 'http://127.0.0.1:1',
+    peerToken: CLUSTER_TOKEN,
+    lookupCacheMs: '200',
+    ...options.settings,
+  })
+  return checked.unwrap()
+}
+
+/** A service with usual limits; `given` replaces them. */
+export function createService(name: string, given: Partial<ServiceRecord>): ServiceRecord {
+  return {
+    name,
+    priority: 1,
+    idempotentMethods: ['GET', 'HEAD', 'OPTIONS'],
+    workers: [],
+    maxQueued: 200,
+    defaultTimeoutMs: 2000,
+    maxRequestBytes: 64 * 1024,
+    maxResponseBytes: 64 * 1024,
+    typicalResponseBytes: 400,
+    linkWeight: 1,
+    ...given,
+  }
+}
--- a/src/gateway/backendAttempt.ts
+++ b/src/gateway/backendAttempt.ts
@@ -1,43 +1,7 @@
 /** One attempt to run a request on a backend server, and what its end says about execution. */
+import type { ExchangeResult, HeaderPair } from '../common/exchange.js'
+import { ExchangeKind, headerOf } from '../common/exchange.js'
 import { NOT_STARTED_HEADER } from '../common/headers.js'
-import type { HeaderPair } from './exchange.js'
-
-/** How an attempt ended. */
-export enum AttemptKind {
-  /** A complete answer that belongs to this attempt. */
-  Answered = 'answered',
-  /** No connection was established, so no byte of the request left. */
-  NotConnected = 'notConnected',
-  /** Anything else: the backend server may have executed the request. */
-  Broken = 'broken',
-}
-
-/** Why there is no usable answer. */
-export enum BreakReason {
-  Refused = 'connectionRefused',
-  Reset = 'reset',
-  TimedOut = 'timedOut',
-  Truncated = 'truncated',
-  Crossed = 'crossedAnswer',
-  TooLarge = 'answerTooLarge',
-  Malformed = 'malformedAnswer',
-  Cancelled = 'cancelled',
-}
-
-/** A complete answer. */
-export interface BackendAnswer {
-  readonly kind: AttemptKind.Answered
-  readonly status: number
-  /** All headers as received. */
-  readonly headers: readonly HeaderPair[]
-  readonly body: Buffer
-}
-
-/** End of an attempt. */
-export type AttemptResult =
-  | BackendAnswer
-  | { readonly kind: AttemptKind.NotConnected; readonly reason: BreakReason }
-  | { readonly kind: AttemptKind.Broken; readonly reason: BreakReason }
 
 /** An attempt to be made. */
 export interface BackendCall {
@@ -58,7 +22,7 @@
 /** Makes attempts. */
 export interface BackendCaller {
   /** Never rejects. */
-  attempt(call: BackendCall): Promise<AttemptResult>
+  attempt(call: BackendCall): Promise<ExchangeResult>
 }
 
 /** What an attempt says about the execution of its request. */
@@ -68,16 +32,10 @@
   Possible = 'possible',
 }
 
-/** Returns the value of a header, or `undefined`. */
-export function headerOf(headers: readonly HeaderPair[], name: string): string | undefined {
-  return headers.find(([given]) => given.toLowerCase() === name)?.[1]
-}
-
 /** Classifies the end of an attempt. */
-export function classify(result: AttemptResult): Execution {
-  if (result.kind === AttemptKind.NotConnected) return Execution.CertainlyNot
-  if (result.kind === AttemptKind.Broken) return Execution.Possible
-  const refused =
-    result.status === 503 && headerOf(result.headers, NOT_STARTED_HEADER) === 'true'
+export function classify(result: ExchangeResult): Execution {
+  if (result.kind === ExchangeKind.NotConnected) return Execution.CertainlyNot
+  if (result.kind === ExchangeKind.Broken) return Execution.Possible
+  const refused = result.status === 503 && headerOf(result.headers, NOT_STARTED_HEADER) === 'true'
   return refused ? Execution.CertainlyNot : Execution.Ran
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,11 +1,9 @@
 /** A caller's request and its answer as the gateway's parts pass them on. */
+import type { HeaderPair } from '../common/exchange.js'
 import type { Outcome } from '../common/headers.js'
 import type { OperationIdentifier } from '../operations/operationPrefix.js'
 import type { Deadline } from './deadline.js'
 
-/** Header with its name as received. */
-export type HeaderPair = readonly [name: string, value: string]
-
 /** A checked request of a caller. */
 export interface GatewayRequest {
   readonly requestId: string
--- a/src/gateway/forwardCodec.ts
+++ b/src/gateway/forwardCodec.ts
@@ -2,7 +2,8 @@
 import Joi from 'joi'
 import { Outcome } from '../common/headers.js'
 import type { OperationIdentifier } from '../operations/operationPrefix.js'
-import type { GatewayAnswer, GatewayRequest, HeaderPair } from './exchange.js'
+import type { HeaderPair } from '../common/exchange.js'
+import type { GatewayAnswer, GatewayRequest } from './exchange.js'
 
 /** Method that runs an operation at its owner. */
 export const RUN_OWNED_METHOD = 'gateway.runOwned'
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,4 +1,5 @@
 /** The gateway daemon: assembly of its parts and its graceful shutdown. */
+import 'reflect-metadata'
 import type { DependencyContainer } from 'tsyringe'
 import { container as rootContainer, instanceCachingFactory } from 'tsyringe'
 import type { Clock } from '../common/clock.js'
@@ -102,6 +103,12 @@
     return this.#draining
   }
 
+  /** Ends at once, whatever is in flight; for tests of sudden ends. */
+  async kill(): Promise<void> {
+    this.#backend.close()
+    await this.#server.stop(0)
+  }
+
   async #drain(): Promise<void> {
     const { clock, log, metrics } = this.#node
     const startedAtMs = clock()
@@ -135,12 +142,12 @@
   return new GatewayDaemon(parts)
 }
 
-function registerOnce<Part>(
+function registerOnce(
   parts: DependencyContainer,
   token: symbol,
-  create: (parts: DependencyContainer) => Part,
+  create: (parts: DependencyContainer) => object,
 ): void {
-  parts.register<Part>(token, { useFactory: instanceCachingFactory(create) })
+  parts.register(token, { useFactory: instanceCachingFactory(create) })
 }
 
 function registerBudgets(
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../common/clock.js'
 import {
   OPERATION_HEADER,
+  Outcome,
   OUTCOME_HEADER,
   SERVICE_HEADER,
   TIMEOUT_HEADER,
@@ -14,11 +15,11 @@
 import { Err, Ok } from '../common/results.js'
 import type { ConfigurationView } from '../configuration/view.js'
 import type { OperationIdentifier, OperationPrefixCodec } from '../operations/operationPrefix.js'
-import { headerOf } from './backendAttempt.js'
-import { pairsOf } from './backendClient.js'
-import { answerParserErrors } from './callerSockets.js'
+import { headerOf, pairsOf } from '../common/exchange.js'
+import { answerParserErrors } from './httpParserErrors.js'
 import { createDeadline, parseTimeout } from './deadline.js'
-import type { GatewayAnswer, GatewayRequest, HeaderPair } from './exchange.js'
+import type { HeaderPair } from '../common/exchange.js'
+import type { GatewayAnswer, GatewayRequest } from './exchange.js'
 import { Arrival } from './exchange.js'
 import { endToEndRequestHeaders, findHeaderFault } from './headerRules.js'
 import { RefusalKind, refuse } from './refusals.js'
@@ -119,7 +120,7 @@
     const headers = pairsOf(request.raw.req.rawHeaders)
     const fault = findHeaderFault(headers) ?? findTargetFault(request.raw.req)
     if (fault === undefined) return toolkit.continue
-    return this.#end(request, toolkit, refuse(fault.kind, this.#nextRequestId(), fault))
+    return this.#refuse(request, toolkit, refuse(fault.kind, this.#nextRequestId(), fault))
   }
 
   async #handle(request: Request, toolkit: ResponseToolkit): Promise<symbol> {
@@ -130,9 +131,8 @@
     })
     const requestId = this.#nextRequestId()
     const checked = this.#parse(request, requestId, away.signal)
-    const answer = checked.err
-      ? refuse(checked.val, requestId)
-      : await this.#parts.executor.execute(checked.val, Arrival.Caller)
+    if (checked.err) return this.#refuse(request, toolkit, refuse(checked.val, requestId))
+    const answer = await this.#parts.executor.execute(checked.val, Arrival.Caller)
     return this.#end(request, toolkit, answer)
   }
 
@@ -187,7 +187,18 @@
     const kind = kindOfStatus(status)
     const answer = refuse(kind, this.#nextRequestId(), { detail: response.message })
     const exact = kind === RefusalKind.MalformedRequest ? { ...answer, status } : answer
-    return this.#end(request, toolkit, exact)
+    return this.#refuse(request, toolkit, exact)
+  }
+
+  /**
+   * Refuses a request before the ledger has seen its operation. An earlier try of
+   * the same operation may have run, so that "not run" can't be promised for it;
+   * only an identifier that was never valid certainly has not run.
+   */
+  #refuse(request: Request, toolkit: ResponseToolkit, answer: GatewayAnswer): symbol {
+    const operation = this.#parseOperation(pairsOf(request.raw.req.rawHeaders))
+    const outcome = operation.ok && operation.val !== undefined ? Outcome.Unknown : answer.outcome
+    return this.#end(request, toolkit, { ...answer, outcome })
   }
 
   #end(request: Request, toolkit: ResponseToolkit, answer: GatewayAnswer): symbol {
--- a/src/gateway/headerRules.ts
+++ b/src/gateway/headerRules.ts
@@ -9,7 +9,7 @@
   SERVICE_HEADER,
   TIMEOUT_HEADER,
 } from '../common/headers.js'
-import type { HeaderPair } from './exchange.js'
+import type { HeaderPair } from '../common/exchange.js'
 import { RefusalKind } from './refusals.js'
 
 const CALLER_HEADERS = new Set([OPERATION_HEADER, TIMEOUT_HEADER, SERVICE_HEADER])
--- a/src/gateway/callerSockets.ts
+++ b/src/gateway/httpParserErrors.ts
@@ -4,8 +4,8 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { STATUS_CODES } from 'node:http'
-import type { Socket } from 'node:net'
-import { OUTCOME_HEADER } from '../common/headers.js'
+import type { Duplex } from 'node:stream'
+import { Outcome, OUTCOME_HEADER } from '../common/headers.js'
 import type { GatewayAnswer } from './exchange.js'
 import { RefusalKind, refuse } from './refusals.js'
 
@@ -22,16 +22,15 @@
 
 /** Replaces the handling of parser errors of a listener. */
 export function answerParserErrors(listener: Server, nextRequestId: () => string): void {
-  const unanswered = new WeakMap<Socket, Map<ServerResponse, IncomingMessage>>()
-  const failed = new WeakSet<Socket>()
+  const unanswered = new WeakMap<Duplex, Map<ServerResponse, IncomingMessage>>()
+  const failed = new WeakSet<Duplex>()
   listener.prependListener('request', (request, response) => {
     const responses = unanswered.get(request.socket) ?? new Map<ServerResponse, IncomingMessage>()
     unanswered.set(request.socket, responses.set(response, request))
     response.once('close', () => responses.delete(response))
   })
   listener.removeAllListeners('clientError')
-  listener.on('clientError', (error: ParserError, duplex) => {
-    const socket = duplex as Socket
+  listener.on('clientError', (error: ParserError, socket) => {
     if (failed.has(socket)) return
     failed.add(socket)
     const before = [...(unanswered.get(socket) ?? [])]
@@ -51,7 +50,7 @@
   })
 }
 
-function endWithRefusal(socket: Socket, error: ParserError, requestId: string): void {
+function endWithRefusal(socket: Duplex, error: ParserError, requestId: string): void {
   if (!socket.writable || error.code === 'ECONNRESET') {
     socket.destroy()
     return
@@ -59,7 +58,9 @@
   const detail = error.reason ?? error.message
   const answer = refuse(RefusalKind.MalformedRequest, requestId, { detail })
   const status = STATUS_OF_CODE[error.code ?? ''] ?? answer.status
-  socket.end(rawAnswer(status, answer))
+  // The head was not read to its end, so that a retried operation may be behind a late one.
+  const outcome = status === 408 ? Outcome.Unknown : answer.outcome
+  socket.end(rawAnswer(status, { ...answer, outcome }))
 }
 
 function rawAnswer(status: number, answer: GatewayAnswer): string {
--- a/src/gateway/linkBudget.ts
+++ b/src/gateway/linkBudget.ts
@@ -107,9 +107,10 @@
   }
 }
 
+/** A service in debt for answers that were larger than expected waits until its own share has paid it. */
 function holds(direction: DirectionBudget, service: string, bits: number): boolean {
   const own = direction.services.get(service)?.tokens ?? 0
-  return own >= bits || Math.max(0, own) + direction.reserve.tokens >= bits
+  return own >= 0 && own + direction.reserve.tokens >= bits
 }
 
 function spend(direction: DirectionBudget, service: string, bits: number): void {
--- a/src/gateway/localRun.ts
+++ b/src/gateway/localRun.ts
@@ -6,8 +6,10 @@
 import type { ServiceRecord } from '../configuration/document.js'
 import type { SlotError, SlotGrant, SlotSource } from '../slots/slotSource.js'
 import { SlotErrorKind, SlotUse } from '../slots/slotSource.js'
-import type { AttemptResult, BackendAnswer, BackendCaller } from './backendAttempt.js'
-import { AttemptKind, BreakReason, classify, Execution, headerOf } from './backendAttempt.js'
+import type { ExchangeResult, HttpAnswer } from '../common/exchange.js'
+import { BreakReason, ExchangeKind, headerOf } from '../common/exchange.js'
+import type { BackendCaller } from './backendAttempt.js'
+import { classify, Execution } from './backendAttempt.js'
 import { maySend } from './deadline.js'
 import type { GatewayAnswer, GatewayRequest } from './exchange.js'
 import { endToEndAnswerHeaders } from './headerRules.js'
@@ -68,7 +70,8 @@
     this.#parts.retryBudget.recordRequest(task.service.name)
     for (;;) {
       const grant = await this.#acquire(task, progress)
-      if (grant.err) return this.#giveUp(task, progress, slotRefusal(grant.val, progress), grant.val)
+      if (grant.err)
+        return this.#giveUp(task, progress, slotRefusal(grant.val, progress), grant.val)
       const refusal = this.#recheck(task)
       if (refusal !== undefined) {
         grant.val.release(SlotUse.Unused, 0, this.#parts.clock())
@@ -76,7 +79,7 @@
       }
       const result = await this.#attempt(task, grant.val, progress)
       const execution = classify(result)
-      if (result.kind === AttemptKind.Answered && execution === Execution.Ran) {
+      if (result.kind === ExchangeKind.Answered && execution === Execution.Ran) {
         return relay(result, task.request.method)
       }
       progress.maybeRan ||= execution === Execution.Possible
@@ -88,10 +91,7 @@
     }
   }
 
-  async #acquire(
-    task: LocalTask,
-    progress: Progress,
-  ): ReturnType<SlotSource['acquire']> {
+  async #acquire(task: LocalTask, progress: Progress): ReturnType<SlotSource['acquire']> {
     const { request, service } = task
     const startedAtMs = this.#parts.clock()
     const grant = await this.#parts.slots.acquire(
@@ -118,7 +118,7 @@
     return inTime ? undefined : RefusalKind.DeadlineUnreachable
   }
 
-  async #attempt(task: LocalTask, grant: SlotGrant, progress: Progress): Promise<AttemptResult> {
+  async #attempt(task: LocalTask, grant: SlotGrant, progress: Progress): Promise<ExchangeResult> {
     const { request } = task
     progress.attempts += 1
     const attemptId = `${request.requestId}.${String(progress.attempts)}`
@@ -136,14 +136,14 @@
     })
     const nowMs = this.#parts.clock()
     grant.release(slotUse(result), nowMs - sentAtMs, nowMs)
-    if (result.kind === AttemptKind.Answered) this.#noteLeaving(grant, result)
+    if (result.kind === ExchangeKind.Answered) this.#noteLeaving(grant, result)
     this.#parts.log.decision('attempt', {
       requestId: request.requestId,
       attempt: progress.attempts,
       service: task.service.name,
       worker: grant.workerId,
       reason: grant.reason,
-      result: result.kind === AttemptKind.Answered ? result.status : result.reason,
+      result: result.kind === ExchangeKind.Answered ? result.status : result.reason,
       execution: classify(result),
       revision: task.revision,
       durationMs: nowMs - sentAtMs,
@@ -151,7 +151,7 @@
     return result
   }
 
-  #noteLeaving(grant: SlotGrant, answer: BackendAnswer): void {
+  #noteLeaving(grant: SlotGrant, answer: HttpAnswer): void {
     if (headerOf(answer.headers, LEAVING_HEADER) === 'true') {
       this.#parts.onLeaving(grant.workerId, grant.address)
     }
@@ -186,7 +186,7 @@
   return `${service} ${request.method} ${path.split('/').slice(0, 3).join('/')}`
 }
 
-function relay(answer: BackendAnswer, method: string): GatewayAnswer {
+function relay(answer: HttpAnswer, method: string): GatewayAnswer {
   const length = headerOf(answer.headers, 'content-length')
   const headers = endToEndAnswerHeaders(answer.headers)
   // An answer to HEAD tells the length of a body that it does not have.
@@ -214,9 +214,9 @@
     : SLOT_REFUSALS[error.kind]
 }
 
-function failureKind(result: AttemptResult): RefusalKind {
-  if (result.kind === AttemptKind.Answered) return RefusalKind.BackendRefused
-  if (result.kind === AttemptKind.NotConnected) {
+function failureKind(result: ExchangeResult): RefusalKind {
+  if (result.kind === ExchangeKind.Answered) return RefusalKind.BackendRefused
+  if (result.kind === ExchangeKind.NotConnected) {
     return result.reason === BreakReason.Cancelled
       ? RefusalKind.Cancelled
       : RefusalKind.BackendUnreachable
@@ -233,8 +233,8 @@
     : RefusalKind.BrokenAnswer
 }
 
-function slotUse(result: AttemptResult): SlotUse {
-  if (result.kind === AttemptKind.Answered) {
+function slotUse(result: ExchangeResult): SlotUse {
+  if (result.kind === ExchangeKind.Answered) {
     return classify(result) === Execution.Ran ? SlotUse.Completed : SlotUse.Shed
   }
   return result.reason === BreakReason.Cancelled ? SlotUse.Cancelled : SlotUse.Failed
--- a/src/gateway/refusals.ts
+++ b/src/gateway/refusals.ts
@@ -1,6 +1,7 @@
 /** Refusals and failures as callers see them. */
 import { Outcome } from '../common/headers.js'
-import type { GatewayAnswer, HeaderPair } from './exchange.js'
+import type { HeaderPair } from '../common/exchange.js'
+import type { GatewayAnswer } from './exchange.js'
 
 /** Kinds of answers that the gateway gives by itself. */
 export enum RefusalKind {
