feat(membership): member table and exchange between daemons

One random peer a second with digests per region, direct and indirect probes, suspicions that spread by relay, and pushes of leaving records.

--- /dev/null
+++ b/src/membership/__tests__/memberFixtures.ts
@@ -0,0 +1,97 @@
+/** Member records and an in-memory network for tests. */
+import { Err, Ok } from '../../common/results.js'
+import type { Result } from '../../common/results.js'
+import type { CallOptions, RpcCaller, RpcMethod, RpcMethodRegistry } from '../../common/rpc.js'
+import { RpcError, RpcErrorKind } from '../../common/rpc.js'
+import type { InstanceList, ListedInstance } from '../../platform/instanceList.js'
+import { InstanceKind, InstanceState } from '../../platform/instanceList.js'
+import type { MemberRecord } from '../memberRecord.js'
+import { MemberRole, MemberState } from '../memberRecord.js'
+
+/** A live gateway of region `r1` with the identifier as its address. */
+export function recordOf(memberId: string, changes: Partial<MemberRecord> = {}): MemberRecord {
+  return {
+    memberId,
+    role: MemberRole.Gateway,
+    incarnation: '00000000000000aa',
+    startedAtMs: 1000,
+    version: 1,
+    state: MemberState.Live,
+    region: 'r1',
+    zone: 'z1',
+    site: 's1',
+    callerAddress: `${memberId}:80`,
+    internalAddress: memberId,
+    ...changes,
+  }
+}
+
+/** Lists the records as live entry instances. */
+export function listOf(records: readonly MemberRecord[]): InstanceList {
+  const listed = records.map((record): ListedInstance => ({
+    instanceId: record.memberId,
+    kind: InstanceKind.Entry,
+    state: InstanceState.Live,
+    generation: 1,
+    region: record.region,
+    zone: record.zone,
+    address: record.internalAddress,
+  }))
+  return { read: () => Promise.resolve(Ok(listed)) }
+}
+
+/** Delivers calls between registries, but for frozen processes and cut directions. */
+export class FakeNetwork {
+  readonly frozen = new Set<string>()
+  /** Directed cuts `<from>><to>`. */
+  readonly cuts = new Set<string>()
+  /** Bytes of parameters and answers, both directions, per process. */
+  readonly bytes = new Map<string, number>()
+  readonly calls = new Map<string, number>()
+  readonly #methods = new Map<string, Map<string, RpcMethod>>()
+  readonly #timeScale: number
+
+  /** @param timeScale how many milliseconds of the processes pass per real one */
+  constructor(timeScale: number) {
+    this.#timeScale = timeScale
+  }
+
+  registry(address: string): RpcMethodRegistry {
+    const methods = new Map<string, RpcMethod>()
+    this.#methods.set(address, methods)
+    return { addMethod: (name, _schema, method) => methods.set(name, method) }
+  }
+
+  remove(address: string): void {
+    this.#methods.delete(address)
+  }
+
+  caller(from: string): RpcCaller {
+    return { call: (to, method, params, options) => this.#call(from, to, method, params, options) }
+  }
+
+  async #call(
+    from: string,
+    to: string,
+    method: string,
+    params: unknown,
+    options: CallOptions,
+  ): Promise<Result<unknown, RpcError>> {
+    const handler = this.#methods.get(to)?.get(method)
+    if (handler === undefined || !this.#methods.has(from))
+      return Err(new RpcError(RpcErrorKind.NotSent, 'refused', 'none'))
+    const blocked = [from, to].some((address) => this.frozen.has(address))
+    if (blocked || this.cuts.has(`${from}>${to}`) || this.cuts.has(`${to}>${from}`)) {
+      await new Promise((resolve) => setTimeout(resolve, options.timeoutMs / this.#timeScale))
+      return Err(new RpcError(RpcErrorKind.TimedOut, 'timed out', 'none'))
+    }
+    const request = JSON.stringify(params)
+    const context = { signal: new AbortController().signal }
+    const answer = JSON.stringify(await handler(JSON.parse(request) as never, context))
+    for (const address of [from, to]) {
+      this.calls.set(address, (this.calls.get(address) ?? 0) + 1)
+      this.bytes.set(address, (this.bytes.get(address) ?? 0) + request.length + answer.length)
+    }
+    return Ok(JSON.parse(answer))
+  }
+}
--- /dev/null
+++ b/src/membership/memberProbe.ts
@@ -0,0 +1,123 @@
+/** Direct and indirect probes of members. */
+import type { Clock } from '../common/clock.js'
+import { MemberHealth, MemberState } from './memberRecord.js'
+import type { Member } from './memberRecord.js'
+import type { MemberTable, Suspicion } from './memberTable.js'
+import type { MembershipPeers } from './membershipPeers.js'
+import { INDIRECT_PROBE_TIMEOUT_MS } from './membershipPeers.js'
+import type { ProbeAnswer } from './membershipMessages.js'
+import { sample } from './peerSelection.js'
+
+/** Options of {@link MemberProbe}. */
+export interface MemberProbeOptions {
+  readonly random: () => number
+  readonly watchedMembers: () => readonly string[]
+}
+
+/** Watched members that are probed per second. */
+const WATCHED_PER_ROUND = 2
+/** Both probes take less than this; a longer time means that this process itself was paused. */
+const LONGEST_DOUBT_MS = 3 * INDIRECT_PROBE_TIMEOUT_MS
+
+/** Finds out whether members still answer. */
+export class MemberProbe {
+  readonly #table: MemberTable
+  readonly #peers: MembershipPeers
+  readonly #clock: Clock
+  readonly #options: MemberProbeOptions
+  #nextWatched = 0
+
+  constructor(
+    table: MemberTable,
+    peers: MembershipPeers,
+    clock: Clock,
+    options: MemberProbeOptions,
+  ) {
+    this.#table = table
+    this.#peers = peers
+    this.#clock = clock
+    this.#options = options
+  }
+
+  /** Probes some of the watched members; returns the suspicions that result. */
+  async probeWatched(): Promise<readonly Suspicion[]> {
+    const watched = this.#options.watchedMembers()
+    const round = watched.length === 0 ? [] : this.#nextRound(watched)
+    const suspicions = await Promise.all(
+      round.map(async (memberId) => {
+        const startedAtMs = this.#clock()
+        return (await this.#pings(memberId)) ? undefined : this.doubt(memberId, startedAtMs)
+      }),
+    )
+    return suspicions.filter((suspicion) => suspicion !== undefined)
+  }
+
+  /**
+   * Probes by a second means a member that failed a direct probe, and suspects it if that fails too.
+   *
+   * @param startedAtMs time at which the first probe was sent
+   * @returns the suspicion if it is new
+   */
+  async doubt(memberId: string, startedAtMs: number): Promise<Suspicion | undefined> {
+    const member = this.#table.find(memberId)
+    if (member?.health !== MemberHealth.Alive || member.state === MemberState.Left) return undefined
+    const isAlive = await this.#isAliveByOtherMeans(member)
+    const nowMs = this.#clock()
+    if (isAlive || nowMs - startedAtMs > LONGEST_DOUBT_MS) return undefined
+    return this.#table.suspect(memberId, nowMs)
+  }
+
+  /** Probes a member on behalf of a peer. */
+  async answer(memberId: string): Promise<ProbeAnswer> {
+    if (this.#table.find(memberId) === undefined) return {}
+    return { isAlive: await this.#pings(memberId) }
+  }
+
+  async #pings(memberId: string): Promise<boolean> {
+    const member = this.#table.find(memberId)
+    if (member === undefined) return false
+    if (memberId === this.#table.self().memberId) return true
+    const answer = await this.#peers.ping(member.internalAddress)
+    if (answer?.memberId !== memberId) return false
+    this.#table.confirmAlive(memberId, answer.incarnation, this.#clock())
+    return true
+  }
+
+  #nextRound(watched: readonly string[]): readonly string[] {
+    const count = Math.min(WATCHED_PER_ROUND, watched.length)
+    const start = this.#nextWatched % watched.length
+    this.#nextWatched = start + count
+    return [...watched, ...watched].slice(start, start + count)
+  }
+
+  /** Helpers that don't answer count as a failure too: their whole region may be gone. */
+  async #isAliveByOtherMeans(member: Member): Promise<boolean> {
+    const helpers = this.#chooseHelpers(member)
+    if (helpers.length === 0) return this.#pings(member.memberId)
+    const answers = await Promise.all(
+      helpers.map(({ internalAddress }) => this.#peers.probe(internalAddress, member.memberId)),
+    )
+    return answers.some((answer) => answer?.isAlive === true)
+  }
+
+  /** A healthy peer in the region of the member and one in the own region, if there are such. */
+  #chooseHelpers(member: Member): readonly Member[] {
+    const self = this.#table.self()
+    const healthy = this.#table
+      .members()
+      .filter(
+        ({ memberId, health }) =>
+          memberId !== self.memberId &&
+          memberId !== member.memberId &&
+          health === MemberHealth.Alive,
+      )
+    const regions = new Set([member.region, self.region])
+    return [...regions].flatMap((region) =>
+      sample(
+        healthy.filter((peer) => peer.region === region),
+        1,
+        this.#options.random,
+      ),
+    )
+  }
+}
--- /dev/null
+++ b/src/membership/memberTable.ts
@@ -0,0 +1,305 @@
+/** The members that this process knows, and its judgement of them. */
+import { GatewayCountHistory } from './gatewayCountHistory.js'
+import { compareIncarnations, digestRecords, latestRecord, sameRecord } from './memberOrder.js'
+import type { Member, MemberRecord, MembershipView } from './memberRecord.js'
+import { MemberHealth, MemberRole, MemberState } from './memberRecord.js'
+
+/** A suspected member fails if it does not refute the suspicion within this time, in milliseconds. */
+export const SUSPICION_MS = 3000
+/** Failed and left members are forgotten after this time, in milliseconds. */
+export const FORGET_AFTER_MS = 600_000
+/** Longer gaps between two calls of `tick` mean that this process was paused, in milliseconds. */
+const PAUSE_MS = 3000
+
+/** Doubt about a member; only a record that is newer than this one refutes it. */
+export interface Suspicion {
+  readonly memberId: string
+  readonly incarnation: string
+  readonly version: number
+}
+
+/** What {@link MemberTable.versions} tells of one record. */
+export interface RecordVersion {
+  readonly memberId: string
+  readonly incarnation: string
+  readonly startedAtMs: number
+  readonly version: number
+  readonly state: MemberState
+}
+
+interface Entry {
+  record: MemberRecord
+  health: MemberHealth
+  /** Time of the suspicion, of the failure or of the leave; starts the next transition. */
+  sinceMs: number
+}
+
+/** Addresses that a daemon learns when its servers listen. */
+export interface MemberAddresses {
+  readonly callerAddress: string
+  readonly internalAddress: string
+}
+
+/** {@link MembershipView} that peers' records are merged into. */
+export class MemberTable implements MembershipView {
+  #self: MemberRecord
+  readonly #entries = new Map<string, Entry>()
+  readonly #listeners = new Set<() => void>()
+  readonly #gatewayCounts = new Map<string, GatewayCountHistory>()
+  #members: readonly Member[] | undefined
+  #lastTickMs: number | undefined
+
+  constructor(self: MemberRecord) {
+    this.#self = self
+    this.#recordGatewayCounts(self.startedAtMs)
+  }
+
+  self(): MemberRecord {
+    return this.#self
+  }
+
+  members(): readonly Member[] {
+    this.#members ??= [
+      { ...this.#self, health: MemberHealth.Alive },
+      ...[...this.#entries.values()].filter(isPresent).map(toMember),
+    ]
+    return this.#members
+  }
+
+  /** Returns a member in any state, failed and left ones included until they are forgotten. */
+  find(memberId: string): Member | undefined {
+    if (memberId === this.#self.memberId) return { ...this.#self, health: MemberHealth.Alive }
+    const entry = this.#entries.get(memberId)
+    return entry === undefined ? undefined : toMember(entry)
+  }
+
+  largestGatewayCount(region: string, nowMs: number): number {
+    const history = this.#gatewayCounts.get(region)
+    history?.record(this.#countGateways(region), nowMs)
+    return history?.largest(nowMs) ?? 0
+  }
+
+  subscribe(listener: () => void): () => void {
+    this.#listeners.add(listener)
+    return () => this.#listeners.delete(listener)
+  }
+
+  /** Sets the own addresses, before the record is shared. */
+  announceAddresses(addresses: MemberAddresses, nowMs: number): void {
+    this.#replaceSelf({ ...this.#self, ...addresses }, nowMs)
+  }
+
+  /** Moves the own state forward; a step back is ignored. */
+  declareState(state: MemberState, nowMs: number): void {
+    const declared = latestRecord(this.#self, { ...this.#self, state })
+    if (declared.state !== this.#self.state) this.#replaceSelf(declared, nowMs)
+  }
+
+  /** Takes over newer records of other members; returns those that told something new. */
+  merge(records: readonly MemberRecord[], nowMs: number): readonly MemberRecord[] {
+    const news = records.filter((record) => this.#mergeOne(record, nowMs))
+    if (news.length > 0) this.#changed(nowMs)
+    return news
+  }
+
+  /**
+   * Takes over doubts of peers; a doubt about this process is refuted by a newer own record.
+   * @returns those that were new here
+   */
+  mergeSuspicions(suspicions: readonly Suspicion[], nowMs: number): readonly Suspicion[] {
+    return suspicions.filter((suspicion) =>
+      suspicion.memberId === this.#self.memberId
+        ? this.#refute(suspicion, nowMs)
+        : this.#suspect(suspicion, nowMs),
+    )
+  }
+
+  /** Suspects a member whose probes failed. Returns `undefined` if it is no news. */
+  suspect(memberId: string, nowMs: number): Suspicion | undefined {
+    const entry = this.#entries.get(memberId)
+    if (entry === undefined) return undefined
+    const suspicion = suspicionOf(entry)
+    return this.#suspect(suspicion, nowMs) ? suspicion : undefined
+  }
+
+  /** Ends a suspicion in this process only: the member answered it directly. */
+  confirmAlive(memberId: string, incarnation: string, nowMs: number): void {
+    const entry = this.#entries.get(memberId)
+    if (entry?.record.incarnation !== incarnation || entry.health === MemberHealth.Alive) return
+    entry.health = MemberHealth.Alive
+    entry.sinceMs = nowMs
+    this.#changed(nowMs)
+  }
+
+  /** Members that this process doubts or counts as failed. */
+  suspicions(): readonly Suspicion[] {
+    return [...this.#entries.values()]
+      .filter(
+        ({ health, record }) => health !== MemberHealth.Alive && record.state !== MemberState.Left,
+      )
+      .map(suspicionOf)
+  }
+
+  /** Members that count as failed; they are tried again from time to time. */
+  failedMembers(): readonly Member[] {
+    return [...this.#entries.values()]
+      .filter(
+        ({ health, record }) => health === MemberHealth.Failed && record.state !== MemberState.Left,
+      )
+      .map(toMember)
+  }
+
+  /** Lets unrefuted suspicions become failures and forgets old entries. Call it once a second. */
+  tick(nowMs: number): void {
+    const wasPaused = nowMs - (this.#lastTickMs ?? nowMs) > PAUSE_MS
+    this.#lastTickMs = nowMs
+    let isChanged = false
+    for (const [memberId, entry] of this.#entries) {
+      if (entry.health === MemberHealth.Suspected) {
+        // Refutations that arrived during a pause are not read yet.
+        if (wasPaused) entry.sinceMs = nowMs
+        else if (nowMs - entry.sinceMs >= SUSPICION_MS) {
+          entry.health = MemberHealth.Failed
+          entry.sinceMs = nowMs
+          isChanged = true
+        }
+      } else if (!isPresent(entry) && nowMs - entry.sinceMs >= FORGET_AFTER_MS) {
+        this.#entries.delete(memberId)
+      }
+    }
+    if (isChanged) this.#changed(nowMs)
+  }
+
+  /** Digest per region of the records that this process shares. */
+  digests(): Readonly<Record<string, string>> {
+    const byRegion = new Map<string, MemberRecord[]>()
+    for (const record of this.#shared()) {
+      const records = byRegion.get(record.region) ?? []
+      records.push(record)
+      byRegion.set(record.region, records)
+    }
+    return Object.fromEntries(
+      [...byRegion].map(([region, records]) => [region, digestRecords(records)]),
+    )
+  }
+
+  /** Versions of the shared records of a region. */
+  versions(region: string): readonly RecordVersion[] {
+    return this.#shared()
+      .filter((record) => record.region === region)
+      .map(({ memberId, incarnation, startedAtMs, version, state }) => ({
+        memberId,
+        incarnation,
+        startedAtMs,
+        version,
+        state,
+      }))
+  }
+
+  /** Shared records by member identifier; unknown identifiers are left out. */
+  records(memberIds: readonly string[]): readonly MemberRecord[] {
+    const wanted = new Set(memberIds)
+    return this.#shared().filter(({ memberId }) => wanted.has(memberId))
+  }
+
+  /** Failed members are not shared, so that a peer that forgot them does not learn them again. */
+  #shared(): readonly MemberRecord[] {
+    const others = [...this.#entries.values()].filter(
+      ({ health }) => health !== MemberHealth.Failed,
+    )
+    return [this.#self, ...others.map(({ record }) => record)]
+  }
+
+  #mergeOne(given: MemberRecord, nowMs: number): boolean {
+    if (given.memberId === this.#self.memberId) return this.#defendSelf(given, nowMs)
+    const entry = this.#entries.get(given.memberId)
+    if (entry === undefined) {
+      this.#entries.set(given.memberId, {
+        record: given,
+        health: MemberHealth.Alive,
+        sinceMs: nowMs,
+      })
+      return true
+    }
+    const latest = latestRecord(entry.record, given)
+    if (sameRecord(latest, entry.record)) return false
+    if (latest.version > entry.record.version || compareIncarnations(latest, entry.record) !== 0) {
+      entry.health = MemberHealth.Alive
+    }
+    entry.sinceMs = nowMs
+    entry.record = latest
+    return true
+  }
+
+  /** Keeps the own record ahead of whatever circulates under the own identifier. */
+  #defendSelf(given: MemberRecord, nowMs: number): boolean {
+    const order = compareIncarnations(given, this.#self)
+    if (order < 0 || (order === 0 && given.version <= this.#self.version)) return false
+    // A predecessor whose clock was ahead would hide this process for as long as it is known.
+    const startedAtMs = order > 0 ? given.startedAtMs + 1 : this.#self.startedAtMs
+    const version = Math.max(this.#self.version, given.version)
+    this.#replaceSelf({ ...this.#self, startedAtMs, version }, nowMs)
+    return true
+  }
+
+  #refute(suspicion: Suspicion, nowMs: number): boolean {
+    if (suspicion.incarnation !== this.#self.incarnation) return false
+    if (suspicion.version < this.#self.version) return false
+    this.#replaceSelf({ ...this.#self, version: suspicion.version }, nowMs)
+    return true
+  }
+
+  #suspect(suspicion: Suspicion, nowMs: number): boolean {
+    const entry = this.#entries.get(suspicion.memberId)
+    const applies =
+      entry?.health === MemberHealth.Alive &&
+      entry.record.state !== MemberState.Left &&
+      entry.record.incarnation === suspicion.incarnation &&
+      entry.record.version <= suspicion.version
+    if (!applies) return false
+    entry.health = MemberHealth.Suspected
+    entry.sinceMs = nowMs
+    this.#changed(nowMs)
+    return true
+  }
+
+  #replaceSelf(record: MemberRecord, nowMs: number): void {
+    this.#self = { ...record, version: record.version + 1 }
+    this.#changed(nowMs)
+  }
+
+  #changed(nowMs: number): void {
+    this.#members = undefined
+    this.#recordGatewayCounts(nowMs)
+    for (const listener of this.#listeners) listener()
+  }
+
+  #recordGatewayCounts(nowMs: number): void {
+    const regions = new Set([...this.#gatewayCounts.keys()])
+    for (const { region } of this.members()) regions.add(region)
+    for (const region of regions) {
+      const history = this.#gatewayCounts.get(region) ?? new GatewayCountHistory()
+      history.record(this.#countGateways(region), nowMs)
+      this.#gatewayCounts.set(region, history)
+    }
+  }
+
+  /** Leaving gateways count: they still serve within their part of a budget. */
+  #countGateways(region: string): number {
+    return this.members().filter(
+      (member) => member.role === MemberRole.Gateway && member.region === region,
+    ).length
+  }
+}
+
+function isPresent(entry: Entry): boolean {
+  return entry.health !== MemberHealth.Failed && entry.record.state !== MemberState.Left
+}
+
+function toMember(entry: Entry): Member {
+  return { ...entry.record, health: entry.health }
+}
+
+function suspicionOf({ record }: Entry): Suspicion {
+  return { memberId: record.memberId, incarnation: record.incarnation, version: record.version }
+}
--- /dev/null
+++ b/src/membership/membershipExchange.ts
@@ -0,0 +1,299 @@
+/** Spreads member records among the daemons: one random peer a second, and pushes of news. */
+import type { Clock } from '../common/clock.js'
+import { sleep, systemClock } from '../common/clock.js'
+import { messageOf } from '../common/errors.js'
+import type { Logger } from '../common/logger.js'
+import { createLogger } from '../common/logger.js'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import type { InstanceList } from '../platform/instanceList.js'
+import { MemberProbe } from './memberProbe.js'
+import type { MemberRecord } from './memberRecord.js'
+import { MemberRole, MemberState } from './memberRecord.js'
+import type { MemberTable } from './memberTable.js'
+import type {
+  ExchangeAnswer,
+  ExchangePayloads,
+  ExchangeRequest,
+  ProbeRequest,
+  PushRequest,
+  RecordsRequest,
+} from './membershipMessages.js'
+import { MESSAGE_SCHEMAS, MembershipMethod } from './membershipMessages.js'
+import { MembershipPeers } from './membershipPeers.js'
+import type { PeerTarget } from './peerSelection.js'
+import { PeerSelection } from './peerSelection.js'
+import { recordsToGive, recordsToWant } from './recordDifference.js'
+
+/** Adds the state of another module to each exchange, in both directions. */
+export interface ExchangePayloadProvider {
+  /** Key of the payload, the same in all processes. */
+  readonly name: string
+  /** Returns what to send, as JSON of at most a few kilobytes, or `undefined` for nothing. */
+  collect(nowMs: number): unknown
+  /** Takes over what a peer sent; it has to check the shape, and may throw if it is wrong. */
+  merge(payload: unknown, nowMs: number): void
+}
+
+/** Options of {@link MembershipExchange}. */
+export interface MembershipExchangeOptions {
+  readonly clock?: Clock
+  /** Uniform in [0, 1). */
+  readonly random?: () => number
+  /** Time between two exchanges in milliseconds. */
+  readonly intervalMs?: number
+  /** Members that this process relies on; it probes them in turn, beyond the random ones. */
+  readonly watchedMembers?: () => readonly string[]
+  readonly logger?: Logger
+}
+
+const INTERVAL_MS = 1000
+/** Spreads the exchanges of processes that were started together. */
+const JITTER = 0.1
+/** Peers that pass on news; 3 reach about 94% of a region, the exchanges reach the rest. */
+const RELAY_COUNT = 3
+const SEED_TIMEOUT_MS = 2000
+const SEED_RETRY_MS = 2000
+/** 460 entries are about 70 KB, so that one reading a minute costs 1.2 KB/s. */
+const SEED_INTERVAL_MS = 60_000
+
+/** Keeps a {@link MemberTable} in step with those of the other processes. */
+export class MembershipExchange {
+  readonly #table: MemberTable
+  readonly #peers: MembershipPeers
+  readonly #instanceList: InstanceList
+  readonly #clock: Clock
+  readonly #random: () => number
+  readonly #intervalMs: number
+  readonly #selection: PeerSelection
+  readonly #probe: MemberProbe
+  readonly #logger: Logger
+  readonly #providers = new Map<string, ExchangePayloadProvider>()
+  readonly #stopping = new AbortController()
+  #tasks: Promise<unknown> = Promise.resolve()
+
+  constructor(
+    table: MemberTable,
+    rpc: RpcCaller,
+    instanceList: InstanceList,
+    options: MembershipExchangeOptions = {},
+  ) {
+    this.#table = table
+    this.#peers = new MembershipPeers(rpc)
+    this.#instanceList = instanceList
+    this.#clock = options.clock ?? systemClock
+    this.#random = options.random ?? Math.random
+    this.#intervalMs = options.intervalMs ?? INTERVAL_MS
+    this.#logger = options.logger ?? createLogger('membership')
+    this.#selection = new PeerSelection(table, this.#random)
+    this.#probe = new MemberProbe(table, this.#peers, this.#clock, {
+      random: this.#random,
+      watchedMembers: options.watchedMembers ?? (() => []),
+    })
+  }
+
+  /** Adds a payload to the exchanges. */
+  addPayloadProvider(provider: ExchangePayloadProvider): void {
+    this.#providers.set(provider.name, provider)
+  }
+
+  /** Adds the methods that peers call. */
+  registerMethods(registry: RpcMethodRegistry): void {
+    registry.addMethod(
+      MembershipMethod.Exchange,
+      MESSAGE_SCHEMAS[MembershipMethod.Exchange],
+      (request: ExchangeRequest) => Promise.resolve(this.#answerExchange(request)),
+    )
+    registry.addMethod(
+      MembershipMethod.Records,
+      MESSAGE_SCHEMAS[MembershipMethod.Records],
+      (request: RecordsRequest) => {
+        this.#table.merge(request.records, this.#clock())
+        return Promise.resolve({ records: this.#table.records(request.wanted) })
+      },
+    )
+    registry.addMethod(
+      MembershipMethod.Push,
+      MESSAGE_SCHEMAS[MembershipMethod.Push],
+      (request: PushRequest) => {
+        this.#answerPush(request)
+        return Promise.resolve({})
+      },
+    )
+    registry.addMethod(
+      MembershipMethod.Probe,
+      MESSAGE_SCHEMAS[MembershipMethod.Probe],
+      ({ memberId }: ProbeRequest) => this.#probe.answer(memberId),
+    )
+    registry.addMethod(MembershipMethod.Ping, MESSAGE_SCHEMAS[MembershipMethod.Ping], () => {
+      const { memberId, incarnation } = this.#table.self()
+      return Promise.resolve({ memberId, incarnation })
+    })
+  }
+
+  /** Reads the seeds, meets up to three peers, then goes on in the background. */
+  async start(): Promise<void> {
+    const isSeeded = await this.#readSeeds()
+    const targets = this.#selection.seedTargets(RELAY_COUNT)
+    await Promise.all(targets.map((target) => this.#exchangeWith(target)))
+    this.#tasks = Promise.all([this.#exchangeTask(), this.#seedTask(isSeeded)])
+  }
+
+  /** Announces that this process has left and ends the background work. */
+  async stop(): Promise<void> {
+    if (this.#stopping.signal.aborted) return
+    this.#stopping.abort()
+    await this.#tasks
+    this.#table.declareState(MemberState.Left, this.#clock())
+    await this.#push(this.#selection.regionPeers(RELAY_COUNT), [this.#table.self()], true)
+  }
+
+  /** Declares the own record leaving and pushes it; resolves when the peers answered or failed. */
+  async announceLeaving(): Promise<void> {
+    this.#table.declareState(MemberState.Leaving, this.#clock())
+    const record = this.#table.self()
+    const near = this.#selection
+      .regionPeers(Number.POSITIVE_INFINITY)
+      .filter(({ role }) => role !== MemberRole.Control)
+    await Promise.all([
+      this.#push(near, [record], false),
+      this.#push(this.#selection.peersOfOtherRegions(RELAY_COUNT), [record], true),
+    ])
+  }
+
+  async #exchangeTask(): Promise<void> {
+    while (await this.#waits(this.#intervalMs * (1 + JITTER * (2 * this.#random() - 1)))) {
+      this.#table.tick(this.#clock())
+      const target = this.#selection.next()
+      await Promise.all([
+        target === undefined ? undefined : this.#exchangeWith(target),
+        this.#probe.probeWatched().then((suspicions) => this.#relay([], suspicions)),
+      ])
+    }
+  }
+
+  async #seedTask(isSeeded: boolean): Promise<void> {
+    let known = isSeeded
+    while (await this.#waits((known ? SEED_INTERVAL_MS : SEED_RETRY_MS) * (0.5 + this.#random()))) {
+      known = (await this.#readSeeds()) || known
+    }
+  }
+
+  /** Waits, and returns false when this process is stopping. */
+  async #waits(delayMs: number): Promise<boolean> {
+    await sleep(delayMs, this.#stopping.signal)
+    return !this.#stopping.signal.aborted
+  }
+
+  async #readSeeds(): Promise<boolean> {
+    const list = await this.#instanceList.read(SEED_TIMEOUT_MS)
+    if (list.err) {
+      this.#logger.event('instance-list-unavailable', { kind: list.val.kind })
+      return false
+    }
+    this.#selection.replaceSeeds(list.val)
+    return true
+  }
+
+  async #exchangeWith(target: PeerTarget): Promise<void> {
+    const startedAtMs = this.#clock()
+    const answer = await this.#peers.exchange(target.address, {
+      record: this.#table.self(),
+      digests: this.#table.digests(),
+      suspicions: this.#table.suspicions(),
+      payloads: this.#collectPayloads(startedAtMs),
+    })
+    if (answer !== undefined) await this.#mergeAnswer(target.address, answer)
+    if (answer?.record.memberId === target.memberId) return
+    const suspicion = await this.#probe.doubt(target.memberId, startedAtMs)
+    if (suspicion !== undefined) {
+      this.#logger.event('member-suspected', { memberId: suspicion.memberId })
+      await this.#relay([], [suspicion])
+    }
+  }
+
+  async #mergeAnswer(address: string, answer: ExchangeAnswer): Promise<void> {
+    const nowMs = this.#clock()
+    this.#table.merge([answer.record], nowMs)
+    this.#table.confirmAlive(answer.record.memberId, answer.record.incarnation, nowMs)
+    this.#mergeSuspicions(answer.suspicions)
+    this.#mergePayloads(answer.payloads, nowMs)
+    const records = recordsToGive(this.#table, answer.versions)
+    const wanted = recordsToWant(this.#table, answer.versions)
+    if (records.length + wanted.length === 0) return
+    const transfer = await this.#peers.records(address, { records, wanted })
+    if (transfer !== undefined) this.#table.merge(transfer.records, this.#clock())
+  }
+
+  #answerExchange(request: ExchangeRequest): ExchangeAnswer {
+    const nowMs = this.#clock()
+    this.#table.merge([request.record], nowMs)
+    this.#mergeSuspicions(request.suspicions)
+    this.#mergePayloads(request.payloads, nowMs)
+    const own = this.#table.digests()
+    const regions = new Set([...Object.keys(own), ...Object.keys(request.digests)])
+    const versions = Object.fromEntries(
+      [...regions]
+        .filter((region) => own[region] !== request.digests[region])
+        .map((region) => [region, this.#table.versions(region)]),
+    )
+    return {
+      record: this.#table.self(),
+      versions,
+      suspicions: this.#table.suspicions(),
+      payloads: this.#collectPayloads(nowMs),
+    }
+  }
+
+  #answerPush(request: PushRequest): void {
+    const records = this.#table.merge(request.records, this.#clock())
+    const suspicions = this.#mergeSuspicions(request.suspicions)
+    if (request.relay) void this.#relay(records, suspicions)
+  }
+
+  /** Returns the suspicions that were new, but for one about this process, which it refutes at once. */
+  #mergeSuspicions(given: ExchangeRequest['suspicions']): ExchangeRequest['suspicions'] {
+    const news = this.#table.mergeSuspicions(given, this.#clock())
+    const self = this.#table.self()
+    const others = news.filter(({ memberId }) => memberId !== self.memberId)
+    if (others.length < news.length) {
+      this.#logger.event('suspicion-refuted', { version: self.version })
+      void this.#relay([self], [])
+    }
+    return others
+  }
+
+  async #relay(
+    records: readonly MemberRecord[],
+    suspicions: ExchangeRequest['suspicions'],
+  ): Promise<void> {
+    if (records.length + suspicions.length === 0 || this.#stopping.signal.aborted) return
+    await this.#push(this.#selection.regionPeers(RELAY_COUNT), records, true, suspicions)
+  }
+
+  async #push(
+    targets: readonly PeerTarget[],
+    records: readonly MemberRecord[],
+    relay: boolean,
+    suspicions: ExchangeRequest['suspicions'] = [],
+  ): Promise<void> {
+    const request = { records, suspicions, relay }
+    await Promise.all(targets.map(({ address }) => this.#peers.push(address, request)))
+  }
+
+  #collectPayloads(nowMs: number): ExchangePayloads {
+    const entries = [...this.#providers.values()].map(
+      (provider) => [provider.name, provider.collect(nowMs)] as const,
+    )
+    return Object.fromEntries(entries.filter(([, payload]) => payload !== undefined))
+  }
+
+  #mergePayloads(payloads: ExchangePayloads, nowMs: number): void {
+    for (const [name, payload] of Object.entries(payloads)) {
+      try {
+        this.#providers.get(name)?.merge(payload, nowMs)
+      } catch (error) {
+        this.#logger.event('payload-refused', { name, reason: messageOf(error) })
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/membership/membershipPeers.ts
@@ -0,0 +1,61 @@
+/** Typed calls to the membership modules of other processes. */
+import type { RpcCaller } from '../common/rpc.js'
+import type {
+  ExchangeAnswer,
+  ExchangeRequest,
+  PingAnswer,
+  ProbeAnswer,
+  PushRequest,
+  RecordsAnswer,
+  RecordsRequest,
+} from './membershipMessages.js'
+import { ANSWER_SCHEMAS, MembershipMethod } from './membershipMessages.js'
+
+/** Answers to a direct probe later than this count as a failure, in milliseconds. */
+export const DIRECT_PROBE_TIMEOUT_MS = 500
+/** An indirect probe contains a direct one of the helping peer. */
+export const INDIRECT_PROBE_TIMEOUT_MS = 900
+const TRANSFER_TIMEOUT_MS = 2000
+
+/** Calls at one address each; `undefined` stands for any failure and for malformed answers. */
+export class MembershipPeers {
+  readonly #rpc: RpcCaller
+
+  constructor(rpc: RpcCaller) {
+    this.#rpc = rpc
+  }
+
+  exchange(address: string, request: ExchangeRequest): Promise<ExchangeAnswer | undefined> {
+    return this.#call(address, MembershipMethod.Exchange, request, DIRECT_PROBE_TIMEOUT_MS)
+  }
+
+  records(address: string, request: RecordsRequest): Promise<RecordsAnswer | undefined> {
+    return this.#call(address, MembershipMethod.Records, request, TRANSFER_TIMEOUT_MS)
+  }
+
+  ping(address: string): Promise<PingAnswer | undefined> {
+    return this.#call(address, MembershipMethod.Ping, {}, DIRECT_PROBE_TIMEOUT_MS)
+  }
+
+  probe(address: string, memberId: string): Promise<ProbeAnswer | undefined> {
+    return this.#call(address, MembershipMethod.Probe, { memberId }, INDIRECT_PROBE_TIMEOUT_MS)
+  }
+
+  async push(address: string, request: PushRequest): Promise<void> {
+    await this.#rpc.call(address, MembershipMethod.Push, request, {
+      timeoutMs: DIRECT_PROBE_TIMEOUT_MS,
+    })
+  }
+
+  async #call<Answer>(
+    address: string,
+    method: keyof typeof ANSWER_SCHEMAS,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Answer | undefined> {
+    const answer = await this.#rpc.call(address, method, params, { timeoutMs })
+    if (answer.err) return undefined
+    const checked = ANSWER_SCHEMAS[method].validate(answer.val)
+    return checked.error === undefined ? (checked.value as Answer) : undefined
+  }
+}
--- /dev/null
+++ b/src/membership/peerSelection.ts
@@ -0,0 +1,142 @@
+/** Choice of the peers for exchanges and pushes. */
+import type { ListedInstance } from '../platform/instanceList.js'
+import { InstanceKind, InstanceState } from '../platform/instanceList.js'
+import type { Member } from './memberRecord.js'
+import { MemberHealth, MemberRole, MemberState } from './memberRecord.js'
+import type { MemberTable } from './memberTable.js'
+
+/** A process to call. */
+export interface PeerTarget {
+  readonly memberId: string
+  /** `host:port` of its internal JSON-RPC port. */
+  readonly address: string
+  readonly role?: MemberRole
+}
+
+/** Part of the exchanges that go to another region; they cross links of limited bandwidth. */
+const OTHER_REGION_SHARE = 0.1
+/**
+ * Part of the exchanges that try failed members and unknown seeds; without them the two
+ * sides of a healed partition would never meet again.
+ */
+const LOST_SHARE = 0.1
+
+/** Returns up to `count` random elements in random order. */
+export function sample<Element>(
+  elements: readonly Element[],
+  count: number,
+  random: () => number,
+): Element[] {
+  const pool = [...elements]
+  const chosen: Element[] = []
+  while (pool.length > 0 && chosen.length < count) {
+    chosen.push(...pool.splice(Math.floor(random() * pool.length), 1))
+  }
+  return chosen
+}
+
+/** Picks peers from the member table and from the platform's list. */
+export class PeerSelection {
+  readonly #table: MemberTable
+  readonly #random: () => number
+  #seeds: readonly ListedInstance[] = []
+
+  constructor(table: MemberTable, random: () => number) {
+    this.#table = table
+    this.#random = random
+  }
+
+  /** Takes over the platform's list; it only tells where to call, never what state a member has. */
+  replaceSeeds(listed: readonly ListedInstance[]): void {
+    this.#seeds = listed.filter(
+      ({ kind, state }) => kind === InstanceKind.Entry && state === InstanceState.Live,
+    )
+  }
+
+  /** Returns the peer of the next exchange, or `undefined` when this process is alone. */
+  next(): PeerTarget | undefined {
+    const draw = this.#random()
+    const near = this.#near()
+    const far = this.#far()
+    const lost = this.#lost()
+    if (draw < LOST_SHARE && lost.length > 0) return this.#pick(lost)
+    if (draw < LOST_SHARE + OTHER_REGION_SHARE && far.length > 0) return this.#pick(far)
+    return this.#pick(near) ?? this.#pick(far) ?? this.#pick(lost)
+  }
+
+  /** Up to `count` random peers of the own region. */
+  regionPeers(count: number): readonly PeerTarget[] {
+    return sample(this.#near(), count, this.#random)
+  }
+
+  /** Up to `count` random peers of each other region. */
+  peersOfOtherRegions(count: number): readonly PeerTarget[] {
+    const far = this.#members().filter(({ region }) => region !== this.#table.self().region)
+    const regions = new Set(far.map(({ region }) => region))
+    return [...regions].flatMap((region) =>
+      sample(
+        far.filter((member) => member.region === region),
+        count,
+        this.#random,
+      ).map(toTarget),
+    )
+  }
+
+  /** Up to `count` random listed instances, those of the own region first. */
+  seedTargets(count: number): readonly PeerTarget[] {
+    const { region, memberId } = this.#table.self()
+    const seeds = sample(this.#seeds, Number.POSITIVE_INFINITY, this.#random).filter(
+      (seed) => seed.instanceId !== memberId,
+    )
+    const near = seeds.filter((seed) => seed.region === region)
+    const far = seeds.filter((seed) => seed.region !== region)
+    return [...near, ...far].slice(0, count).map(seedToTarget)
+  }
+
+  #pick(targets: readonly PeerTarget[]): PeerTarget | undefined {
+    return targets[Math.floor(this.#random() * targets.length)]
+  }
+
+  #members(): readonly Member[] {
+    const { memberId } = this.#table.self()
+    return this.#table.members().filter((member) => member.memberId !== memberId)
+  }
+
+  #near(): readonly PeerTarget[] {
+    const { region } = this.#table.self()
+    return this.#members()
+      .filter((member) => member.region === region)
+      .map(toTarget)
+  }
+
+  #far(): readonly PeerTarget[] {
+    const { region } = this.#table.self()
+    return this.#members()
+      .filter((member) => member.region !== region)
+      .map(toTarget)
+  }
+
+  #lost(): readonly PeerTarget[] {
+    const unknown = this.#seeds.filter(({ instanceId }) => this.#isLost(instanceId))
+    return [...this.#table.failedMembers().map(toTarget), ...unknown.map(seedToTarget)]
+  }
+
+  /** Seeds of failed members are included: a restarted process may listen at a new address. */
+  #isLost(memberId: string): boolean {
+    if (memberId === this.#table.self().memberId) return false
+    const member = this.#table.find(memberId)
+    return (
+      member === undefined ||
+      member.state === MemberState.Left ||
+      member.health === MemberHealth.Failed
+    )
+  }
+}
+
+function toTarget({ memberId, internalAddress, role }: Member): PeerTarget {
+  return { memberId, address: internalAddress, role }
+}
+
+function seedToTarget({ instanceId, address }: ListedInstance): PeerTarget {
+  return { memberId: instanceId, address }
+}
