feat(lookup): placement, lookup daemon and the runtime that daemons share

Placement by site, steering shares and capped shifts in a stable order of blocks weighted by traffic; answers carry operation prefixes. nodeRuntime assembles what all daemons share; its configuration is empty until the replica is merged.

--- a/src/configuration/__tests__/blockTable.spec.ts
+++ b/src/configuration/__tests__/blockTable.spec.ts
@@ -34,6 +34,11 @@
       expect(siteOf('not an address')).to.equal('none')
     })
 
+    it('takes no abbreviated address for a client, which would hide a typing error', () => {
+      expect(siteOf('10.1.2')).to.equal('none')
+      expect(siteOf('0x0a010203')).to.equal('none')
+    })
+
     it('treats IPv4-mapped IPv6 addresses as IPv4', () => {
       expect(siteOf('::ffff:10.1.2.3')).to.equal('narrowest')
       expect(siteOf('2001:db8:1::1')).to.equal('six')
--- a/src/configuration/packedPrefix.ts
+++ b/src/configuration/packedPrefix.ts
@@ -44,7 +44,9 @@
 
 /** Parses a client address; IPv4-mapped IPv6 counts as IPv4. Returns `undefined` for anything else. */
 export function parseAddress(text: string): PackedAddress | undefined {
+  // The library also takes historic forms such as `10.1` and `0x7f000001`, which hide typing errors.
   if (!ipaddr.isValid(text)) return undefined
+  if (!text.includes(':') && !ipaddr.IPv4.isValidFourPartDecimal(text)) return undefined
   const address = ipaddr.process(text)
   const bytes = address.toByteArray()
   if (address.kind() === 'ipv4') {
--- /dev/null
+++ b/src/daemon/nodeRuntime.ts
@@ -0,0 +1,157 @@
+/** Parts that every daemon has: peers' server and caller, store, configuration, membership. */
+import { randomBytes } from 'node:crypto'
+import type { Clock } from '../common/clock.js'
+import { systemClock } from '../common/clock.js'
+import { createLogger } from '../common/logger.js'
+import type { Metrics } from '../common/metrics.js'
+import { createMetrics, noMetrics } from '../common/metrics.js'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import { HttpRpcCaller } from '../common/rpcClient.js'
+import { HttpRpcServer } from '../common/rpcServer.js'
+import type { MemberRecord, MemberRole } from '../membership/memberRecord.js'
+import { MemberState } from '../membership/memberRecord.js'
+import { MemberTable } from '../membership/memberTable.js'
+import { MembershipExchange } from '../membership/membershipExchange.js'
+import { HttpInstanceList } from '../platform/httpInstanceList.js'
+import { HttpKeyValueStore } from '../platform/httpKeyValueStore.js'
+import type { InstanceList } from '../platform/instanceList.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
+import { RegionLoadTable } from '../shift/regionLoadTable.js'
+import type { ConfigurationParts } from './configurationParts.js'
+import { createConfigurationParts } from './configurationParts.js'
+import type { NodeSettings } from './nodeSettings.js'
+
+/** Options of {@link NodeRuntime}. */
+export interface NodeRuntimeOptions {
+  readonly role: MemberRole
+  readonly settings: NodeSettings
+  readonly clock?: Clock
+  /** Members that this daemon relies on and therefore probes in turn. */
+  readonly watchedMembers?: () => readonly string[]
+}
+
+/** Time for peers' calls in progress when a daemon stops, in milliseconds. */
+const RPC_STOP_TIMEOUT_MS = 2000
+
+/**
+ * Assembly of the shared parts. A daemon registers its own methods at
+ * {@link NodeRuntime.methods} and payloads at {@link NodeRuntime.exchange}, then calls
+ * {@link NodeRuntime.start} and, on SIGTERM, {@link NodeRuntime.stop}.
+ */
+export class NodeRuntime {
+  readonly settings: NodeSettings
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly store: KeyValueStore
+  readonly instanceList: InstanceList
+  readonly members: MemberTable
+  readonly exchange: MembershipExchange
+  readonly loads: RegionLoadTable
+  readonly configuration: ConfigurationParts
+  readonly #server: HttpRpcServer
+  readonly #caller: HttpRpcCaller
+  readonly #logger = createLogger('daemon')
+  #stopped: Promise<void> | undefined
+
+  constructor(options: NodeRuntimeOptions) {
+    const { settings } = options
+    this.settings = settings
+    this.clock = options.clock ?? systemClock
+    this.metrics =
+      settings.metricsHost === ''
+        ? noMetrics
+        : createMetrics(settings.metricsHost, settings.metricsPort, {
+            member: settings.memberId,
+            region: settings.region,
+          })
+    this.store = new HttpKeyValueStore(settings.storeUrl)
+    this.instanceList = new HttpInstanceList(settings.instanceListUrl)
+    this.#server = new HttpRpcServer({
+      host: settings.host,
+      port: settings.internalPort,
+      token: settings.peerToken,
+    })
+    this.#caller = new HttpRpcCaller(settings.peerToken)
+    this.members = new MemberTable(ownRecord(settings, options.role, this.clock()))
+    this.exchange = new MembershipExchange(this.members, this.#caller, this.instanceList, {
+      clock: this.clock,
+      ...(options.watchedMembers === undefined ? {} : { watchedMembers: options.watchedMembers }),
+    })
+    this.loads = new RegionLoadTable()
+    this.exchange.addPayloadProvider(this.loads)
+    this.configuration = createConfigurationParts()
+    this.exchange.registerMethods(this.#server)
+    this.configuration.registerMethods(this.#server)
+  }
+
+  /** Accepts the methods that a daemon serves to its peers, before the start. */
+  get methods(): RpcMethodRegistry {
+    return this.#server
+  }
+
+  /** Calls peers. */
+  get caller(): RpcCaller {
+    return this.#caller
+  }
+
+  /**
+   * Starts the peers' server, then the callers' server of the daemon, then joins the others and
+   * takes the configuration. Resolves also when neither store nor peers could be reached.
+   *
+   * @param startCallersServer returns the `host:port` for callers, or an empty text if there is none
+   */
+  async start(startCallersServer: () => Promise<string>): Promise<void> {
+    await this.#server.start()
+    const internalAddress = `${this.settings.host}:${String(this.#server.port)}`
+    const callerAddress = await startCallersServer()
+    this.members.announceAddresses({ callerAddress, internalAddress }, this.clock())
+    await this.exchange.start()
+    await this.configuration.start()
+    this.#logger.event('started', {
+      memberId: this.settings.memberId,
+      incarnation: this.members.self().incarnation,
+      internalAddress,
+      callerAddress,
+      members: this.members.members().length,
+      revision: this.configuration.view.current()?.revision ?? null,
+    })
+  }
+
+  /**
+   * Announces that the daemon is leaving, waits for `drain`, then stops the shared parts.
+   * Further calls join the first one.
+   *
+   * @param drain ends the daemon's own work without cutting any of it
+   */
+  stop(drain: () => Promise<void>): Promise<void> {
+    this.#stopped ??= this.#stop(drain)
+    return this.#stopped
+  }
+
+  async #stop(drain: () => Promise<void>): Promise<void> {
+    await this.exchange.announceLeaving()
+    await drain()
+    await this.exchange.stop()
+    await this.configuration.stop()
+    await this.#server.stop(RPC_STOP_TIMEOUT_MS)
+    this.#caller.close()
+    this.#logger.event('stopped', { memberId: this.settings.memberId })
+    await this.metrics.close()
+  }
+}
+
+function ownRecord(settings: NodeSettings, role: MemberRole, nowMs: number): MemberRecord {
+  return {
+    memberId: settings.memberId,
+    role,
+    incarnation: randomBytes(8).toString('hex'),
+    startedAtMs: nowMs,
+    version: 0,
+    state: MemberState.Live,
+    region: settings.region,
+    zone: settings.zone,
+    site: settings.site,
+    callerAddress: '',
+    internalAddress: `${settings.host}:${String(settings.internalPort)}`,
+  }
+}
--- /dev/null
+++ b/src/lookup/blockOrders.ts
@@ -0,0 +1,60 @@
+/** Block orders of the shifts and steering records in force. */
+import { hashText } from '../common/hashing.js'
+import type { Configuration } from '../configuration/view.js'
+import { BlockOrder } from '../shift/blockOrder.js'
+
+/** Name of the order by which steering shares and spill-over divide the blocks of a region. */
+export const COMMON_ORDER = 'common'
+
+/**
+ * Orders by region and name. They are built when a revision arrives, because one takes
+ * tens of milliseconds at 620,000 blocks, and are kept while blocks and sites stay the same.
+ */
+export class BlockOrders {
+  #configuration: Configuration | undefined
+  #orders = new Map<string, BlockOrder>()
+
+  /** Builds what the revision needs beyond the orders that are kept. */
+  prepare(configuration: Configuration): void {
+    const isSame =
+      this.#configuration?.blocks === configuration.blocks &&
+      this.#configuration.document.sites === configuration.document.sites
+    const kept = isSame ? this.#orders : new Map<string, BlockOrder>()
+    this.#configuration = configuration
+    this.#orders = new Map()
+    for (const [region, name] of neededOrders(configuration)) {
+      const key = keyOf(region, name)
+      this.#orders.set(key, kept.get(key) ?? buildOrder(configuration, region, name))
+    }
+  }
+
+  /** Returns an order; builds it if no revision announced the need. */
+  order(configuration: Configuration, region: string, name: string): BlockOrder {
+    if (this.#configuration !== configuration) this.prepare(configuration)
+    const key = keyOf(region, name)
+    const order = this.#orders.get(key) ?? buildOrder(configuration, region, name)
+    this.#orders.set(key, order)
+    return order
+  }
+}
+
+function keyOf(region: string, name: string): string {
+  return `${region}\n${name}`
+}
+
+function neededOrders({ document }: Configuration): [region: string, name: string][] {
+  const shifts = [...document.shifts.values()].map(({ from, shiftId }): [string, string] => [
+    from,
+    shiftId,
+  ])
+  const regions = [...document.regions.keys()].map((name): [string, string] => [name, COMMON_ORDER])
+  return [...shifts, ...regions]
+}
+
+function buildOrder({ blocks, document }: Configuration, region: string, name: string): BlockOrder {
+  return BlockOrder.ofRegion(
+    blocks,
+    (site) => document.sites.get(site)?.region === region,
+    hashText(name),
+  )
+}
--- /dev/null
+++ b/src/lookup/lookupDaemon.ts
@@ -0,0 +1,114 @@
+/** The lookup daemon: assembly, start and graceful stop. */
+import type { DependencyContainer } from 'tsyringe'
+import { container as rootContainer, instanceCachingFactory } from 'tsyringe'
+import { sleep } from '../common/clock.js'
+import { createLogger } from '../common/logger.js'
+import type { Daemon } from '../daemon/daemonProgram.js'
+import { runDaemonProgram } from '../daemon/daemonProgram.js'
+import { NodeRuntime } from '../daemon/nodeRuntime.js'
+import { MemberRole } from '../membership/memberRecord.js'
+import { OperationPrefixCodec } from '../operations/operationPrefix.js'
+import { GatewayDirectory } from './gatewayDirectory.js'
+import { LookupServer } from './lookupServer.js'
+import type { LookupSettings } from './lookupSettings.js'
+import { LOOKUP_SETTINGS } from './lookupSettings.js'
+import { Placer } from './placement.js'
+import type { SpillOverSource } from './placement.js'
+
+/** Tokens of the lookup daemon's container. */
+export const LOOKUP_TOKENS = {
+  settings: Symbol('settings'),
+  runtime: Symbol('runtime'),
+  directory: Symbol('directory'),
+  spillOver: Symbol('spillOver'),
+  placer: Symbol('placer'),
+  server: Symbol('server'),
+} as const
+
+/** Time for look-ups in progress when the daemon stops, in milliseconds. */
+const SERVER_STOP_TIMEOUT_MS = 10_000
+
+/** Registers the parts of the lookup daemon; each is created on first use. */
+export function registerLookupDaemon(settings: LookupSettings): DependencyContainer {
+  const container = rootContainer.createChildContainer()
+  const single = (token: symbol, create: () => object): void => {
+    container.register(token, { useFactory: instanceCachingFactory(create) })
+  }
+  container.register(LOOKUP_TOKENS.settings, { useValue: settings })
+  single(LOOKUP_TOKENS.runtime, () => createRuntime(container, settings))
+  single(LOOKUP_TOKENS.directory, () => new GatewayDirectory(resolveRuntime(container).members))
+  single(LOOKUP_TOKENS.spillOver, (): SpillOverSource => ({
+    regionFor: (_service, homeRegion) => homeRegion,
+  }))
+  single(LOOKUP_TOKENS.placer, () => createPlacer(container))
+  single(LOOKUP_TOKENS.server, () => createServer(container, settings))
+  return container
+}
+
+/** A daemon over the parts of a container. */
+export function createLookupDaemon(settings: LookupSettings): Daemon {
+  const container = registerLookupDaemon(settings)
+  const runtime = resolveRuntime(container)
+  const server = container.resolve<LookupServer>(LOOKUP_TOKENS.server)
+  const drain = async (): Promise<void> => {
+    server.announceLeaving()
+    await sleep(settings.leaveDelayMs)
+    await server.stop(SERVER_STOP_TIMEOUT_MS)
+  }
+  return {
+    start: () =>
+      runtime.start(async () => {
+        await server.start()
+        return `${settings.host}:${String(server.port)}`
+      }),
+    stop: () => runtime.stop(drain),
+  }
+}
+
+/** Entry of `bin/tamarackdrift-lookup.js`. */
+export function main(argv: readonly string[]): Promise<void> {
+  return runDaemonProgram('tamarackdrift-lookup', LOOKUP_SETTINGS, argv, createLookupDaemon)
+}
+
+function resolveRuntime(container: DependencyContainer): NodeRuntime {
+  return container.resolve<NodeRuntime>(LOOKUP_TOKENS.runtime)
+}
+
+function createRuntime(container: DependencyContainer, settings: LookupSettings): NodeRuntime {
+  return new NodeRuntime({
+    role: MemberRole.Lookup,
+    settings,
+    watchedMembers: () =>
+      container.resolve<GatewayDirectory>(LOOKUP_TOKENS.directory).gatewayIds(settings.region),
+  })
+}
+
+function createPlacer(container: DependencyContainer): Placer {
+  const runtime = resolveRuntime(container)
+  return new Placer(
+    runtime.configuration.view,
+    runtime.members,
+    container.resolve<GatewayDirectory>(LOOKUP_TOKENS.directory),
+    container.resolve<SpillOverSource>(LOOKUP_TOKENS.spillOver),
+  )
+}
+
+function createServer(container: DependencyContainer, settings: LookupSettings): LookupServer {
+  const runtime = resolveRuntime(container)
+  return new LookupServer(
+    {
+      placer: container.resolve<Placer>(LOOKUP_TOKENS.placer),
+      configuration: runtime.configuration.view,
+      codec: new OperationPrefixCodec(settings.peerToken),
+      clock: runtime.clock,
+      logger: createLogger('lookup'),
+      metrics: runtime.metrics,
+    },
+    {
+      host: settings.host,
+      port: settings.callerPort,
+      answerCacheMs: settings.answerCacheMs,
+      retryAfterMs: settings.retryAfterMs,
+    },
+  )
+}
--- /dev/null
+++ b/src/lookup/lookupServer.ts
@@ -0,0 +1,226 @@
+/** Callers' HTTP interface of the lookup daemon. */
+import { randomBytes } from 'node:crypto'
+import type { Request, ResponseObject, ResponseToolkit, Server } from '@hapi/hapi'
+import { server as createHapiServer } from '@hapi/hapi'
+import type { Clock } from '../common/clock.js'
+import { OUTCOME_HEADER, Outcome } from '../common/headers.js'
+import type { Logger } from '../common/logger.js'
+import type { Metrics } from '../common/metrics.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { OperationPrefixCodec } from '../operations/operationPrefix.js'
+import type { Placement, Placer } from './placement.js'
+import { LookupError, LookupErrorKind } from './placement.js'
+
+/** One entry instance of an answer. */
+export interface LookupEntry {
+  /** `host:port` */
+  readonly address: string
+  readonly region: string
+  readonly site: string
+  readonly operationPrefix: string
+}
+
+/** Answer of `GET /lookup?service=S&client=IP`. */
+export interface LookupAnswer {
+  readonly service: string
+  readonly revision: number
+  /** Best first, at most three. */
+  readonly entries: readonly LookupEntry[]
+  /** Time for which the caller may use the answer, in milliseconds. */
+  readonly cacheMs: number
+  readonly retry: {
+    /** Attempts of one request over all entries. */
+    readonly maxAttempts: number
+    /** Least time between two attempts at the same entry, in milliseconds. */
+    readonly delayMs: number
+  }
+}
+
+/** Options of {@link LookupServer}. */
+export interface LookupServerOptions {
+  readonly host: string
+  /** TCP port; 0 takes a free one. */
+  readonly port: number
+  readonly answerCacheMs: number
+  /** Value of `Retry-After` on a 503, in milliseconds. */
+  readonly retryAfterMs: number
+}
+
+/** What the server uses. */
+export interface LookupServerParts {
+  readonly placer: Placer
+  readonly configuration: ConfigurationView
+  readonly codec: OperationPrefixCodec
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** New operations are accepted for this long after the answer expired, in milliseconds. */
+const ACCEPT_GRACE_MS = 2000
+const RETRY = { maxAttempts: 3, delayMs: 50 }
+const MAX_NAME_LENGTH = 128
+const MS_PER_SECOND = 1000
+
+const STATUS_OF_ERROR: Readonly<Record<LookupErrorKind, number>> = {
+  [LookupErrorKind.MalformedQuery]: 400,
+  [LookupErrorKind.UnknownService]: 404,
+  [LookupErrorKind.NoConfiguration]: 503,
+  [LookupErrorKind.NoCapacity]: 503,
+}
+
+/** Serves `GET /lookup` and `GET /health`. */
+export class LookupServer {
+  readonly #hapi: Server
+  readonly #parts: LookupServerParts
+  readonly #options: LookupServerOptions
+  readonly #requestIdPrefix = randomBytes(4).toString('hex')
+  #requestCount = 0
+  #isLeaving = false
+
+  constructor(parts: LookupServerParts, options: LookupServerOptions) {
+    this.#parts = parts
+    this.#options = options
+    this.#hapi = createHapiServer({ host: options.host, port: options.port })
+    this.#hapi.route([
+      {
+        method: 'GET',
+        path: '/lookup',
+        handler: (request, toolkit) => this.#lookUp(request, toolkit),
+      },
+      { method: 'GET', path: '/health', handler: (_request, toolkit) => this.#health(toolkit) },
+    ])
+  }
+
+  /** Port in use, after {@link start}. */
+  get port(): number {
+    return this.#hapi.info.port as number
+  }
+
+  async start(): Promise<void> {
+    await this.#hapi.start()
+  }
+
+  /** Answers on, but asks callers to close their connections, and reports itself as leaving. */
+  announceLeaving(): void {
+    this.#isLeaving = true
+  }
+
+  /** Stops accepting and waits up to `timeoutMs` for requests in progress. */
+  async stop(timeoutMs: number): Promise<void> {
+    await this.#hapi.stop({ timeout: timeoutMs })
+  }
+
+  #lookUp(request: Request, toolkit: ResponseToolkit): ResponseObject {
+    const startedAtMs = performance.now()
+    const requestId = `${this.#requestIdPrefix}-${String(++this.#requestCount)}`
+    const { service, client } = request.query as Record<string, unknown>
+    const response = this.#answer(service, client, requestId, toolkit)
+    if (this.#isLeaving) response.header('connection', 'close')
+    const status = String(response.statusCode)
+    this.#parts.metrics.timing('lookup.duration', performance.now() - startedAtMs, { status })
+    this.#parts.metrics.increment('lookup.answers', 1, { status })
+    return response.header('cache-control', 'no-store')
+  }
+
+  #answer(
+    service: unknown,
+    client: unknown,
+    requestId: string,
+    toolkit: ResponseToolkit,
+  ): ResponseObject {
+    if (!isName(service) || !isName(client)) {
+      return this.#refuse(malformedQuery(), requestId, toolkit, '', '')
+    }
+    const nowMs = this.#parts.clock()
+    const placement = this.#parts.placer.place(service, client, nowMs)
+    if (placement.err) return this.#refuse(placement.val, requestId, toolkit, service, client)
+    this.#logPlacement(placement.val, client, requestId)
+    return toolkit.response(this.#toAnswer(placement.val, nowMs)).code(200)
+  }
+
+  #toAnswer(placement: Placement, nowMs: number): LookupAnswer {
+    const cacheMs = this.#options.answerCacheMs
+    const nonce = randomBytes(8).toString('hex')
+    return {
+      service: placement.service,
+      revision: placement.revision,
+      entries: placement.entries.map((member) => ({
+        address: member.callerAddress,
+        region: member.region,
+        site: member.site,
+        operationPrefix: this.#parts.codec.encode({
+          gatewayId: member.memberId,
+          incarnation: member.incarnation,
+          service: placement.service,
+          homeRegion: placement.homeRegion,
+          ...(placement.shiftId === undefined ? {} : { shiftId: placement.shiftId }),
+          acceptUntilMs: nowMs + cacheMs + ACCEPT_GRACE_MS,
+          nonce,
+        }),
+      })),
+      cacheMs,
+      retry: RETRY,
+    }
+  }
+
+  #logPlacement(placement: Placement, client: string, requestId: string): void {
+    this.#parts.logger.decision('lookup', {
+      requestId,
+      service: placement.service,
+      client,
+      revision: placement.revision,
+      homeRegion: placement.homeRegion,
+      region: placement.region,
+      shiftId: placement.shiftId,
+      reason: placement.reason,
+      entries: placement.entries.map(({ memberId }) => memberId).join(','),
+    })
+  }
+
+  #refuse(
+    error: LookupError,
+    requestId: string,
+    toolkit: ResponseToolkit,
+    service: string,
+    client: string,
+  ): ResponseObject {
+    const revision = this.#parts.configuration.current()?.revision
+    this.#parts.logger.decision('lookup', {
+      requestId,
+      service,
+      client,
+      revision,
+      reason: error.kind,
+    })
+    const { kind, message, remedy } = error.toDetails()
+    const status = STATUS_OF_ERROR[error.kind]
+    const response = toolkit
+      .response({ kind, message, remedy, requestId })
+      .code(status)
+      .header(OUTCOME_HEADER, Outcome.NotRun)
+    if (status !== 503) return response
+    const seconds = Math.ceil(this.#options.retryAfterMs / MS_PER_SECOND)
+    return response.header('retry-after', String(seconds))
+  }
+
+  #health(toolkit: ResponseToolkit): ResponseObject {
+    const revision = this.#parts.configuration.current()?.revision
+    const canSteer = revision !== undefined && !this.#isLeaving
+    return toolkit
+      .response({ canSteer, isLeaving: this.#isLeaving, revision: revision ?? null })
+      .code(canSteer ? 200 : 503)
+  }
+}
+
+function isName(value: unknown): value is string {
+  return typeof value === 'string' && value.length > 0 && value.length <= MAX_NAME_LENGTH
+}
+
+function malformedQuery(): LookupError {
+  return new LookupError(
+    LookupErrorKind.MalformedQuery,
+    'The parameters service and client have to be given once each, with 1 to 128 characters',
+    'ask for /lookup?service=<name>&client=<IP address>',
+  )
+}
--- /dev/null
+++ b/src/lookup/lookupSettings.ts
@@ -0,0 +1,33 @@
+/** Settings of the lookup daemon. */
+import type { SettingDefinition } from '../common/settings.js'
+import type { NodeSettings } from '../daemon/nodeSettings.js'
+import { NODE_SETTINGS, durationSetting, portSetting } from '../daemon/nodeSettings.js'
+
+/** Settings of the lookup daemon. */
+export interface LookupSettings extends NodeSettings {
+  readonly callerPort: number
+  readonly answerCacheMs: number
+  readonly retryAfterMs: number
+  readonly leaveDelayMs: number
+}
+
+/** Definitions of {@link LookupSettings}. */
+export const LOOKUP_SETTINGS: readonly SettingDefinition[] = [
+  ...NODE_SETTINGS,
+  portSetting('callerPort', 'port for look-ups'),
+  durationSetting('answerCacheMs', 'time for which callers may use an answer', 2000, 100, 60_000),
+  durationSetting(
+    'retryAfterMs',
+    'time after which a refused caller asks again',
+    1000,
+    1000,
+    60_000,
+  ),
+  durationSetting(
+    'leaveDelayMs',
+    'time for which a leaving daemon still answers, so that callers turn to others first',
+    1000,
+    0,
+    60_000,
+  ),
+]
--- /dev/null
+++ b/src/shift/regionLoadTable.ts
@@ -0,0 +1,146 @@
+/** Latest known load of all regions, merged from summaries. */
+import Joi from 'joi'
+import type { RegionLoadView, ServiceLoad } from './regionLoad.js'
+import { LOAD_MAX_AGE_MS } from './regionLoad.js'
+
+/** Load of one service within a {@link RegionSummary}. */
+export interface ServiceSummary {
+  readonly service: string
+  /** Requests per second that arrive in this region. */
+  readonly requestsPerSecond: number
+  /** The same by home region of the callers. */
+  readonly homeRates: Readonly<Record<string, number>>
+  readonly inFlight: number
+  readonly slots: number
+  readonly meanServiceMs: number
+}
+
+/** What the aggregator of a region says of it. */
+export interface RegionSummary {
+  readonly region: string
+  /** Time of the oldest measurement in it, milliseconds since the epoch. */
+  readonly measuredAtMs: number
+  readonly services: readonly ServiceSummary[]
+}
+
+const RATE = Joi.number().min(0).required()
+const SUMMARIES = Joi.array().items(
+  Joi.object({
+    region: Joi.string().required(),
+    measuredAtMs: Joi.number().required(),
+    services: Joi.array()
+      .items(
+        Joi.object({
+          service: Joi.string().required(),
+          requestsPerSecond: RATE,
+          homeRates: Joi.object().pattern(Joi.string(), Joi.number().min(0)).required(),
+          inFlight: RATE,
+          slots: RATE,
+          meanServiceMs: RATE,
+        }),
+      )
+      .required(),
+  }),
+)
+
+/** Schema of a list of {@link RegionSummary}. */
+export const REGION_SUMMARIES_SCHEMA = SUMMARIES.required()
+
+/** Summaries are passed on for this long, so that processes that start late learn the last values. */
+const SHARE_MAX_AGE_MS = 60_000
+
+/** {@link RegionLoadView} over the newest summary of each region. */
+export class RegionLoadTable implements RegionLoadView {
+  /** Name of the payload on the membership exchange. */
+  readonly name = 'regionLoad'
+  readonly #summaries = new Map<string, RegionSummary>()
+  /** Highest home rates while the home region itself reported, by `<service>@<region>`. */
+  readonly #lastHomeRates = new Map<string, number>()
+
+  /** Takes over newer summaries; returns whether anything was newer. */
+  mergeSummaries(summaries: readonly RegionSummary[], nowMs: number): boolean {
+    let isChanged = false
+    for (const summary of summaries) {
+      const known = this.#summaries.get(summary.region)
+      // A time in the future comes from a wrong clock and would hide all later summaries.
+      const isPlausible = summary.measuredAtMs <= nowMs + LOAD_MAX_AGE_MS
+      if (!isPlausible || summary.measuredAtMs <= (known?.measuredAtMs ?? 0)) continue
+      this.#summaries.set(summary.region, summary)
+      isChanged = true
+    }
+    if (isChanged) this.#noteHomeRates()
+    return isChanged
+  }
+
+  /** All summaries that are recent enough to be passed on. */
+  summaries(nowMs: number): readonly RegionSummary[] {
+    return [...this.#summaries.values()].filter(
+      ({ measuredAtMs }) => nowMs - measuredAtMs <= SHARE_MAX_AGE_MS,
+    )
+  }
+
+  collect(nowMs: number): unknown {
+    const summaries = this.summaries(nowMs)
+    return summaries.length === 0 ? undefined : summaries
+  }
+
+  merge(payload: unknown, nowMs: number): void {
+    this.mergeSummaries(Joi.attempt(payload, REGION_SUMMARIES_SCHEMA) as RegionSummary[], nowMs)
+  }
+
+  load(region: string, service: string): ServiceLoad | undefined {
+    const summary = this.#summaries.get(region)
+    const load = summary?.services.find((candidate) => candidate.service === service)
+    if (summary === undefined || load === undefined) return undefined
+    return {
+      region,
+      service,
+      requestsPerSecond: load.requestsPerSecond,
+      homeRequestsPerSecond: this.#lastHomeRates.get(keyOf(service, region)) ?? 0,
+      inFlight: load.inFlight,
+      slots: load.slots,
+      meanServiceMs: load.meanServiceMs,
+      measuredAtMs: summary.measuredAtMs,
+    }
+  }
+
+  all(): readonly ServiceLoad[] {
+    return [...this.#summaries.values()].flatMap(({ region, services }) =>
+      services
+        .map(({ service }) => this.load(region, service))
+        .filter((load) => load !== undefined),
+    )
+  }
+
+  /**
+   * The home rate of a region is summed over all regions that serve its callers. Once the
+   * region itself is silent, its own part is unknown and refused callers are not counted,
+   * so the rate may then only rise.
+   */
+  #noteHomeRates(): void {
+    const newestMs = Math.max(
+      ...[...this.#summaries.values()].map(({ measuredAtMs }) => measuredAtMs),
+    )
+    const sums = new Map<string, number>()
+    for (const { services, measuredAtMs } of this.#summaries.values()) {
+      if (newestMs - measuredAtMs > LOAD_MAX_AGE_MS) continue
+      for (const { service, homeRates } of services) {
+        for (const [region, rate] of Object.entries(homeRates)) {
+          const key = keyOf(service, region)
+          sums.set(key, (sums.get(key) ?? 0) + rate)
+        }
+      }
+    }
+    for (const [key, sum] of sums) {
+      const region = key.slice(key.lastIndexOf('@') + 1)
+      const ownMs = this.#summaries.get(region)?.measuredAtMs ?? Number.NEGATIVE_INFINITY
+      const isSilent = newestMs - ownMs > LOAD_MAX_AGE_MS
+      const last = this.#lastHomeRates.get(key) ?? 0
+      this.#lastHomeRates.set(key, isSilent ? Math.max(last, sum) : sum)
+    }
+  }
+}
+
+function keyOf(service: string, region: string): string {
+  return `${service}@${region}`
+}
--- /dev/null
+++ b/src/shift/shiftPause.ts
@@ -0,0 +1,47 @@
+/** Conditions under which a shift must not move on. */
+import type { ShiftRecord } from '../configuration/document.js'
+import type { RegionLoadView } from './regionLoad.js'
+import { LOAD_MAX_AGE_MS, capacityOf } from './regionLoad.js'
+
+/** Why a shift has to pause; the text is stored as the reason for operators. */
+export enum ShiftPauseReason {
+  StoreUnavailable = 'the store is unavailable',
+  LoadUnknown = 'measurements of a region are missing or older than 3 s',
+  HeadroomLow = 'headroom of the target region is under 20% of its capacity',
+  TargetLost = 'the target region lost a member or a backend server in the last 30 s',
+}
+
+/** What else the decision needs. */
+export interface ShiftConditions {
+  readonly isStoreAvailable: boolean
+  /** Last loss of a member or a backend server of the target region, milliseconds since the epoch. */
+  readonly targetLostAtMs: number | undefined
+}
+
+const MIN_HEADROOM_SHARE = 0.2
+const LOSS_WINDOW_MS = 30_000
+
+/** Returns the reason to pause, or `undefined` when the next step may be taken. */
+export function shiftPauseReason(
+  shift: Pick<ShiftRecord, 'service' | 'from' | 'to'>,
+  loads: RegionLoadView,
+  conditions: ShiftConditions,
+  nowMs: number,
+): ShiftPauseReason | undefined {
+  if (!conditions.isStoreAvailable) return ShiftPauseReason.StoreUnavailable
+  const source = loads.load(shift.from, shift.service)
+  const target = loads.load(shift.to, shift.service)
+  const isFresh = [source, target].every(
+    (load) => load !== undefined && nowMs - load.measuredAtMs <= LOAD_MAX_AGE_MS,
+  )
+  if (!isFresh || target === undefined) return ShiftPauseReason.LoadUnknown
+  const capacity = capacityOf(target)
+  if (capacity - target.requestsPerSecond < MIN_HEADROOM_SHARE * capacity || capacity === 0) {
+    return ShiftPauseReason.HeadroomLow
+  }
+  const lostAtMs = conditions.targetLostAtMs
+  if (lostAtMs !== undefined && nowMs - lostAtMs < LOSS_WINDOW_MS) {
+    return ShiftPauseReason.TargetLost
+  }
+  return undefined
+}
