--- /dev/null
+++ b/src/control/__tests__/fakes.ts
@@ -0,0 +1,352 @@
+/** Small fakes at the interfaces of control, with faults per call. */
+import type { Result } from '../../common/results.js'
+import { Err, Ok } from '../../common/results.js'
+import { BlockTable } from '../../configuration/blockTable.js'
+import type {
+  ConfigurationChange,
+  ConfigurationDocument,
+  ConfigurationRecord,
+  ServiceRecord,
+} from '../../configuration/document.js'
+import { RecordKind, linkKey, steeringKey } from '../../configuration/document.js'
+import type { Configuration, ConfigurationView } from '../../configuration/view.js'
+import type {
+  KeyValueStore,
+  Lease,
+  StoreCallOptions,
+  StoredValue,
+} from '../../platform/keyValueStore.js'
+import { StoreError, StoreErrorKind } from '../../platform/keyValueStore.js'
+import type { RegionLoadView, ServiceLoad } from '../../shift/regionLoad.js'
+import type { ChangeLog, CommittedChange, HeadState } from '../changeLog.js'
+import { CommitError, CommitErrorKind } from '../changeLog.js'
+
+/** What happens to one call. */
+export enum CallFault {
+  None = 'none',
+  /** Refused without effect. */
+  Fail = 'fail',
+  /** Executed, but the answer is lost. */
+  LoseAnswer = 'loseAnswer',
+  /** Lost on the way there; the caller can't tell it from a lost answer. */
+  LoseRequest = 'loseRequest',
+}
+
+/** Key-value store in memory. */
+export class FakeStore implements KeyValueStore {
+  readonly values = new Map<string, StoredValue & { leaseId?: string }>()
+  readonly calls: string[] = []
+  readonly #leases = new Map<string, Lease>()
+  /** Fault of the next calls, in order; none when it is empty. */
+  faults: CallFault[] = []
+  /** Fault of all calls without one of their own. */
+  standingFault = CallFault.None
+  #version = 0
+
+  get(key: string): Promise<Result<StoredValue | undefined, StoreError>> {
+    return this.#run(`get ${key}`, true, () => Ok(this.values.get(key)))
+  }
+
+  list(prefix: string): Promise<Result<readonly StoredValue[], StoreError>> {
+    return this.#run(`list ${prefix}`, true, () =>
+      Ok([...this.values.values()].filter(({ key }) => key.startsWith(prefix))),
+    )
+  }
+
+  compareAndSwap(
+    key: string,
+    value: string,
+    expectedVersion: number,
+    options: StoreCallOptions & { readonly leaseId?: string },
+  ): Promise<Result<number, StoreError>> {
+    return this.#run(`cas ${key}`, false, () => {
+      if ((this.values.get(key)?.version ?? 0) !== expectedVersion) return conflict(key)
+      if (options.leaseId !== undefined && !this.#leases.has(options.leaseId)) return failed(key)
+      const version = ++this.#version
+      const lease = options.leaseId === undefined ? {} : { leaseId: options.leaseId }
+      this.values.set(key, { key, value, version, ...lease })
+      return Ok(version)
+    })
+  }
+
+  compareAndDelete(key: string, expectedVersion: number): Promise<Result<void, StoreError>> {
+    return this.#run(`delete ${key}`, false, () => {
+      if (this.values.get(key)?.version !== expectedVersion) return conflict(key)
+      this.values.delete(key)
+      return Ok(undefined)
+    })
+  }
+
+  grantLease(timeToLiveMs: number): Promise<Result<Lease, StoreError>> {
+    return this.#run('grantLease', false, () => {
+      const lease = { leaseId: `lease-${String(++this.#version)}`, timeToLiveMs }
+      this.#leases.set(lease.leaseId, lease)
+      return Ok(lease)
+    })
+  }
+
+  renewLease(leaseId: string): Promise<Result<Lease, StoreError>> {
+    return this.#run('renewLease', false, () => {
+      const lease = this.#leases.get(leaseId)
+      return lease === undefined ? failed(leaseId) : Ok(lease)
+    })
+  }
+
+  watch(): Promise<Result<StoredValue | undefined, StoreError>> {
+    return Promise.resolve(Ok(undefined))
+  }
+
+  /** Ends all leases, as when their time to live has passed. */
+  expireLeases(): void {
+    this.#leases.clear()
+    for (const [key, value] of this.values) {
+      if (value.leaseId !== undefined) this.values.delete(key)
+    }
+  }
+
+  #run<Value>(
+    call: string,
+    reads: boolean,
+    execute: () => Result<Value, StoreError>,
+  ): Promise<Result<Value, StoreError>> {
+    this.calls.push(call)
+    const fault = this.faults.shift() ?? this.standingFault
+    if (fault === CallFault.Fail) return Promise.resolve(failed(call))
+    if (fault === CallFault.LoseRequest) return Promise.resolve(reads ? failed(call) : lost(call))
+    const result = execute()
+    if (fault === CallFault.LoseAnswer) return Promise.resolve(reads ? failed(call) : lost(call))
+    return Promise.resolve(result)
+  }
+}
+
+function failed(call: string): Err<StoreError> {
+  return Err(new StoreError(StoreErrorKind.Failed, `${call} failed`, 'try again'))
+}
+
+function conflict(key: string): Err<StoreError> {
+  return Err(new StoreError(StoreErrorKind.Conflict, `${key} has another version`, 'read it'))
+}
+
+function lost(call: string): Err<StoreError> {
+  return Err(new StoreError(StoreErrorKind.Unknown, `the answer of ${call} was lost`, 'read it'))
+}
+
+/** Change log in memory that is its own replica. */
+export class FakeChangeLog implements ChangeLog, ConfigurationView {
+  readonly committed: CommittedChange[] = []
+  /** Errors of the next commits in order; `undefined` lets one pass. */
+  commitFaults: (CommitErrorKind | undefined)[] = []
+  isDown = false
+  /** Runs before each commit, for races. */
+  beforeCommit: () => void = () => undefined
+
+  head(): Promise<Result<HeadState, CommitError>> {
+    if (this.isDown) return Promise.resolve(commitError(CommitErrorKind.Unavailable))
+    const changeIds = this.committed.map(({ revision, change }) => [change.changeId, revision])
+    return Promise.resolve(
+      Ok({
+        revision: this.committed.length,
+        snapshotRevision: 0,
+        changeIds: new Map(changeIds as [string, number][]),
+      }),
+    )
+  }
+
+  changes(first: number, last: number): Promise<Result<readonly CommittedChange[], CommitError>> {
+    if (this.isDown) return Promise.resolve(commitError(CommitErrorKind.Unavailable))
+    return Promise.resolve(Ok(this.committed.slice(first - 1, last)))
+  }
+
+  commit(change: ConfigurationChange, baseRevision: number): Promise<Result<number, CommitError>> {
+    const hook = this.beforeCommit
+    this.beforeCommit = () => undefined
+    hook()
+    const fault = this.commitFaults.shift()
+    if (fault !== undefined) return Promise.resolve(commitError(fault))
+    if (this.committed.length !== baseRevision) {
+      return Promise.resolve(commitError(CommitErrorKind.Conflict))
+    }
+    return Promise.resolve(Ok(this.append(change)))
+  }
+
+  /** Adds a change as another writer would. */
+  append(change: ConfigurationChange): number {
+    this.committed.push({ revision: this.committed.length + 1, change })
+    return this.committed.length
+  }
+
+  current(): Configuration | undefined {
+    const records = this.committed.flatMap(({ change }) => change.records)
+    return { ...configurationOf(records), revision: this.committed.length }
+  }
+
+  subscribe(): () => void {
+    return () => undefined
+  }
+}
+
+function commitError(kind: CommitErrorKind): Err<CommitError> {
+  return Err(new CommitError(kind, `commit failed: ${kind}`, 'try again'))
+}
+
+/** A change of another operator. */
+export function changeOf(
+  changeId: string,
+  records: readonly ConfigurationRecord[],
+): ConfigurationChange {
+  return { changeId, operator: 'agata', createdAtMs: 0, summary: `change ${changeId}`, records }
+}
+
+/** Loads that are all measured at `measuredAtMs`. */
+export class FakeLoads implements RegionLoadView {
+  readonly loads = new Map<string, ServiceLoad>()
+
+  put(load: ServiceLoad): void {
+    this.loads.set(`${load.service}@${load.region}`, load)
+  }
+
+  load(region: string, service: string): ServiceLoad | undefined {
+    return this.loads.get(`${service}@${region}`)
+  }
+
+  all(): readonly ServiceLoad[] {
+    return [...this.loads.values()]
+  }
+}
+
+const WORKERS_PER_REGION = 2
+export const REGIONS = ['nyeri', 'nakuru', 'nairobi']
+
+/** A service with two workers of five slots in each region. */
+export function serviceOf(name: string): ServiceRecord {
+  const workers = REGIONS.flatMap((region) =>
+    Array.from({ length: WORKERS_PER_REGION }, (_, index) => ({
+      workerId: `${name}-${region}-${String(index + 1)}`,
+      generation: 1,
+      address: `10.0.0.${String(index + 1)}:80`,
+      region,
+      zone: `${region}-a`,
+      slots: 5,
+    })),
+  )
+  return {
+    name,
+    priority: 1,
+    idempotentMethods: ['GET'],
+    workers,
+    maxQueued: 10,
+    defaultTimeoutMs: 2000,
+    maxRequestBytes: 1000,
+    maxResponseBytes: 1000,
+    typicalResponseBytes: 40_000,
+    linkWeight: 1,
+  }
+}
+
+/** Records of a small deployment: three regions, links of 100 Mbit/s, one service `shelf-stock`. */
+export function smallDeployment(): ConfigurationRecord[] {
+  return [
+    ...REGIONS.map((name) => ({
+      kind: RecordKind.PutRegion as const,
+      region: { name, zones: [`${name}-a`] },
+    })),
+    ...REGIONS.flatMap((from) =>
+      REGIONS.filter((to) => to !== from).map((to) => ({
+        kind: RecordKind.PutLink as const,
+        link: { from, to, bitsPerSecond: 100e6 },
+      })),
+    ),
+    ...REGIONS.map((region) => ({
+      kind: RecordKind.PutSite as const,
+      site: { name: `${region}-a`, region, zone: `${region}-a` },
+    })),
+    { kind: RecordKind.PutService, service: serviceOf('shelf-stock') },
+    {
+      kind: RecordKind.PutBlocks,
+      blocks: [
+        { cidr: '10.1.0.0/16', site: 'nyeri-a', weight: 1 },
+        { cidr: '10.2.0.0/16', site: 'nakuru-a', weight: 1 },
+      ],
+    },
+  ]
+}
+
+/** Each region at `rate` requests/s of 100 that its ten slots carry. */
+export function evenLoads(rate: number, measuredAtMs: number): FakeLoads {
+  const loads = new FakeLoads()
+  for (const region of REGIONS) {
+    loads.put({
+      region,
+      service: 'shelf-stock',
+      requestsPerSecond: rate,
+      homeRequestsPerSecond: rate,
+      inFlight: 0,
+      slots: 10,
+      meanServiceMs: 100,
+      measuredAtMs,
+    })
+  }
+  return loads
+}
+
+type Draft = { -readonly [Name in keyof ConfigurationDocument]: Map<string, unknown> }
+
+/** Applies records without checks; enough for tests of control. */
+export function configurationOf(records: readonly ConfigurationRecord[]): Configuration {
+  const draft: Draft = {
+    regions: new Map(),
+    links: new Map(),
+    sites: new Map(),
+    services: new Map(),
+    steering: new Map(),
+    shifts: new Map(),
+    leaving: new Map(),
+  }
+  let blocks = BlockTable.empty()
+  for (const record of records) {
+    if (record.kind === RecordKind.PutBlocks)
+      blocks = blocks.withChanges(record.blocks, []).unwrap()
+    else applyTo(draft, record)
+  }
+  return { revision: 1, document: draft as unknown as ConfigurationDocument, blocks }
+}
+
+function applyTo(draft: Draft, record: ConfigurationRecord): void {
+  switch (record.kind) {
+    case RecordKind.PutRegion:
+      draft.regions.set(record.region.name, record.region)
+      break
+    case RecordKind.PutLink:
+      draft.links.set(linkKey(record.link.from, record.link.to), record.link)
+      break
+    case RecordKind.PutSite:
+      draft.sites.set(record.site.name, record.site)
+      break
+    case RecordKind.PutService:
+      draft.services.set(record.service.name, record.service)
+      break
+    case RecordKind.PutSteering:
+      draft.steering.set(
+        steeringKey(record.steering.service, record.steering.clientRegion),
+        record.steering,
+      )
+      break
+    case RecordKind.RemoveSteering:
+      draft.steering.delete(steeringKey(record.service, record.clientRegion))
+      break
+    case RecordKind.PutShift:
+      draft.shifts.set(record.shift.shiftId, record.shift)
+      break
+    case RecordKind.RemoveShift:
+      draft.shifts.delete(record.shiftId)
+      break
+    case RecordKind.MarkLeaving:
+      draft.leaving.set(record.leaving.workerId, record.leaving)
+      break
+    case RecordKind.ClearLeaving:
+      draft.leaving.delete(record.workerId)
+      break
+    default:
+      throw new Error(`the fake does not apply ${record.kind}`)
+  }
+}
--- /dev/null
+++ b/src/control/controlMethods.ts
@@ -0,0 +1,119 @@
+/** What operators can call, apart from how the calls arrive. */
+import type { Result } from '../common/results.js'
+import { SteeringError } from '../common/errors.js'
+import type { Logger } from '../common/logger.js'
+import type { Configuration, ConfigurationView } from '../configuration/view.js'
+import type { RegionLoadView } from '../shift/regionLoad.js'
+import type { ChangeLog } from './changeLog.js'
+import { parseIntent } from './intent.js'
+import type { PlanDocument } from './plan.js'
+import type { PlanConfirmation, Confirmation, Confirmed } from './planConfirmation.js'
+import type { PlanLimits } from './planContext.js'
+import type { PlanStore } from './planStore.js'
+import { planIntent } from './planner.js'
+import type { ShiftCommand, ShiftCommandDone, ShiftCommands } from './shiftCommands.js'
+
+/** Kinds of errors of the operators' methods besides those of plans, confirmations and commands. */
+export enum ControlErrorKind {
+  /** This daemon holds no configuration yet. */
+  NotReady = 'controlNotReady',
+  PlanNotFound = 'planNotFound',
+}
+
+/** What the methods need. */
+export interface ControlParts {
+  readonly changeLog: ChangeLog
+  readonly configuration: ConfigurationView
+  /** The configuration before the first change. */
+  readonly emptyConfiguration: Configuration
+  readonly loads: RegionLoadView
+  readonly limits: PlanLimits
+  readonly plans: PlanStore
+  readonly confirmation: PlanConfirmation
+  readonly shiftCommands: ShiftCommands
+  readonly logger: Logger
+  readonly planLifetimeMs: number
+  /** Returns a new plan identifier. */
+  readonly createPlanId: () => string
+  readonly clock: () => number
+}
+
+/** The operators' methods. They throw {@link SteeringError}. */
+export class ControlMethods {
+  readonly #parts: ControlParts
+
+  constructor(parts: ControlParts) {
+    this.#parts = parts
+  }
+
+  /** Makes and stores the plan of an intent. A plan with refusals is stored too, to be shown. */
+  async plan(params: { readonly intent: unknown }): Promise<PlanDocument> {
+    const { loads, limits, planLifetimeMs, createPlanId, clock, plans, logger } = this.#parts
+    const intent = orThrow(parseIntent(params.intent))
+    const configuration = await this.#configuration()
+    const input = { planId: createPlanId(), configuration, loads, limits }
+    const plan = planIntent(intent, { ...input, lifetimeMs: planLifetimeMs }, clock())
+    orThrow(await plans.add(plan, clock()))
+    logger.decision('planned', {
+      planId: plan.planId,
+      intent: intent.kind,
+      summary: plan.content.summary,
+      revision: plan.content.baseRevision,
+      refusals: plan.content.refusals.map(({ kind }) => kind).join(','),
+    })
+    return plan.toDocument()
+  }
+
+  /** Returns a stored plan. */
+  async show(params: { readonly planId: string }): Promise<PlanDocument> {
+    const plan = orThrow(await this.#parts.plans.find(params.planId))
+    if (plan !== undefined) return plan.toDocument()
+    throw new SteeringError(
+      ControlErrorKind.PlanNotFound,
+      `Plan ${params.planId} is not stored (any more)`,
+      'see confirmed plans with: tamarackdrift history; otherwise plan the intent again',
+    )
+  }
+
+  /** Confirms a plan. */
+  async confirm(params: Confirmation): Promise<Confirmed> {
+    const result = await this.#parts.confirmation.confirm(params)
+    this.#parts.logger.decision('confirmed', {
+      planId: params.planId,
+      operator: params.operator,
+      revision: result.ok ? result.val.revision : undefined,
+      reason: result.ok ? 'committed' : result.val.kind,
+    })
+    return orThrow(result)
+  }
+
+  /** Pauses, resumes or reverses a shift. */
+  async commandShift(command: ShiftCommand): Promise<ShiftCommandDone> {
+    const result = await this.#parts.shiftCommands.run(command, this.#parts.clock())
+    this.#parts.logger.decision('shiftCommand', {
+      action: command.action,
+      shiftId: command.shiftId,
+      operator: command.operator,
+      revision: result.ok ? result.val.revision : undefined,
+      reason: result.ok ? 'committed' : result.val.kind,
+    })
+    return orThrow(result)
+  }
+
+  async #configuration(): Promise<Configuration> {
+    const held = this.#parts.configuration.current()
+    if (held !== undefined) return held
+    const head = await this.#parts.changeLog.head()
+    if (head.ok && head.val.revision === 0) return this.#parts.emptyConfiguration
+    throw new SteeringError(
+      ControlErrorKind.NotReady,
+      'This control daemon holds no configuration yet',
+      'wait a few seconds, or use another control daemon',
+    )
+  }
+}
+
+function orThrow<Value>(result: Result<Value, SteeringError>): Value {
+  if (result.err) throw result.val
+  return result.val
+}
--- /dev/null
+++ b/src/control/planConfirmation.ts
@@ -0,0 +1,302 @@
+/** Confirms exactly the plan that an operator read, or says why not. */
+import { sleep } from '../common/clock.js'
+import { SteeringError } from '../common/errors.js'
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { Configuration, ConfigurationView } from '../configuration/view.js'
+import type { RegionLoadView } from '../shift/regionLoad.js'
+import type { ChangeLog, CommitError, CommittedChange, HeadState } from './changeLog.js'
+import { CommitErrorKind } from './changeLog.js'
+import type { Plan } from './plan.js'
+import type { PlanLimits } from './planContext.js'
+import type { PlanStore } from './planStore.js'
+import { planIntent } from './planner.js'
+import { keysOfRecords, sharedKeys } from './recordKeys.js'
+
+/** Why a plan was not confirmed, or not certainly. */
+export enum ConfirmErrorKind {
+  /** Something that the plan changes was changed since, or the plan would now be refused. */
+  PlanStale = 'planStale',
+  PlanExpired = 'planExpired',
+  PlanAlreadyConfirmed = 'planAlreadyConfirmed',
+  PlanDigestMismatch = 'planDigestMismatch',
+  /** The plan has refusals. */
+  PlanRefused = 'planRefused',
+  StoreUnavailable = 'storeUnavailable',
+  /** The commit may have taken effect. */
+  OutcomeUnknown = 'outcomeUnknown',
+}
+
+/** Failure of a confirmation. */
+export class ConfirmError extends SteeringError<ConfirmErrorKind> {}
+
+/** A confirmation by an operator. */
+export interface Confirmation {
+  readonly planId: string
+  /** Digest of the plan that the operator read. */
+  readonly digest: string
+  readonly operator: string
+}
+
+/** Result of a confirmation. */
+export interface Confirmed {
+  readonly planId: string
+  readonly revision: number
+}
+
+/** What a confirmation needs. */
+export interface ConfirmationParts {
+  readonly plans: PlanStore
+  readonly changeLog: ChangeLog
+  readonly configuration: ConfigurationView
+  readonly loads: RegionLoadView
+  readonly limits: PlanLimits
+}
+
+/** Other changes may be committed while a confirmation is checked. */
+const MAX_COMMIT_TRIES = 4
+/** Changes that are read to compare them with a plan; beyond, a new plan costs fewer calls. */
+const MAX_REVISIONS_BEHIND = 64
+/** Time for the replica to reach the head, in milliseconds. */
+const REPLICA_WAIT_MS = 2000
+const REPLICA_POLL_MS = 20
+
+/** Confirms plans. */
+export class PlanConfirmation {
+  readonly #parts: ConfirmationParts
+  readonly #clock: () => number
+
+  constructor(parts: ConfirmationParts, clock: () => number) {
+    this.#parts = parts
+    this.#clock = clock
+  }
+
+  /** Commits the plan once. Never rejects; a commit whose outcome can't be settled is `OutcomeUnknown`. */
+  async confirm(confirmation: Confirmation): Promise<Result<Confirmed, ConfirmError>> {
+    const { planId } = confirmation
+    for (let attempt = 0; attempt < MAX_COMMIT_TRIES; attempt++) {
+      const head = await this.#parts.changeLog.head()
+      if (head.err) return Err(storeUnavailable(head.val))
+      const earlier = head.val.changeIds.get(planId)
+      if (earlier !== undefined) return Err(alreadyConfirmed(planId, earlier))
+      const plan = await this.#readPlan(confirmation)
+      if (plan.err) return plan
+      const checked = await this.#checkAgainst(head.val, plan.val)
+      if (checked.err) return checked
+      const committed = await this.#commit(plan.val, confirmation.operator, head.val.revision)
+      if (committed !== undefined) return committed
+    }
+    return Err(busy(planId))
+  }
+
+  async #readPlan(confirmation: Confirmation): Promise<Result<Plan, ConfirmError>> {
+    const found = await this.#parts.plans.find(confirmation.planId)
+    if (found.err) return Err(planUnreadable(found.val))
+    const plan = found.val
+    if (plan === undefined) return Err(expired(confirmation.planId, 'is not stored (any more)'))
+    if (plan.digest !== confirmation.digest) return Err(digestMismatch(plan, confirmation.digest))
+    if (plan.isExpired(this.#clock())) return Err(expired(plan.planId, 'has expired'))
+    return plan.content.refusals.length > 0 ? Err(refused(plan)) : Ok(plan)
+  }
+
+  /**
+   * A plan made on an older revision still holds if nothing that it changes was
+   * changed since and the planner decides the same today. Without this rule no
+   * plan could be confirmed while any shift takes its steps.
+   */
+  async #checkAgainst(head: HeadState, plan: Plan): Promise<Result<void, ConfirmError>> {
+    const base = plan.content.baseRevision
+    if (head.revision > base) {
+      if (head.revision - base > MAX_REVISIONS_BEHIND) return Err(farBehind(plan, head.revision))
+      const since = await this.#parts.changeLog.changes(base + 1, head.revision)
+      if (since.err) return Err(storeUnavailable(since.val))
+      // The head may have forgotten the change id of a commit whose answer was lost long ago.
+      const own = since.val.find(({ change }) => change.changeId === plan.planId)
+      if (own !== undefined) return Err(alreadyConfirmed(plan.planId, own.revision))
+      const conflicts = since.val.filter(
+        ({ change }) => sharedKeys(plan.content.changes, change.records).length > 0,
+      )
+      if (conflicts.length > 0) return Err(stale(plan, since.val, conflicts))
+    }
+    return this.#planAgain(plan, head.revision)
+  }
+
+  /** Decides the intent again on the present configuration and measurements. */
+  async #planAgain(plan: Plan, revision: number): Promise<Result<void, ConfirmError>> {
+    if (revision === 0) return Ok(undefined)
+    const configuration = await this.#replicaAt(revision)
+    if (configuration === undefined) return Err(replicaBehind(revision))
+    const { planId, intent } = plan.content
+    const { loads, limits } = this.#parts
+    const input = { planId, configuration, loads, limits, lifetimeMs: 0 }
+    const today = planIntent(intent, input, this.#clock())
+    const [refusal] = today.content.refusals
+    return refusal === undefined ? Ok(undefined) : Err(refusedToday(plan, refusal))
+  }
+
+  async #replicaAt(revision: number): Promise<Configuration | undefined> {
+    const giveUpAtMs = this.#clock() + REPLICA_WAIT_MS
+    for (;;) {
+      const configuration = this.#parts.configuration.current()
+      if (configuration !== undefined && configuration.revision >= revision) return configuration
+      if (this.#clock() >= giveUpAtMs) return undefined
+      await sleep(REPLICA_POLL_MS)
+    }
+  }
+
+  /** @returns `undefined` when the head moved meanwhile, so that the check has to be repeated */
+  async #commit(
+    plan: Plan,
+    operator: string,
+    headRevision: number,
+  ): Promise<Result<Confirmed, ConfirmError> | undefined> {
+    if (plan.isExpired(this.#clock())) {
+      return Err(expired(plan.planId, 'expired while it was checked'))
+    }
+    const { planId, summary, changes: records, createdAtMs } = plan.content
+    // Without the present time in it, a repeated confirmation sends the same change.
+    const change = { changeId: planId, operator, createdAtMs, summary, records }
+    const committed = await this.#parts.changeLog.commit(change, headRevision)
+    if (committed.ok) return Ok({ planId, revision: committed.val })
+    return COMMIT_FAILURES[committed.val.kind](planId, committed.val)
+  }
+}
+
+type CommitFailure = (planId: string, error: CommitError) => Err<ConfirmError> | undefined
+
+const COMMIT_FAILURES: Readonly<Record<CommitErrorKind, CommitFailure>> = {
+  [CommitErrorKind.Conflict]: () => undefined,
+  [CommitErrorKind.Unavailable]: (_planId, error) => Err(storeUnavailable(error)),
+  [CommitErrorKind.Unknown]: (planId, error) => Err(outcomeUnknown(planId, error)),
+  [CommitErrorKind.Invalid]: (planId, error) =>
+    Err(
+      new ConfirmError(
+        ConfirmErrorKind.PlanStale,
+        `Plan ${planId} does not apply to the configuration: ${error.message}`,
+        'plan the intent again',
+      ),
+    ),
+}
+
+function alreadyConfirmed(planId: string, revision: number): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanAlreadyConfirmed,
+    `Plan ${planId} was confirmed as revision ${String(revision)}`,
+    'nothing needs to be done; plan the intent again for a second change',
+    { planId, revision },
+  )
+}
+
+function expired(planId: string, problem: string): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanExpired,
+    `Plan ${planId} ${problem}; it was not confirmed`,
+    'plan the intent again and confirm the new plan in time',
+    { planId },
+  )
+}
+
+function digestMismatch(plan: Plan, given: string): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanDigestMismatch,
+    `Plan ${plan.planId} has the digest ${plan.digest}, not ${given}`,
+    `read the plan with: tamarackdrift show ${plan.planId}, then confirm it with its digest`,
+    { planId: plan.planId },
+  )
+}
+
+function refused(plan: Plan): ConfirmError {
+  const { refusals } = plan.content
+  return new ConfirmError(
+    ConfirmErrorKind.PlanRefused,
+    `Plan ${plan.planId} is refused: ${refusals.map(({ message }) => message).join('; ')}`,
+    refusals.map(({ remedy }) => remedy).join('; '),
+    { planId: plan.planId, refusals },
+  )
+}
+
+function refusedToday(plan: Plan, refusal: { message: string; remedy: string }): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanStale,
+    `Plan ${plan.planId} held when it was made and would now be refused: ${refusal.message}`,
+    refusal.remedy,
+    { planId: plan.planId, refusal },
+  )
+}
+
+function stale(
+  plan: Plan,
+  since: readonly CommittedChange[],
+  conflicts: readonly CommittedChange[],
+): ConfirmError {
+  const named = conflicts.map(({ revision, change }) => ({
+    revision,
+    operator: change.operator,
+    summary: change.summary,
+    changed: sharedKeys(plan.content.changes, change.records),
+  }))
+  const [first] = named
+  const text =
+    first === undefined
+      ? ''
+      : `: revision ${String(first.revision)} by ${first.operator} changed ` +
+        `${first.changed.join(', ')} (${first.summary})`
+  return new ConfirmError(
+    ConfirmErrorKind.PlanStale,
+    `Plan ${plan.planId} was made on revision ${String(plan.content.baseRevision)}${text}`,
+    'read what changed, then plan the intent again',
+    { planId: plan.planId, conflicts: named, revisionsSince: since.length },
+  )
+}
+
+function farBehind(plan: Plan, headRevision: number): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanStale,
+    `Plan ${plan.planId} was made on revision ${String(plan.content.baseRevision)}; the head is at ${String(headRevision)}`,
+    'plan the intent again',
+    { planId: plan.planId, headRevision, keys: keysOfRecords(plan.content.changes) },
+  )
+}
+
+function busy(planId: string): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanStale,
+    `Plan ${planId} was not confirmed: other changes were committed during each of ${String(MAX_COMMIT_TRIES)} tries`,
+    'confirm it again',
+    { planId },
+  )
+}
+
+function replicaBehind(revision: number): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.StoreUnavailable,
+    `This control daemon does not hold revision ${String(revision)} yet; nothing was committed`,
+    'try again, or use another control daemon',
+    { revision },
+  )
+}
+
+function storeUnavailable(error: Error): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.StoreUnavailable,
+    `Nothing was committed: ${error.message}`,
+    'try again when the key-value service answers; the configuration stays in force',
+  )
+}
+
+function planUnreadable(error: SteeringError): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.StoreUnavailable,
+    `The plan can't be read: ${error.message}`,
+    error.remedy,
+  )
+}
+
+function outcomeUnknown(planId: string, error: Error): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.OutcomeUnknown,
+    `Plan ${planId} may have been confirmed: ${error.message}`,
+    `ask again with: tamarackdrift confirm ${planId}; it commits at most once`,
+    { planId },
+  )
+}
--- /dev/null
+++ b/src/control/shiftCommands.ts
@@ -0,0 +1,145 @@
+/** Pause, resume and reverse of a shift in one call, safe to repeat with the same change id. */
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import { SteeringError } from '../common/errors.js'
+import type { ShiftRecord } from '../configuration/document.js'
+import { RecordKind } from '../configuration/document.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { ChangeLog } from './changeLog.js'
+import { CommitErrorKind } from './changeLog.js'
+import { pausedShift, resumedShift, reversedShift } from './shiftStates.js'
+
+/** What an operator can do to a shift without a plan: none of it moves more callers than the plan said. */
+export enum ShiftAction {
+  Pause = 'pause',
+  Resume = 'resume',
+  Reverse = 'reverse',
+}
+
+/** A command on a shift. */
+export interface ShiftCommand {
+  readonly action: ShiftAction
+  readonly shiftId: string
+  readonly operator: string
+  /** Chosen by the caller; a repeated command with it is carried out once. */
+  readonly changeId: string
+}
+
+/** Result of a command. */
+export interface ShiftCommandDone {
+  readonly shiftId: string
+  readonly revision: number
+}
+
+/** How a command can fail. */
+export enum ShiftCommandErrorKind {
+  UnknownShift = 'unknownShift',
+  NotPossible = 'shiftStateNotPossible',
+  StoreUnavailable = 'storeUnavailable',
+  OutcomeUnknown = 'outcomeUnknown',
+  /** The shift changed in each try. */
+  Conflict = 'commandConflict',
+}
+
+type Outcome = Result<ShiftCommandDone, SteeringError<ShiftCommandErrorKind>>
+
+const ACTIONS = {
+  [ShiftAction.Pause]: pausedShift,
+  [ShiftAction.Resume]: resumedShift,
+  [ShiftAction.Reverse]: reversedShift,
+}
+
+/** The advancer may take a step between reading and committing. */
+const MAX_TRIES = 5
+
+/** Carries out commands on shifts. */
+export class ShiftCommands {
+  readonly #changeLog: ChangeLog
+  readonly #configuration: ConfigurationView
+
+  constructor(changeLog: ChangeLog, configuration: ConfigurationView) {
+    this.#changeLog = changeLog
+    this.#configuration = configuration
+  }
+
+  /** Commits the command on the latest state of the shift. Never rejects. */
+  async run(command: ShiftCommand, nowMs: number): Promise<Outcome> {
+    for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
+      const head = await this.#changeLog.head()
+      if (head.err) return Err(failure(ShiftCommandErrorKind.StoreUnavailable, head.val.message))
+      const earlier = head.val.changeIds.get(command.changeId)
+      if (earlier !== undefined) return Ok({ shiftId: command.shiftId, revision: earlier })
+      const shift = await this.#latestShift(command.shiftId, head.val.revision)
+      if (shift.err) return shift
+      const changed = ACTIONS[command.action](shift.val)
+      if (changed.err) return Err(failure(ShiftCommandErrorKind.NotPossible, changed.val.message))
+      const committed = await this.#changeLog.commit(
+        {
+          changeId: command.changeId,
+          operator: command.operator,
+          createdAtMs: nowMs,
+          summary: `${command.action} shift ${command.shiftId}`,
+          records: [{ kind: RecordKind.PutShift, shift: changed.val }],
+        },
+        head.val.revision,
+      )
+      if (committed.ok) return Ok({ shiftId: command.shiftId, revision: committed.val })
+      if (committed.val.kind !== CommitErrorKind.Conflict) {
+        return Err(failure(FAILURES[committed.val.kind], committed.val.message))
+      }
+    }
+    return Err(failure(ShiftCommandErrorKind.Conflict, 'other changes came first in each try'))
+  }
+
+  /** Reads the shift at the head: the replica's state and the changes that it lacks. */
+  async #latestShift(
+    shiftId: string,
+    revision: number,
+  ): Promise<Result<ShiftRecord, SteeringError<ShiftCommandErrorKind>>> {
+    const held = this.#configuration.current()
+    let shift = held?.document.shifts.get(shiftId)
+    if ((held?.revision ?? 0) < revision) {
+      const missing = await this.#changeLog.changes((held?.revision ?? 0) + 1, revision)
+      if (missing.err) {
+        return Err(failure(ShiftCommandErrorKind.StoreUnavailable, missing.val.message))
+      }
+      for (const record of missing.val.flatMap(({ change }) => change.records)) {
+        if (record.kind === RecordKind.PutShift && record.shift.shiftId === shiftId) {
+          shift = record.shift
+        }
+        if (record.kind === RecordKind.RemoveShift && record.shiftId === shiftId) shift = undefined
+      }
+    }
+    if (shift !== undefined) return Ok(shift)
+    return Err(failure(ShiftCommandErrorKind.UnknownShift, `there is no shift ${shiftId}`))
+  }
+}
+
+const FAILURES: Readonly<
+  Record<Exclude<CommitErrorKind, CommitErrorKind.Conflict>, ShiftCommandErrorKind>
+> = {
+  [CommitErrorKind.Unavailable]: ShiftCommandErrorKind.StoreUnavailable,
+  [CommitErrorKind.Unknown]: ShiftCommandErrorKind.OutcomeUnknown,
+  [CommitErrorKind.Invalid]: ShiftCommandErrorKind.NotPossible,
+}
+
+const REMEDIES: Readonly<Record<ShiftCommandErrorKind, string>> = {
+  [ShiftCommandErrorKind.UnknownShift]: 'see the shifts with: tamarackdrift status',
+  [ShiftCommandErrorKind.NotPossible]: 'see the state of the shift with: tamarackdrift status',
+  [ShiftCommandErrorKind.StoreUnavailable]:
+    'nothing was committed; try again when the key-value service answers',
+  [ShiftCommandErrorKind.OutcomeUnknown]:
+    'repeat the command with the same --change-id; it is carried out at most once',
+  [ShiftCommandErrorKind.Conflict]: 'repeat the command',
+}
+
+function failure(
+  kind: ShiftCommandErrorKind,
+  problem: string,
+): SteeringError<ShiftCommandErrorKind> {
+  return new SteeringError(
+    kind,
+    `${kind === ShiftCommandErrorKind.OutcomeUnknown ? 'The shift may have been changed' : 'The shift was not changed'}: ${problem}`,
+    REMEDIES[kind],
+  )
+}
--- /dev/null
+++ b/src/control/tablePlans.ts
@@ -0,0 +1,104 @@
+/** Plans about client blocks and about records as they are. */
+import type { ClientBlock, ConfigurationRecord } from '../configuration/document.js'
+import { RecordKind } from '../configuration/document.js'
+import { NO_BLOCK } from '../configuration/blockTable.js'
+import type { BlockTable } from '../configuration/blockTable.js'
+import type { ApplyRecordsIntent, PutBlocksIntent } from './intent.js'
+import { RefusalKind } from './plan.js'
+import type { PlanContext, PlanDecision } from './planContext.js'
+import { refuse, refuseUnknown } from './planContext.js'
+
+/** Kinds that can be applied to a configuration that has services; the others have intents of their own. */
+const TOPOLOGY_KINDS: ReadonlySet<RecordKind> = new Set([
+  RecordKind.PutRegion,
+  RecordKind.PutLink,
+  RecordKind.PutSite,
+])
+
+/** Plans blocks to be added, or moved to another site. */
+export function planPutBlocks(intent: PutBlocksIntent, context: PlanContext): PlanDecision {
+  const missing = intent.blocks.find((block) => !context.document.sites.has(block.site))
+  if (missing !== undefined) {
+    return refuseUnknown('site', missing.site, context.document.sites.keys())
+  }
+  projectBlocks(intent.blocks, context)
+  return {
+    changes: [{ kind: RecordKind.PutBlocks, blocks: intent.blocks }],
+    refusals: [],
+    warnings: ['loads are estimated from the weights of the blocks'],
+    expectedDurationMs: 0,
+  }
+}
+
+/** Plans the first deployment, or later additions of regions, links and sites. */
+export function planApplyRecords(intent: ApplyRecordsIntent, context: PlanContext): PlanDecision {
+  const other = intent.records.find((record) => !TOPOLOGY_KINDS.has(record.kind))
+  if (context.document.services.size > 0 && other !== undefined) {
+    return refuse(
+      RefusalKind.Contradiction,
+      `The configuration has services already, so ${other.kind} can't be applied unchecked`,
+      'use the intent for it, such as putService, putBlocks or drainBackendServer',
+    )
+  }
+  const firstDeployment = context.document.services.size === 0
+  return {
+    changes: intent.records,
+    refusals: danglingBlocks(intent.records, context),
+    warnings: firstDeployment ? ['no load is known before the first deployment'] : [],
+    expectedDurationMs: 0,
+  }
+}
+
+function danglingBlocks(records: readonly ConfigurationRecord[], context: PlanContext) {
+  const sites = new Set(context.document.sites.keys())
+  for (const record of records) {
+    if (record.kind === RecordKind.PutSite) sites.add(record.site.name)
+  }
+  const blocks = records.flatMap((record) =>
+    record.kind === RecordKind.PutBlocks ? record.blocks : [],
+  )
+  const missing = blocks.find((block) => !sites.has(block.site))
+  return missing === undefined ? [] : refuseUnknown('site', missing.site, sites).refusals
+}
+
+/** Moves the traffic of blocks between regions in proportion to their weights. */
+function projectBlocks(blocks: readonly ClientBlock[], context: PlanContext): void {
+  const regionOf = (site: string): string => context.document.sites.get(site)?.region ?? ''
+  const movedWeights = new Map<string, number>()
+  for (const block of blocks) {
+    const index = indexOf(context.blocks, block.cidr)
+    if (index === NO_BLOCK) continue
+    const from = regionOf(context.blocks.siteAt(index))
+    const to = regionOf(block.site)
+    if (from === to || from === '') continue
+    const key = `${from}>${to}`
+    movedWeights.set(key, (movedWeights.get(key) ?? 0) + context.blocks.weightAt(index))
+  }
+  if (movedWeights.size === 0) return
+  const totals = weightsByRegion(context.blocks, regionOf)
+  for (const [key, weight] of movedWeights) {
+    const [from = '', to = ''] = key.split('>')
+    const share = weight / Math.max(totals.get(from) ?? 0, weight)
+    for (const service of context.document.services.keys()) {
+      const rate = share * context.projection.homeRate(from, service)
+      if (rate > 0) context.projection.moveHome(service, from, to, rate)
+    }
+  }
+}
+
+function indexOf(blocks: BlockTable, cidr: string): number {
+  const index = blocks.find(cidr.split('/')[0] ?? '')
+  return index !== NO_BLOCK && blocks.cidrAt(index) === cidr ? index : NO_BLOCK
+}
+
+function weightsByRegion(
+  blocks: BlockTable,
+  regionOf: (site: string) => string,
+): Map<string, number> {
+  const totals = new Map<string, number>()
+  for (let index = 0; index < blocks.size; index++) {
+    const region = regionOf(blocks.siteAt(index))
+    totals.set(region, (totals.get(region) ?? 0) + blocks.weightAt(index))
+  }
+  return totals
+}
--- /dev/null
+++ b/src/control/workerPlans.ts
@@ -0,0 +1,191 @@
+/** Plans about backend servers and services: drain, undrain and putService. */
+import type {
+  ConfigurationDocument,
+  ServiceRecord,
+  WorkerRecord,
+} from '../configuration/document.js'
+import { RecordKind } from '../configuration/document.js'
+import type { DrainIntent, PutServiceIntent, UndrainIntent } from './intent.js'
+import { isMarkedLeaving } from './loadProjection.js'
+import type { Refusal } from './plan.js'
+import { RefusalKind } from './plan.js'
+import type { PlanContext, PlanDecision } from './planContext.js'
+import { refuse, refuseUnknown } from './planContext.js'
+
+/** Bound until no gateway gives new work to a leaving backend server (P6). */
+const NEW_WORK_ENDS_MS = 3000
+
+/** Plans a drain: no new work, requests in flight end normally. */
+export function planDrain(intent: DrainIntent, context: PlanContext): PlanDecision {
+  const found = findWorker(context.document, intent.workerId)
+  if (found === undefined) return refuseUnknownWorker(intent.workerId, context.document)
+  const { service, worker } = found
+  if (isMarkedLeaving(context.document, worker)) {
+    return refuse(
+      RefusalKind.Contradiction,
+      `Backend server ${worker.workerId} (generation ${String(worker.generation)}) is leaving already`,
+      `put a new instance back with: tamarackdrift plan undrain ${worker.workerId} --generation ${String(worker.generation + 1)}`,
+    )
+  }
+  context.projection.addSlots(service.name, worker.region, -worker.slots)
+  const leaving = { workerId: worker.workerId, generation: worker.generation }
+  return {
+    changes: [{ kind: RecordKind.MarkLeaving, leaving }],
+    refusals: lastWorkerRefusals(service, worker, context),
+    warnings: drainWarnings(service, worker, context),
+    expectedDurationMs: NEW_WORK_ENDS_MS + service.defaultTimeoutMs,
+    minHeadroomShare: context.limits.minDrainHeadroomShare,
+  }
+}
+
+/** Plans the return of a backend server; leaving marks are final for a generation. */
+export function planUndrain(intent: UndrainIntent, context: PlanContext): PlanDecision {
+  const found = findWorker(context.document, intent.workerId)
+  if (found === undefined) return refuseUnknownWorker(intent.workerId, context.document)
+  const { service, worker } = found
+  const marked = context.document.leaving.get(worker.workerId)?.generation ?? 0
+  const highest = Math.max(worker.generation, marked)
+  if (intent.generation <= highest) {
+    return refuse(
+      RefusalKind.Contradiction,
+      `Generation ${String(intent.generation)} of ${worker.workerId} is not above ${String(highest)}, which is final`,
+      `use generation ${String(highest + 1)} or higher for the new instance`,
+    )
+  }
+  const returned: WorkerRecord = {
+    ...worker,
+    generation: intent.generation,
+    address: intent.address ?? worker.address,
+  }
+  const workers = service.workers.map((other) => (other === worker ? returned : other))
+  if (isMarkedLeaving(context.document, worker)) {
+    context.projection.addSlots(service.name, worker.region, worker.slots)
+  }
+  return {
+    changes: [
+      { kind: RecordKind.PutService, service: { ...service, workers } },
+      ...(marked > 0
+        ? [{ kind: RecordKind.ClearLeaving as const, workerId: worker.workerId }]
+        : []),
+    ],
+    refusals: [],
+    warnings: ['the backend server starts cold; its slots come into use over 10 s'],
+    expectedDurationMs: NEW_WORK_ENDS_MS,
+  }
+}
+
+/** Plans a service to be added or replaced. */
+export function planPutService(intent: PutServiceIntent, context: PlanContext): PlanDecision {
+  const { service } = intent
+  const { document } = context
+  const refusals = service.workers.flatMap((worker) => workerRefusals(worker, service, document))
+  const before = document.services.get(service.name)
+  for (const region of document.regions.keys()) {
+    const change = slotsIn(service, region, document) - slotsIn(before, region, document)
+    if (change !== 0) context.projection.addSlots(service.name, region, change)
+  }
+  const samePriority = [...document.services.values()].filter(
+    (other) => other.name !== service.name && other.priority === service.priority,
+  )
+  return {
+    changes: [{ kind: RecordKind.PutService, service }],
+    refusals,
+    warnings: samePriority.map(
+      (other) => `${other.name} has priority ${String(other.priority)} as well`,
+    ),
+    expectedDurationMs: NEW_WORK_ENDS_MS,
+    minHeadroomShare: context.limits.minDrainHeadroomShare,
+  }
+}
+
+function workerRefusals(
+  worker: WorkerRecord,
+  service: ServiceRecord,
+  document: ConfigurationDocument,
+): Refusal[] {
+  const refusals: Refusal[] = []
+  const zones = document.regions.get(worker.region)?.zones ?? []
+  if (!zones.includes(worker.zone)) {
+    refusals.push({
+      kind: RefusalKind.UnknownName,
+      message: `Backend server ${worker.workerId}: region ${worker.region} has no zone ${worker.zone}`,
+      remedy: `use one of: ${zones.join(', ') || [...document.regions.keys()].join(', ')}`,
+    })
+  }
+  const known = findWorker(document, worker.workerId)
+  if (known !== undefined && known.service.name !== service.name) {
+    refusals.push({
+      kind: RefusalKind.Contradiction,
+      message: `Backend server ${worker.workerId} belongs to service ${known.service.name}`,
+      remedy: 'use another worker identifier',
+    })
+  }
+  if (known !== undefined && worker.generation < known.worker.generation) {
+    refusals.push({
+      kind: RefusalKind.Contradiction,
+      message: `Backend server ${worker.workerId}: generation ${String(worker.generation)} is below ${String(known.worker.generation)}`,
+      remedy: `use generation ${String(known.worker.generation)} or higher`,
+    })
+  }
+  return refusals
+}
+
+function lastWorkerRefusals(
+  service: ServiceRecord,
+  worker: WorkerRecord,
+  context: PlanContext,
+): Refusal[] {
+  const others = service.workers.filter(
+    (other) =>
+      other.region === worker.region &&
+      other.workerId !== worker.workerId &&
+      !isMarkedLeaving(context.document, other),
+  )
+  if (others.length > 0) return []
+  return [
+    {
+      kind: RefusalKind.RegionOverload,
+      message: `${worker.workerId} is the last backend server of ${service.name} in ${worker.region}`,
+      remedy: `add a backend server there, or first move its callers with shiftService or serveFrom`,
+    },
+  ]
+}
+
+function drainWarnings(
+  service: ServiceRecord,
+  worker: WorkerRecord,
+  context: PlanContext,
+): string[] {
+  if (context.projection.recentLoad(worker.region, service.name) !== undefined) return []
+  return [
+    `the load of ${service.name} in ${worker.region} was not measured within the last 3 s; the last known value counts`,
+  ]
+}
+
+function slotsIn(
+  service: ServiceRecord | undefined,
+  region: string,
+  document: ConfigurationDocument,
+): number {
+  return (service?.workers ?? [])
+    .filter((worker) => worker.region === region && !isMarkedLeaving(document, worker))
+    .reduce((total, worker) => total + worker.slots, 0)
+}
+
+function findWorker(
+  document: ConfigurationDocument,
+  workerId: string,
+): { service: ServiceRecord; worker: WorkerRecord } | undefined {
+  for (const service of document.services.values()) {
+    const worker = service.workers.find((candidate) => candidate.workerId === workerId)
+    if (worker !== undefined) return { service, worker }
+  }
+  return undefined
+}
+
+function refuseUnknownWorker(workerId: string, document: ConfigurationDocument): PlanDecision {
+  const names = [...document.services.values()].flatMap((service) =>
+    service.workers.map((worker) => worker.workerId),
+  )
+  return refuseUnknown('backend server', workerId, names)
+}
