--- /dev/null
+++ b/src/control/__tests__/planConfirmation.spec.ts
@@ -0,0 +1,301 @@
+import { expect } from 'chai'
+import type { ConfigurationRecord } from '../../configuration/document.js'
+import { RecordKind } from '../../configuration/document.js'
+import { CommitErrorKind } from '../changeLog.js'
+import { parseIntent } from '../intent.js'
+import type { Plan } from '../plan.js'
+import { ConfirmErrorKind, PlanConfirmation } from '../planConfirmation.js'
+import { DEFAULT_PLAN_LIMITS } from '../planContext.js'
+import { PlanStore, PlanStoreErrorKind } from '../planStore.js'
+import { planIntent } from '../planner.js'
+import {
+  CallFault,
+  FakeChangeLog,
+  FakeStore,
+  changeOf,
+  evenLoads,
+  serviceOf,
+  smallDeployment,
+} from './fakes.js'
+
+const NOW_MS = 1_000_000
+const LIFETIME_MS = 10_000
+const DRAIN = { kind: 'drainBackendServer', workerId: 'shelf-stock-nyeri-1' }
+
+/** A control daemon's parts over one store and one change log. */
+class Bench {
+  nowMs = NOW_MS
+  readonly store = new FakeStore()
+  readonly changeLog = new FakeChangeLog()
+  readonly loads = evenLoads(10, NOW_MS)
+  readonly plans = new PlanStore(this.store, { maxPlans: 3, retentionMs: 5000 }, 100)
+  readonly confirmation = new PlanConfirmation(
+    {
+      plans: this.plans,
+      changeLog: this.changeLog,
+      configuration: this.changeLog,
+      loads: this.loads,
+      limits: DEFAULT_PLAN_LIMITS,
+    },
+    () => this.nowMs,
+  )
+
+  constructor() {
+    this.changeLog.append(changeOf('first', smallDeployment()))
+  }
+
+  async plan(planId: string, intent: object = DRAIN): Promise<Plan> {
+    const configuration = this.changeLog.current()
+    if (configuration === undefined) throw new Error('no configuration')
+    const plan = planIntent(
+      parseIntent(intent).unwrap(),
+      {
+        planId,
+        configuration,
+        loads: this.loads,
+        limits: DEFAULT_PLAN_LIMITS,
+        lifetimeMs: LIFETIME_MS,
+      },
+      this.nowMs,
+    )
+    ;(await this.plans.add(plan, this.nowMs)).unwrap()
+    return plan
+  }
+
+  /** Confirms and returns the revision, or the kind of the error. */
+  async confirm(plan: Plan, digest = plan.digest): Promise<number | ConfirmErrorKind> {
+    const result = await this.confirmation.confirm({
+      planId: plan.planId,
+      digest,
+      operator: 'wanjiru',
+    })
+    return result.ok ? result.val.revision : result.val.kind
+  }
+
+  commits(plan: Plan): number {
+    return this.changeLog.committed.filter(({ change }) => change.changeId === plan.planId).length
+  }
+}
+
+const markLeaving = (workerId: string): ConfigurationRecord => ({
+  kind: RecordKind.MarkLeaving,
+  leaving: { workerId, generation: 1 },
+})
+
+describe('plan confirmation', () => {
+  it('commits exactly the records of the plan', async () => {
+    const bench = new Bench()
+    const plan = await bench.plan('plan-1')
+    expect(await bench.confirm(plan)).to.equal(2)
+    const change = bench.changeLog.committed[1]?.change
+    expect(change?.records).to.deep.equal(plan.content.changes)
+    expect(change?.operator).to.equal('wanjiru')
+  })
+
+  interface Failure {
+    readonly name: string
+    readonly arrange: (bench: Bench) => void
+    readonly digest?: string
+    readonly expected: ConfirmErrorKind
+  }
+  const FAILURES: readonly Failure[] = [
+    {
+      name: 'an expired plan',
+      arrange: (bench) => (bench.nowMs += LIFETIME_MS),
+      expected: ConfirmErrorKind.PlanExpired,
+    },
+    {
+      name: 'a plan that expires between the check and the commit',
+      arrange: (bench) => {
+        const head = bench.changeLog.current.bind(bench.changeLog)
+        bench.changeLog.current = () => {
+          bench.nowMs = NOW_MS + LIFETIME_MS
+          return head()
+        }
+      },
+      expected: ConfirmErrorKind.PlanExpired,
+    },
+    {
+      name: 'a digest of another plan',
+      arrange: () => undefined,
+      digest: 'deadbeef',
+      expected: ConfirmErrorKind.PlanDigestMismatch,
+    },
+    {
+      name: 'a change of the same backend server since',
+      arrange: (bench) =>
+        bench.changeLog.append(changeOf('other', [markLeaving('shelf-stock-nyeri-1')])),
+      expected: ConfirmErrorKind.PlanStale,
+    },
+    {
+      name: 'a change that leaves too few slots for the plan',
+      arrange: (bench) =>
+        bench.changeLog.append(changeOf('other', [markLeaving('shelf-stock-nyeri-2')])),
+      expected: ConfirmErrorKind.PlanStale,
+    },
+    {
+      name: 'a load that has grown since',
+      arrange: (bench) => {
+        for (const load of bench.loads.all()) bench.loads.put({ ...load, requestsPerSecond: 90 })
+      },
+      expected: ConfirmErrorKind.PlanStale,
+    },
+    {
+      name: 'a plan that is far behind',
+      arrange: (bench) => {
+        for (let index = 0; index < 65; index++) {
+          bench.changeLog.append(changeOf(`other-${String(index)}`, []))
+        }
+      },
+      expected: ConfirmErrorKind.PlanStale,
+    },
+    {
+      name: 'a head that can not be read',
+      arrange: (bench) => (bench.changeLog.isDown = true),
+      expected: ConfirmErrorKind.StoreUnavailable,
+    },
+    {
+      name: 'a plan that can not be read',
+      arrange: (bench) => (bench.store.standingFault = CallFault.Fail),
+      expected: ConfirmErrorKind.StoreUnavailable,
+    },
+    {
+      name: 'a store that refuses the commit',
+      arrange: (bench) => (bench.changeLog.commitFaults = [CommitErrorKind.Unavailable]),
+      expected: ConfirmErrorKind.StoreUnavailable,
+    },
+    {
+      name: 'a lost answer that can not be settled',
+      arrange: (bench) => (bench.changeLog.commitFaults = [CommitErrorKind.Unknown]),
+      expected: ConfirmErrorKind.OutcomeUnknown,
+    },
+  ]
+  for (const { name, arrange, digest, expected } of FAILURES) {
+    it(`reports ${expected} for ${name} and commits nothing`, async () => {
+      const bench = new Bench()
+      const plan = await bench.plan('plan-1')
+      arrange(bench)
+      expect(await bench.confirm(plan, digest)).to.equal(expected)
+      expect(bench.commits(plan)).to.equal(0)
+    })
+  }
+
+  // Guards against doubled effects of an impatient operator.
+  it('commits once when confirmed twice, and names the revision', async () => {
+    const bench = new Bench()
+    const plan = await bench.plan('plan-1')
+    await bench.confirm(plan)
+    const again = await bench.confirmation.confirm({
+      planId: plan.planId,
+      digest: plan.digest,
+      operator: 'njoroge',
+    })
+    if (again.ok) expect.fail('the plan was confirmed twice')
+    expect(again.val.kind).to.equal(ConfirmErrorKind.PlanAlreadyConfirmed)
+    expect(again.val.details).to.deep.include({ revision: 2 })
+    expect(bench.commits(plan)).to.equal(1)
+  })
+
+  // Guards against a second commit by an operator who asks again after "unknown".
+  it('settles a lost answer by the change id, also after the plan has expired', async () => {
+    const bench = new Bench()
+    const plan = await bench.plan('plan-1')
+    bench.changeLog.commitFaults = [CommitErrorKind.Unknown]
+    bench.changeLog.beforeCommit = () => {
+      bench.changeLog.append(changeOf(plan.planId, plan.content.changes))
+    }
+    expect(await bench.confirm(plan)).to.equal(ConfirmErrorKind.OutcomeUnknown)
+    bench.nowMs += LIFETIME_MS
+    expect(await bench.confirm(plan)).to.equal(ConfirmErrorKind.PlanAlreadyConfirmed)
+    expect(bench.commits(plan)).to.equal(1)
+  })
+
+  // Guards against lost updates: both plans were made on the same revision.
+  it('lets one of two racing operators win and tells the other what changed', async () => {
+    const bench = new Bench()
+    const service = serviceOf('shelf-stock')
+    const intent = (maxQueued: number): object => ({
+      kind: 'putService',
+      service: { ...service, maxQueued },
+    })
+    const first = await bench.plan('plan-1', intent(20))
+    const second = await bench.plan('plan-2', intent(30))
+    bench.changeLog.beforeCommit = () => {
+      bench.changeLog.append(changeOf(first.planId, first.content.changes))
+    }
+    const result = await bench.confirmation.confirm({
+      planId: second.planId,
+      digest: second.digest,
+      operator: 'wanjiru',
+    })
+    if (result.ok) expect.fail('the second operator overwrote the first')
+    expect(result.val.kind).to.equal(ConfirmErrorKind.PlanStale)
+    expect(result.val.message).to.include('revision 2 by agata changed service shelf-stock')
+    expect(bench.commits(second)).to.equal(0)
+  })
+
+  it('lets one of two racing shifts of the same callers win', async () => {
+    const bench = new Bench()
+    const shift = { kind: 'shiftService', service: 'shelf-stock', from: 'nyeri', capShare: 0.2 }
+    const first = await bench.plan('plan-1', { ...shift, to: 'nakuru' })
+    const second = await bench.plan('plan-2', { ...shift, to: 'nairobi' })
+    const results = await Promise.all([bench.confirm(first), bench.confirm(second)])
+    expect(results).to.have.members([2, ConfirmErrorKind.PlanStale])
+    expect(bench.changeLog.current()?.document.shifts.size).to.equal(1)
+  })
+
+  // Guards against plans that can never be confirmed while a shift takes its steps.
+  it('holds on a later revision when the changes in between concern something else', async () => {
+    const bench = new Bench()
+    const plan = await bench.plan('plan-1')
+    bench.changeLog.append(changeOf('other', [markLeaving('shelf-stock-nakuru-1')]))
+    bench.changeLog.beforeCommit = () => {
+      bench.changeLog.append(changeOf('another', [markLeaving('shelf-stock-nairobi-1')]))
+    }
+    expect(await bench.confirm(plan)).to.equal(4)
+  })
+})
+
+describe('plan store', () => {
+  for (const step of [0, 1, 2, 3]) {
+    for (const fault of [CallFault.Fail, CallFault.LoseAnswer, CallFault.LoseRequest]) {
+      // Guards against a plan that is shown to the operator but was never stored, or stored unseen by removal.
+      it(`keeps index and plans together when call ${String(step)} meets ${fault}`, async () => {
+        const bench = new Bench()
+        bench.store.faults = [...Array<CallFault>(step).fill(CallFault.None), fault]
+        const added = await bench.plan('plan-1').then(
+          () => true,
+          () => false,
+        )
+        const index = bench.store.values.get('plans/index')?.value ?? '[]'
+        const isStored = bench.store.values.has('plans/plan-1')
+        if (added) expect(isStored).to.equal(true)
+        if (isStored) expect(index).to.include('plan-1')
+      })
+    }
+  }
+
+  it('refuses more plans than the limit, and takes new ones once old ones are removed', async () => {
+    const bench = new Bench()
+    for (const planId of ['plan-1', 'plan-2', 'plan-3']) await bench.plan(planId)
+    const refused = await bench.plan('plan-4').catch((error: unknown) => String(error))
+    expect(refused).to.include('3 plans are stored')
+    bench.nowMs += LIFETIME_MS + 5000
+    await bench.plan('plan-5')
+    expect([...bench.store.values.keys()]).to.have.members(['plans/index', 'plans/plan-5'])
+  })
+
+  it('refuses a stored plan that does not fit its digest', async () => {
+    const bench = new Bench()
+    await bench.plan('plan-1')
+    const stored = bench.store.values.get('plans/plan-1')
+    if (stored === undefined) throw new Error('not stored')
+    bench.store.values.set('plans/plan-1', {
+      ...stored,
+      value: stored.value.replace('nyeri-1', 'nyeri-2'),
+    })
+    const found = await bench.plans.find('plan-1')
+    if (found.ok) expect.fail('a changed plan was returned')
+    expect(found.val.kind).to.equal(PlanStoreErrorKind.PlanDamaged)
+  })
+})
