--- /dev/null
+++ b/src/drain/leavingPush.ts
@@ -0,0 +1,85 @@
+/** Pushes new leaving marks to the gateways of the region, so that none waits for the gossip. */
+import Joi from 'joi'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import { MemberRole } from '../membership/memberRecord.js'
+import type { LeavingMark, LeavingRegistry } from './leavingRegistry.js'
+import { LeavingSource } from './leavingRegistry.js'
+
+/** Method that accepts marks; parameters are `{ marks: LeavingMark[] }`. */
+export const PUSH_LEAVING_METHOD = 'drain.pushLeaving'
+
+const PUSH_TIMEOUT_MS = 1000
+const MAX_MARKS = 10_000
+
+const PUSH_SCHEMA = Joi.object({
+  marks: Joi.array()
+    .items(
+      Joi.object({
+        workerId: Joi.string().max(128).required(),
+        generation: Joi.number().integer().min(0).required(),
+        source: Joi.string()
+          .valid(...Object.values(LeavingSource))
+          .required(),
+      }),
+    )
+    .max(MAX_MARKS)
+    .required(),
+})
+
+/**
+ * Sends the marks that this process learned first-hand to each gateway of its
+ * region once. A lost push is made good by the membership exchange.
+ */
+export class LeavingPush {
+  readonly #leaving: LeavingRegistry
+  readonly #membership: MembershipView
+  readonly #rpc: RpcCaller
+  #unsubscribe: (() => void) | undefined
+
+  constructor(leaving: LeavingRegistry, membership: MembershipView, rpc: RpcCaller) {
+    this.#leaving = leaving
+    this.#membership = membership
+    this.#rpc = rpc
+  }
+
+  /** Serves the method that accepts marks of peers. */
+  registerMethods(registry: RpcMethodRegistry): void {
+    registry.addMethod(
+      PUSH_LEAVING_METHOD,
+      PUSH_SCHEMA,
+      (params: { marks: readonly LeavingMark[] }) => {
+        this.#leaving.merge(params.marks)
+        return Promise.resolve(null)
+      },
+    )
+  }
+
+  start(): void {
+    this.#unsubscribe ??= this.#leaving.subscribe((marks, learnedFromPeer) => {
+      if (!learnedFromPeer) this.#push(marks)
+    })
+  }
+
+  stop(): void {
+    this.#unsubscribe?.()
+    this.#unsubscribe = undefined
+  }
+
+  #push(marks: readonly LeavingMark[]): void {
+    const self = this.#membership.self()
+    for (const member of this.#membership.members()) {
+      const isPeer =
+        member.role === MemberRole.Gateway &&
+        member.region === self.region &&
+        member.memberId !== self.memberId
+      if (!isPeer) continue
+      void this.#rpc.call(
+        member.internalAddress,
+        PUSH_LEAVING_METHOD,
+        { marks },
+        { timeoutMs: PUSH_TIMEOUT_MS },
+      )
+    }
+  }
+}
--- /dev/null
+++ b/src/slots/__tests__/slotDispatcher.spec.ts
@@ -0,0 +1,192 @@
+import { expect } from 'chai'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { MemberHealth } from '../../membership/memberRecord.js'
+import { LeavingSource } from '../../drain/leavingRegistry.js'
+import type { SlotDispatcher } from '../slotDispatcher.js'
+import type { SlotGrant } from '../slotSource.js'
+import { SlotErrorKind, SlotUse } from '../slotSource.js'
+import { CallFate, GatewayNetwork, member, request, settle, workers } from './gatewayNetwork.js'
+
+const IDS = ['gateway-1', 'gateway-2', 'gateway-3']
+/** Attempts beyond the slots hold no slot and would hide a missing grant. */
+const STRICT = { beyondSlotMaxInFlight: 0 }
+
+async function acquireNow(
+  gateway: SlotDispatcher,
+  network: GatewayNetwork,
+  timeoutMs = 2000,
+): Promise<SlotGrant> {
+  const result = await gateway.acquire(request(network.nowMs + timeoutMs), network.nowMs)
+  return result.unwrap()
+}
+
+function ownSlots(gateway: SlotDispatcher, network: GatewayNetwork): number {
+  return gateway.loads(network.nowMs)[0]?.ownSlots ?? 0
+}
+
+function freeSlots(network: GatewayNetwork): number {
+  let free = 0
+  for (const gateway of network.gateways.values()) {
+    for (const load of gateway.loads(network.nowMs)) free += load.freeSlots
+  }
+  return free
+}
+
+describe('SlotDispatcher', () => {
+  let network: GatewayNetwork
+
+  afterEach(() => {
+    network.stop()
+  })
+
+  it('lets one gateway use every slot of the region, and no more', async () => {
+    // Guards against slots that only their owner can use.
+    network = new GatewayNetwork(IDS, workers(4, 2), STRICT)
+    const grants: SlotGrant[] = []
+    for (let count = 0; count < 8; count += 1) {
+      grants.push(await acquireNow(network.gateway('gateway-1'), network))
+    }
+    const ninth = network.gateway('gateway-1').acquire(request(network.nowMs + 200), network.nowMs)
+    await network.advance(300)
+    expect((await ninth).err).to.equal(true)
+    const uses = new Map<string, number>()
+    for (const { workerId } of grants) uses.set(workerId, (uses.get(workerId) ?? 0) + 1)
+    expect([...uses.values()]).to.deep.equal([2, 2, 2, 2])
+    for (const grant of grants) grant.release(SlotUse.Completed, 10, network.nowMs)
+    await settle()
+    expect(freeSlots(network)).to.equal(8)
+  })
+
+  it('gives a slot that becomes free to the oldest waiter, own or remote', async () => {
+    // Guards against a lender that prefers its own requests and starves borrowers.
+    network = new GatewayNetwork(IDS, workers(1, 1), STRICT)
+    const [owner, ...others] = [...network.gateways.values()].sort(
+      (left, right) => ownSlots(right, network) - ownSlots(left, network),
+    )
+    if (owner === undefined || others[0] === undefined) throw new Error('no gateways')
+    const first = await acquireNow(owner, network)
+    const order: string[] = []
+    const remote = acquireNow(others[0], network).then((grant) => {
+      order.push('remote')
+      return grant
+    })
+    await network.advance(10)
+    const local = acquireNow(owner, network).then((grant) => {
+      order.push('local')
+      return grant
+    })
+    await network.advance(10)
+    first.release(SlotUse.Completed, 10, network.nowMs)
+    ;(await remote).release(SlotUse.Completed, 10, network.nowMs)
+    await local
+    expect(order).to.deep.equal(['remote', 'local'])
+  })
+
+  it('counts a second release and does not free the slot of the next holder', async () => {
+    network = new GatewayNetwork(['gateway-1'], workers(1, 1), STRICT)
+    const gateway = network.gateway('gateway-1')
+    const first = await acquireNow(gateway, network)
+    first.release(SlotUse.Completed, 10, network.nowMs)
+    await acquireNow(gateway, network)
+    first.release(SlotUse.Completed, 10, network.nowMs)
+    expect(freeSlots(network)).to.equal(0)
+    expect(gateway.counters().repeatedReleases).to.equal(1)
+  })
+
+  it('skips an owner that refuses connections and goes beyond the slots if none is left', async () => {
+    network = new GatewayNetwork(IDS, workers(4, 2))
+    network.fate = () => CallFate.Refused
+    const gateway = network.gateway('gateway-1')
+    const pending = Array.from({ length: ownSlots(gateway, network) + 1 }, () =>
+      acquireNow(gateway, network),
+    )
+    await network.advance(50)
+    const grants = await Promise.all(pending)
+    expect(grants.filter((grant) => grant.reason === 'beyond slots')).to.have.length(1)
+  })
+
+  it('takes the loans of a failed borrower back', async () => {
+    network = new GatewayNetwork(IDS, workers(4, 2), STRICT)
+    for (let count = 0; count < 8; count += 1) {
+      await acquireNow(network.gateway('gateway-1'), network, 60_000)
+    }
+    network.membership.set([
+      { ...member('gateway-1'), health: MemberHealth.Failed },
+      member('gateway-2'),
+      member('gateway-3'),
+    ])
+    const lenders = [network.gateway('gateway-2'), network.gateway('gateway-3')]
+    const lent = lenders.map((lender) => lender.loads(network.nowMs)[0]?.lentSlots)
+    expect(lent).to.deep.equal([0, 0])
+  })
+
+  it('grants no slot of a leaving worker', async () => {
+    network = new GatewayNetwork(['gateway-1'], workers(2, 1), STRICT)
+    network.leaving.observeAnswer('worker-0', 1)
+    const grant = await acquireNow(network.gateway('gateway-1'), network)
+    expect(grant.workerId).to.equal('worker-1')
+    network.leaving.merge([{ workerId: 'worker-1', generation: 1, source: LeavingSource.Platform }])
+    const refused = await network
+      .gateway('gateway-1')
+      .acquire(request(network.nowMs + 1000), network.nowMs)
+    expect(refused.err && refused.val.kind).to.equal(SlotErrorKind.NoBackendServer)
+  })
+
+  it('refuses a request whose caller went away, and takes its grant back', async () => {
+    network = new GatewayNetwork(['gateway-1'], workers(1, 1), STRICT)
+    const gateway = network.gateway('gateway-1')
+    const held = await acquireNow(gateway, network)
+    const abort = new AbortController()
+    const cancelled = gateway.acquire(
+      request(network.nowMs + 1000, { signal: abort.signal }),
+      network.nowMs,
+    )
+    abort.abort()
+    const result = await cancelled
+    expect(result.err && result.val.kind).to.equal(SlotErrorKind.Cancelled)
+    held.release(SlotUse.Completed, 10, network.nowMs)
+    expect(freeSlots(network)).to.equal(1)
+  })
+
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    it(`loses no slot and gives none to two holders under lost calls and answers, seed ${seed}`, async () => {
+      await runFaults(seed)
+    })
+  }
+
+  async function runFaults(seed: number): Promise<void> {
+    const random = xoroshiro128plus(seed)
+    const draw = (bound: number): number => uniformInt(random, 0, bound - 1)
+    network = new GatewayNetwork(IDS, workers(3, 2), { ...STRICT, random: () => draw(1000) / 1000 })
+    const fates = [CallFate.Refused, CallFate.AnswerLost, CallFate.CallLost]
+    network.fate = () => (draw(5) === 0 ? (fates[draw(3)] ?? CallFate.Refused) : CallFate.Delivered)
+    const uses = new Map<string, number>()
+    let granted = 0
+    let mostUses = 0
+    const run = async (id: string): Promise<void> => {
+      const result = await network.gateway(id).acquire(request(network.nowMs + 300), network.nowMs)
+      if (result.err) return
+      const { workerId } = result.val
+      granted += 1
+      uses.set(workerId, (uses.get(workerId) ?? 0) + 1)
+      mostUses = Math.max(mostUses, uses.get(workerId) ?? 0)
+      const untilMs = network.nowMs + 5 * draw(8)
+      while (network.nowMs < untilMs) await settle()
+      uses.set(workerId, (uses.get(workerId) ?? 0) - 1)
+      result.val.release(SlotUse.Completed, 10, network.nowMs)
+    }
+    const running: Promise<void>[] = []
+    for (let step = 0; step < 60; step += 1) {
+      for (let count = draw(4); count > 0; count -= 1) running.push(run(IDS[draw(3)] ?? ''))
+      await network.advance(5)
+    }
+    await network.advance(500)
+    await Promise.all(running)
+    network.fate = () => CallFate.Delivered
+    await network.advance(2000)
+    expect(granted).to.be.greaterThan(20)
+    expect(mostUses).to.be.at.most(2)
+    expect(freeSlots(network), 'free slots afterwards').to.equal(6)
+  }
+})
--- /dev/null
+++ b/src/slots/beyondSlots.ts
@@ -0,0 +1,65 @@
+/** Attempts beyond the slots: they keep requests going when the owners can't be asked. */
+import type { WorkerRecord } from '../configuration/document.js'
+import type { DispatchOptions } from './dispatchOptions.js'
+import type { LocalWaiter } from './localWaiter.js'
+import type { ServiceSlots } from './serviceSlots.js'
+import { WorkerPace } from './workerPreference.js'
+
+/** Bounds the attempts and chooses their workers. A worker that is full refuses unharmed. */
+export class BeyondSlots {
+  readonly #options: DispatchOptions
+  readonly #inFlight = new Map<string, number>()
+
+  constructor(options: DispatchOptions) {
+    this.#options = options
+  }
+
+  /** Returns the worker to try, or `undefined` if no attempt should be made now. */
+  choose(
+    waiter: LocalWaiter,
+    service: ServiceSlots,
+    queued: number,
+    nowMs: number,
+  ): WorkerRecord | undefined {
+    const name = service.assignment.record.name
+    if ((this.#inFlight.get(name) ?? 0) >= this.#options.beyondSlotMaxInFlight) return undefined
+    const isDue =
+      nowMs - waiter.arrivedAtMs >= this.#options.beyondSlotWaitMs &&
+      queued <= this.#options.beyondSlotMaxQueue
+    if (!isDue && !isCutOff(waiter, service)) return undefined
+    return this.#leastBusy(waiter, service, nowMs)
+  }
+
+  started(service: string): void {
+    this.#inFlight.set(service, (this.#inFlight.get(service) ?? 0) + 1)
+  }
+
+  ended(service: string): void {
+    this.#inFlight.set(service, (this.#inFlight.get(service) ?? 1) - 1)
+  }
+
+  #leastBusy(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): WorkerRecord | undefined {
+    let best: WorkerRecord | undefined
+    let bestRank = Number.POSITIVE_INFINITY
+    for (const worker of service.assignment.workers) {
+      if (waiter.excludedWorkers.has(worker.workerId)) continue
+      const isSlow = service.preference.paceOf(worker.workerId, nowMs) !== WorkerPace.Normal
+      const load = service.preference.runningOn(worker.workerId) / worker.slots
+      const rank = (isSlow ? 100 : 0) + load + this.#options.random()
+      if (rank < bestRank) {
+        best = worker
+        bestRank = rank
+      }
+    }
+    return best
+  }
+}
+
+/** Tells whether no own slot exists and no owner can be asked or holds the request. */
+function isCutOff(waiter: LocalWaiter, service: ServiceSlots): boolean {
+  return (
+    service.assignment.owned.length === 0 &&
+    waiter.unansweredCalls === 0 &&
+    waiter.borrows.size === 0
+  )
+}
--- /dev/null
+++ b/src/slots/dispatchOptions.ts
@@ -0,0 +1,59 @@
+/** Tunable limits of the dispatcher. */
+import type { Clock } from '../common/clock.js'
+import { systemClock } from '../common/clock.js'
+import { OwnershipUnit } from './slotOwnership.js'
+import type { PaceOptions } from './workerPreference.js'
+import { DEFAULT_PACE_OPTIONS } from './workerPreference.js'
+
+/** Options of `SlotDispatcher`; all durations in milliseconds. */
+export interface DispatchOptions {
+  /** Read only where no caller gives the time: timers, and messages of peers. */
+  readonly clock: Clock
+  /** Uniform in [0, 1); breaks ties between owners. */
+  readonly random: () => number
+  readonly ownershipUnit: OwnershipUnit
+  readonly pace: PaceOptions
+  /** Owners asked at once when none is known to have a free slot. */
+  readonly ownersAsked: number
+  /** Bound on the owners that one request waits at. */
+  readonly maxOwnersAsked: number
+  /** A hint of free slots counts for this long. */
+  readonly hintMaxAgeMs: number
+  /** An owner that refused a connection is not asked again for this long. */
+  readonly ownerDownMs: number
+  /** Wait until a request takes a slot of a slow worker. */
+  readonly slowSlotWaitMs: number
+  /** Wait until one request may be attempted beyond the slots. */
+  readonly beyondSlotWaitMs: number
+  /** Longest queue at which an attempt beyond the slots is made. */
+  readonly beyondSlotMaxQueue: number
+  /** Attempts beyond the slots in flight per service. */
+  readonly beyondSlotMaxInFlight: number
+  /** Time that a slot stays unused after its worker refused a request. */
+  readonly shedBlockMs: number
+  /** A hold ends by itself this long after the deadline of its request. */
+  readonly holdGraceMs: number
+  readonly callTimeoutMs: number
+  readonly maxCallsPerPeer: number
+  readonly tickMs: number
+}
+
+export const DEFAULT_DISPATCH_OPTIONS: DispatchOptions = {
+  clock: systemClock,
+  random: Math.random,
+  ownershipUnit: OwnershipUnit.Slot,
+  pace: DEFAULT_PACE_OPTIONS,
+  ownersAsked: 2,
+  maxOwnersAsked: 8,
+  hintMaxAgeMs: 500,
+  ownerDownMs: 500,
+  slowSlotWaitMs: 20,
+  beyondSlotWaitMs: 30,
+  beyondSlotMaxQueue: 2,
+  beyondSlotMaxInFlight: 1,
+  shedBlockMs: 10,
+  holdGraceMs: 1000,
+  callTimeoutMs: 500,
+  maxCallsPerPeer: 4,
+  tickMs: 5,
+}
--- /dev/null
+++ b/src/slots/localDispatch.ts
@@ -0,0 +1,270 @@
+/** The requests of this gateway: their waits, grants and refusals. */
+import type { Result } from '../common/results.js'
+import { Err } from '../common/results.js'
+import type { WorkerRecord } from '../configuration/document.js'
+import { BeyondSlots } from './beyondSlots.js'
+import type { MutableCounters } from './dispatchCounters.js'
+import type { DispatchOptions } from './dispatchOptions.js'
+import { LocalWaiter } from './localWaiter.js'
+import { expectedWaitMs, isDeadlineUnreachable } from './requestQueue.js'
+import type { ServiceSlots } from './serviceSlots.js'
+import type { SlotBorrowing } from './slotBorrowing.js'
+import { slotErrors } from './slotErrors.js'
+import { makeGrant } from './slotGrants.js'
+import type { SendMessage } from './slotLending.js'
+import type { MailboxPeer } from './slotMailbox.js'
+import type { GrantMessage } from './slotMessages.js'
+import { SlotMessageKind } from './slotMessages.js'
+import type { PoolSlot, SlotHold } from './slotPool.js'
+import type { SlotError, SlotGrant, SlotRequest, SlotUse } from './slotSource.js'
+
+/** Priority of requests; the callers' contract has no way yet to state another. */
+const DEFAULT_PRIORITY = 1
+
+/** What a local dispatch needs of the other parts. */
+export interface LocalDispatchParts {
+  readonly options: DispatchOptions
+  readonly counters: MutableCounters
+  readonly borrowing: () => SlotBorrowing
+  readonly send: SendMessage
+  readonly newId: () => string
+}
+
+/** Queues the requests of this gateway and settles each of them once. */
+export class LocalDispatch {
+  readonly #parts: LocalDispatchParts
+  readonly #beyond: BeyondSlots
+  readonly #waiting = new Map<ServiceSlots, Set<LocalWaiter>>()
+  readonly #inFlight = new Map<string, number>()
+
+  constructor(parts: LocalDispatchParts) {
+    this.#parts = parts
+    this.#beyond = new BeyondSlots(parts.options)
+  }
+
+  /** Requests that hold a slot. */
+  inFlight(service: string): number {
+    return this.#inFlight.get(service) ?? 0
+  }
+
+  /** Requests that wait. */
+  queued(service: ServiceSlots): number {
+    return this.#waiting.get(service)?.size ?? 0
+  }
+
+  /** Grants at once, waits, or refuses. */
+  acquire(
+    request: SlotRequest,
+    service: ServiceSlots,
+    nowMs: number,
+  ): Promise<Result<SlotGrant, SlotError>> {
+    const refusal = this.#refusalOf(request, service, nowMs)
+    if (refusal !== undefined) {
+      this.#parts.counters.refused += 1
+      return Promise.resolve(Err(refusal))
+    }
+    const waiter = this.#newWaiter(request, service, nowMs)
+    if (service.queue.length === 0 && service.tryGrant(waiter, nowMs)) return waiter.settled
+    this.#enqueue(waiter, service, nowMs)
+    return waiter.settled
+  }
+
+  /** Grants a free own slot of a worker that is not slow, or nothing. */
+  acquireFree(
+    request: SlotRequest,
+    service: ServiceSlots,
+    nowMs: number,
+  ): Promise<Result<SlotGrant, SlotError>> {
+    const waiter = this.#newWaiter(request, service, nowMs)
+    const isFree = service.queue.length === 0 && service.freeNormal(nowMs) > 0
+    if (isFree && service.tryGrant(waiter, nowMs)) return waiter.settled
+    return Promise.resolve(Err(slotErrors.queueFull(request.service, 0)))
+  }
+
+  /** Grants a borrowed slot to its waiter. */
+  acceptLoan(
+    waiter: LocalWaiter,
+    service: ServiceSlots,
+    peer: MailboxPeer,
+    message: GrantMessage,
+    nowMs: number,
+  ): void {
+    service.queue.remove(waiter)
+    const { loanId, workerId, address } = message
+    this.#parts.counters.borrowedGrants += 1
+    service.preference.started(workerId, loanId, waiter.requestClass, nowMs)
+    const grant = this.#track(
+      service,
+      { workerId, address, reason: `borrowed from ${peer.memberId}` },
+      (use, durationMs, endMs) => {
+        service.observeEnd(workerId, loanId, use, durationMs, endMs)
+        this.#parts.borrowing().loanEnded(loanId)
+        const name = service.assignment.record.name
+        this.#parts.send(peer, {
+          kind: SlotMessageKind.Return,
+          service: name,
+          loanId,
+          use,
+          durationMs,
+        })
+      },
+    )
+    this.#settled(waiter, service, nowMs)
+    waiter.accept(grant)
+  }
+
+  /** Periodic work for the waits of a service. */
+  review(service: ServiceSlots, nowMs: number): void {
+    for (const waiter of [...(this.#waiting.get(service) ?? [])]) {
+      const name = service.assignment.record.name
+      const usualMs = service.estimates.usualMs(waiter.requestClass)
+      if (isDeadlineUnreachable(waiter.deadlineMs, 0, usualMs, nowMs)) {
+        this.#refuse(waiter, service, slotErrors.deadlineUnreachable(name, 0), nowMs)
+        continue
+      }
+      if (waiter.unansweredCalls === 0 && !this.#tryBeyond(waiter, service, nowMs)) {
+        this.#askFurther(waiter, service, nowMs)
+      }
+    }
+  }
+
+  /** Refuses all waiting requests of a service. */
+  refuseAll(service: ServiceSlots, error: SlotError, nowMs: number): void {
+    for (const waiter of [...(this.#waiting.get(service) ?? [])]) {
+      this.#refuse(waiter, service, error, nowMs)
+    }
+  }
+
+  #newWaiter(request: SlotRequest, service: ServiceSlots, nowMs: number): LocalWaiter {
+    return new LocalWaiter(request, DEFAULT_PRIORITY, nowMs, (waiter, slot, hold, reason) =>
+      this.#ownGrant(waiter, service, slot, hold, reason),
+    )
+  }
+
+  #refusalOf(request: SlotRequest, service: ServiceSlots, nowMs: number): SlotError | undefined {
+    const { workers, record } = service.assignment
+    if (workers.length === 0) return slotErrors.noBackendServer(record.name)
+    if (request.signal.aborted) return slotErrors.cancelled()
+    const queued = this.queued(service)
+    const waitMs = this.#expectedWaitMs(service, queued)
+    if (queued >= record.maxQueued) return slotErrors.queueFull(record.name, waitMs)
+    const usualMs = service.estimates.usualMs(request.requestClass)
+    return isDeadlineUnreachable(request.deadlineMs, waitMs, usualMs, nowMs)
+      ? slotErrors.deadlineUnreachable(record.name, waitMs)
+      : undefined
+  }
+
+  /** The own queue drains at this gateway's share of the region's slots. */
+  #expectedWaitMs(service: ServiceSlots, queued: number): number {
+    const owners = Math.max(1, service.assignment.slotsByOwner.size)
+    return expectedWaitMs(queued, service.regionSlots / owners, service.estimates.meanMs())
+  }
+
+  #enqueue(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): void {
+    let waiting = this.#waiting.get(service)
+    if (waiting === undefined) {
+      waiting = new Set()
+      this.#waiting.set(service, waiting)
+    }
+    waiting.add(waiter)
+    waiter.request.signal.addEventListener(
+      'abort',
+      () => {
+        this.#refuse(waiter, service, slotErrors.cancelled(), this.#parts.options.clock())
+      },
+      { once: true },
+    )
+    service.queue.add(waiter)
+    service.pump(nowMs)
+    if (waiter.isWaiting) this.#askFurther(waiter, service, nowMs)
+  }
+
+  #askFurther(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): void {
+    if (waiter.askedOwners.size >= this.#parts.options.maxOwnersAsked) return
+    this.#parts.borrowing().ask(waiter, service, nowMs)
+  }
+
+  #tryBeyond(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): boolean {
+    const worker = this.#beyond.choose(waiter, service, this.queued(service), nowMs)
+    if (worker === undefined) return false
+    service.queue.remove(waiter)
+    const grant = this.#beyondGrant(waiter, service, worker, nowMs)
+    this.#settled(waiter, service, nowMs)
+    waiter.accept(grant)
+    return true
+  }
+
+  #beyondGrant(
+    waiter: LocalWaiter,
+    service: ServiceSlots,
+    worker: WorkerRecord,
+    nowMs: number,
+  ): SlotGrant {
+    const holdId = this.#parts.newId()
+    const { workerId, address } = worker
+    this.#parts.counters.beyondGrants += 1
+    this.#beyond.started(service.assignment.record.name)
+    service.preference.started(workerId, holdId, waiter.requestClass, nowMs)
+    return this.#track(
+      service,
+      { workerId, address, reason: 'beyond slots' },
+      (use, durationMs, endMs) => {
+        this.#beyond.ended(service.assignment.record.name)
+        service.observeEnd(workerId, holdId, use, durationMs, endMs)
+      },
+    )
+  }
+
+  #ownGrant(
+    waiter: LocalWaiter,
+    service: ServiceSlots,
+    slot: PoolSlot,
+    hold: SlotHold,
+    reason: string,
+  ): SlotGrant {
+    const { workerId, address } = slot.worker
+    this.#parts.counters.ownGrants += 1
+    this.#settled(waiter, service, hold.sinceMs)
+    return this.#track(
+      service,
+      { workerId, address, reason: `own slot, ${reason}` },
+      (use, durationMs, endMs) => {
+        service.end(hold.holdId, use, durationMs, endMs)
+      },
+    )
+  }
+
+  /** Makes a grant that counts as in flight until its first release. */
+  #track(
+    service: ServiceSlots,
+    target: { readonly workerId: string; readonly address: string; readonly reason: string },
+    onRelease: (use: SlotUse, durationMs: number, endMs: number) => void,
+  ): SlotGrant {
+    const name = service.assignment.record.name
+    this.#inFlight.set(name, this.inFlight(name) + 1)
+    return makeGrant(
+      target,
+      (use, durationMs, endMs) => {
+        this.#inFlight.set(name, this.inFlight(name) - 1)
+        onRelease(use, durationMs, endMs)
+      },
+      () => {
+        this.#parts.counters.repeatedReleases += 1
+      },
+    )
+  }
+
+  #refuse(waiter: LocalWaiter, service: ServiceSlots, error: SlotError, nowMs: number): void {
+    if (!waiter.isWaiting) return
+    service.queue.remove(waiter)
+    this.#parts.counters.refused += 1
+    this.#settled(waiter, service, nowMs)
+    waiter.refuse(error)
+  }
+
+  #settled(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): void {
+    this.#waiting.get(service)?.delete(waiter)
+    this.#parts.counters.waitedMs += Math.max(0, nowMs - waiter.arrivedAtMs)
+    this.#parts.borrowing().withdraw(waiter)
+  }
+}
--- /dev/null
+++ b/src/slots/slotBorrowing.ts
@@ -0,0 +1,211 @@
+/** The borrower's side: which owners to ask, and what becomes of their answers. */
+import { RpcErrorKind } from '../common/rpc.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import { MemberHealth } from '../membership/memberRecord.js'
+import type { DispatchOptions } from './dispatchOptions.js'
+import type { LocalWaiter } from './localWaiter.js'
+import type { ServiceSlots } from './serviceSlots.js'
+import type { MailboxPeer } from './slotMailbox.js'
+import type { BorrowMessage, GrantMessage, SlotMessage } from './slotMessages.js'
+import { SlotMessageKind } from './slotMessages.js'
+import { SlotUse } from './slotSource.js'
+import type { SendMessage } from './slotLending.js'
+
+interface Hint {
+  free: number
+  readonly atMs: number
+}
+
+interface Borrow {
+  readonly waiter: LocalWaiter
+  readonly service: ServiceSlots
+  readonly peer: MailboxPeer
+  /** The owner keeps the request until a slot becomes free. */
+  isAnswered: boolean
+}
+
+/** Turns an accepted loan into the grant of the waiting request. */
+export type AcceptLoan = (
+  waiter: LocalWaiter,
+  service: ServiceSlots,
+  peer: MailboxPeer,
+  message: GrantMessage,
+  nowMs: number,
+) => void
+
+/** Borrow requests of this gateway. A grant that nobody waits for goes back at once. */
+export class SlotBorrowing {
+  readonly #membership: MembershipView
+  readonly #options: DispatchOptions
+  readonly #send: SendMessage
+  readonly #accept: AcceptLoan
+  readonly #newBorrowId: () => string
+  readonly #borrows = new Map<string, Borrow>()
+  /** Accepted loans; a repeated grant of one of them is not a new loan. */
+  readonly #loans = new Set<string>()
+  readonly #hints = new Map<string, Map<string, Hint>>()
+  readonly #downUntilMs = new Map<string, number>()
+
+  constructor(
+    membership: MembershipView,
+    options: DispatchOptions,
+    send: SendMessage,
+    accept: AcceptLoan,
+    newBorrowId: () => string,
+  ) {
+    this.#membership = membership
+    this.#options = options
+    this.#send = send
+    this.#accept = accept
+    this.#newBorrowId = newBorrowId
+  }
+
+  /** Takes over the free slots that a peer stated. */
+  noteHints(memberId: string, free: Readonly<Record<string, number>>, nowMs: number): void {
+    const hints = new Map<string, Hint>()
+    for (const [service, count] of Object.entries(free)) {
+      hints.set(service, { free: count, atMs: nowMs })
+    }
+    this.#hints.set(memberId, hints)
+    this.#downUntilMs.delete(memberId)
+  }
+
+  /** Asks further owners for a slot; returns whether there was one to ask. */
+  ask(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): boolean {
+    const owners = this.#choose(waiter, service, nowMs)
+    for (const owner of owners) this.#askOwner(waiter, service, owner, nowMs)
+    return owners.length > 0
+  }
+
+  /** Handles a grant; it is returned unused if the request no longer waits. */
+  granted(peer: MailboxPeer, message: GrantMessage, nowMs: number): void {
+    if (this.#loans.has(message.loanId)) return
+    const borrow = this.#borrows.get(message.borrowId)
+    const isWanted = borrow?.waiter.isWaiting === true
+    if (!isWanted || borrow.waiter.excludedWorkers.has(message.workerId)) {
+      this.#send(peer, returnUnused(message))
+      return
+    }
+    this.#drop(message.borrowId)
+    this.#loans.add(message.loanId)
+    this.#accept(borrow.waiter, borrow.service, peer, message, nowMs)
+  }
+
+  /** Forgets a loan after its return was posted. */
+  loanEnded(loanId: string): void {
+    this.#loans.delete(loanId)
+  }
+
+  /** Withdraws the outstanding borrow requests of a waiter that was settled. */
+  withdraw(waiter: LocalWaiter): void {
+    for (const [borrowId, peer] of waiter.borrows) {
+      const borrow = this.#borrows.get(borrowId)
+      this.#borrows.delete(borrowId)
+      if (borrow === undefined) continue
+      const service = borrow.service.assignment.record.name
+      this.#send(peer, { kind: SlotMessageKind.Cancel, service, borrowId })
+    }
+    waiter.borrows.clear()
+  }
+
+  /** The owner handled the request; without a grant in its answer it has no free slot. */
+  answered(message: BorrowMessage, nowMs: number): void {
+    const borrow = this.#borrows.get(message.borrowId)
+    if (borrow === undefined) return
+    borrow.waiter.busyOwners += 1
+    this.#callEnded(borrow, nowMs)
+  }
+
+  /** A call failed: the owner is skipped, and a grant that was lost on the way goes back. */
+  peerFailed(peer: MailboxPeer, kind: RpcErrorKind, nowMs: number): void {
+    this.#downUntilMs.set(peer.memberId, nowMs + this.#options.ownerDownMs)
+    this.#hints.delete(peer.memberId)
+    for (const [borrowId, borrow] of [...this.#borrows]) {
+      if (borrow.peer.address !== peer.address) continue
+      this.#drop(borrowId)
+      if (kind !== RpcErrorKind.NotSent) {
+        const service = borrow.service.assignment.record.name
+        this.#send(peer, { kind: SlotMessageKind.Cancel, service, borrowId })
+      }
+      this.#callEnded(borrow, nowMs)
+    }
+  }
+
+  #callEnded(borrow: Borrow, nowMs: number): void {
+    const waiter = borrow.waiter
+    if (!borrow.isAnswered) waiter.unansweredCalls -= 1
+    borrow.isAnswered = true
+    if (!waiter.isWaiting || waiter.unansweredCalls > 0) return
+    if (waiter.askedOwners.size < this.#options.maxOwnersAsked) {
+      this.ask(waiter, borrow.service, nowMs)
+    }
+  }
+
+  #drop(borrowId: string): Borrow | undefined {
+    const borrow = this.#borrows.get(borrowId)
+    this.#borrows.delete(borrowId)
+    borrow?.waiter.borrows.delete(borrowId)
+    return borrow
+  }
+
+  #askOwner(waiter: LocalWaiter, service: ServiceSlots, peer: MailboxPeer, nowMs: number): void {
+    const borrowId = this.#newBorrowId()
+    this.#borrows.set(borrowId, { waiter, service, peer, isAnswered: false })
+    waiter.borrows.set(borrowId, peer)
+    waiter.askedOwners.add(peer.memberId)
+    waiter.unansweredCalls += 1
+    const hint = this.#hints.get(peer.memberId)?.get(service.assignment.record.name)
+    if (hint !== undefined) hint.free -= 1
+    this.#send(peer, {
+      kind: SlotMessageKind.Borrow,
+      borrowId,
+      service: service.assignment.record.name,
+      requestClass: waiter.requestClass,
+      priority: waiter.priority,
+      waitedMs: Math.max(0, nowMs - waiter.arrivedAtMs),
+      remainingMs: Math.max(0, waiter.deadlineMs - nowMs),
+      excludedWorkers: [...waiter.excludedWorkers],
+    })
+  }
+
+  /** One owner that stated free slots, otherwise several of unknown state. */
+  #choose(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): MailboxPeer[] {
+    const ranked = this.#candidates(waiter, service, nowMs)
+      .map((peer) => {
+        const free = this.#freeHint(peer.memberId, service, nowMs)
+        return { peer, free, rank: free + this.#options.random() }
+      })
+      .sort((left, right) => right.rank - left.rank)
+    const count = (ranked[0]?.free ?? 0) >= 1 ? 1 : this.#options.ownersAsked
+    return ranked.slice(0, count).map(({ peer }) => peer)
+  }
+
+  #candidates(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): MailboxPeer[] {
+    const self = this.#membership.self().memberId
+    const candidates: MailboxPeer[] = []
+    for (const memberId of service.assignment.slotsByOwner.keys()) {
+      if (memberId === self || waiter.askedOwners.has(memberId)) continue
+      if ((this.#downUntilMs.get(memberId) ?? 0) > nowMs) continue
+      const member = this.#membership.find(memberId)
+      if (member === undefined || member.health === MemberHealth.Suspected) continue
+      candidates.push({ memberId, address: member.internalAddress })
+    }
+    return candidates
+  }
+
+  #freeHint(memberId: string, service: ServiceSlots, nowMs: number): number {
+    const hint = this.#hints.get(memberId)?.get(service.assignment.record.name)
+    if (hint === undefined || nowMs - hint.atMs > this.#options.hintMaxAgeMs) return 0
+    return hint.free
+  }
+}
+
+function returnUnused(message: GrantMessage): SlotMessage & { kind: SlotMessageKind.Return } {
+  return {
+    kind: SlotMessageKind.Return,
+    service: message.service,
+    loanId: message.loanId,
+    use: SlotUse.Unused,
+    durationMs: 0,
+  }
+}
--- /dev/null
+++ b/src/slots/slotDispatcher.ts
@@ -0,0 +1,232 @@
+/** Grants slots of the region's backend servers to the requests of this gateway. */
+import type { Result } from '../common/results.js'
+import { Err } from '../common/results.js'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { LeavingRegistry } from '../drain/leavingRegistry.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import type { DispatchCounters, MutableCounters, ServiceDispatchLoad } from './dispatchCounters.js'
+import { newCounters } from './dispatchCounters.js'
+import type { DispatchOptions } from './dispatchOptions.js'
+import { DEFAULT_DISPATCH_OPTIONS } from './dispatchOptions.js'
+import { LocalDispatch } from './localDispatch.js'
+import { ServiceSlots } from './serviceSlots.js'
+import { SlotAssignments } from './slotAssignments.js'
+import { SlotBorrowing } from './slotBorrowing.js'
+import { slotErrors } from './slotErrors.js'
+import { SlotExchange } from './slotExchange.js'
+import { SlotLending } from './slotLending.js'
+import type { SlotPeer } from './slotPool.js'
+import type { SlotError, SlotGrant, SlotRequest, SlotSource } from './slotSource.js'
+import { SlotUse } from './slotSource.js'
+
+/** {@link SlotSource} by owned slots, lending between gateways and attempts beyond the slots. */
+export class SlotDispatcher implements SlotSource {
+  readonly #configuration: ConfigurationView
+  readonly #membership: MembershipView
+  readonly #leaving: LeavingRegistry
+  readonly #options: DispatchOptions
+  readonly #assignments: SlotAssignments
+  readonly #services = new Map<string, ServiceSlots>()
+  readonly #counters: MutableCounters = newCounters()
+  readonly #exchange: SlotExchange
+  readonly #lending: SlotLending
+  readonly #borrowing: SlotBorrowing
+  readonly #local: LocalDispatch
+  readonly #subscriptions: (() => void)[] = []
+  #timer: NodeJS.Timeout | undefined
+  #gatewayFingerprint = ''
+  #nextId = 0
+
+  constructor(
+    configuration: ConfigurationView,
+    membership: MembershipView,
+    leaving: LeavingRegistry,
+    rpc: RpcCaller,
+    options: Partial<DispatchOptions> = {},
+  ) {
+    this.#configuration = configuration
+    this.#membership = membership
+    this.#leaving = leaving
+    this.#options = { ...DEFAULT_DISPATCH_OPTIONS, ...options }
+    const unit = this.#options.ownershipUnit
+    this.#assignments = new SlotAssignments(configuration, membership, leaving, unit)
+    this.#exchange = new SlotExchange(
+      rpc,
+      this.#options,
+      () => this.#selfPeer(),
+      (nowMs) => this.#freeHints(nowMs),
+    )
+    const send = this.#exchange.send.bind(this.#exchange)
+    const newId = this.#newId.bind(this)
+    this.#local = new LocalDispatch({
+      options: this.#options,
+      counters: this.#counters,
+      borrowing: () => this.#borrowing,
+      send,
+      newId,
+    })
+    this.#lending = new SlotLending(this.#services, membership, send)
+    const accept = this.#local.acceptLoan.bind(this.#local)
+    this.#borrowing = new SlotBorrowing(membership, this.#options, send, accept, newId)
+    this.#exchange.connect({ lending: this.#lending, borrowing: this.#borrowing })
+  }
+
+  /** Serves the method through which gateways lend slots to each other. */
+  registerMethods(registry: RpcMethodRegistry): void {
+    this.#exchange.registerMethods(registry)
+  }
+
+  /** Takes over the present configuration and follows changes. */
+  start(): void {
+    if (this.#timer !== undefined) return
+    const clock = this.#options.clock
+    this.#membershipChanged(clock())
+    this.#reassign(clock())
+    this.#subscriptions.push(
+      this.#configuration.subscribe(() => {
+        this.#reassign(clock())
+      }),
+      this.#leaving.subscribe(() => {
+        this.#reassign(clock())
+      }),
+      this.#membership.subscribe(() => {
+        this.#membershipChanged(clock())
+      }),
+    )
+    this.#timer = setInterval(() => {
+      this.tick(clock())
+    }, this.#options.tickMs)
+    this.#timer.unref()
+  }
+
+  /** Refuses the waiting requests as not run and ends all calls to peers. */
+  stop(): void {
+    for (const unsubscribe of this.#subscriptions.splice(0)) unsubscribe()
+    clearInterval(this.#timer)
+    this.#timer = undefined
+    for (const service of this.#services.values()) {
+      this.#local.refuseAll(service, slotErrors.cancelled(), this.#options.clock())
+    }
+    this.#exchange.stop()
+  }
+
+  /** Waits for a slot until the deadline or until `request.signal` aborts. Never rejects. */
+  acquire(request: SlotRequest, nowMs: number): Promise<Result<SlotGrant, SlotError>> {
+    const service = this.#services.get(request.service)
+    if (service === undefined) {
+      this.#counters.refused += 1
+      return Promise.resolve(Err(slotErrors.noBackendServer(request.service)))
+    }
+    return this.#local.acquire(request, service, nowMs)
+  }
+
+  /**
+   * Grants a free own slot of a worker that is not slow, or refuses at once.
+   * Never borrows and never overtakes a waiter; for hedged attempts.
+   */
+  acquireFree(request: SlotRequest, nowMs: number): Promise<Result<SlotGrant, SlotError>> {
+    const service = this.#services.get(request.service)
+    return service === undefined
+      ? Promise.resolve(Err(slotErrors.noBackendServer(request.service)))
+      : this.#local.acquireFree(request, service, nowMs)
+  }
+
+  /** Usual time of a class in milliseconds, if known; the base of hedging delays. */
+  usualMs(service: string, requestClass: string): number | undefined {
+    return this.#services.get(service)?.estimates.usualMs(requestClass)
+  }
+
+  /** Totals since the start. */
+  counters(): DispatchCounters {
+    return { ...this.#counters, calls: this.#exchange.callCount }
+  }
+
+  /** Present load of each configured service. */
+  loads(nowMs: number): readonly ServiceDispatchLoad[] {
+    return [...this.#services].map(([name, service]) => {
+      const counts = service.pool.counts(nowMs)
+      return {
+        service: name,
+        regionSlots: service.regionSlots,
+        ownSlots: counts.own,
+        freeSlots: counts.free,
+        lentSlots: counts.lent,
+        inFlight: this.#local.inFlight(name),
+        queued: this.#local.queued(service),
+        meanServiceMs: service.estimates.meanMs(),
+      }
+    })
+  }
+
+  /** Periodic work: deadlines of waits and holds, slots that became usable, attempts beyond. */
+  tick(nowMs: number): void {
+    this.#lending.tick(nowMs)
+    for (const service of this.#services.values()) {
+      this.#expireHolds(service, nowMs)
+      service.pump(nowMs)
+      this.#local.review(service, nowMs)
+    }
+  }
+
+  #expireHolds(service: ServiceSlots, nowMs: number): void {
+    for (const hold of service.pool.holdsWhere((held) => held.deadlineMs <= nowMs)) {
+      this.#counters.expiredHolds += 1
+      this.#lending.holdExpired(hold.holdId)
+      service.end(hold.holdId, SlotUse.Failed, 0, nowMs)
+    }
+  }
+
+  #membershipChanged(nowMs: number): void {
+    this.#lending.membershipChanged(nowMs)
+    const fingerprint = this.#assignments.gatewayFingerprint()
+    if (fingerprint === this.#gatewayFingerprint) return
+    this.#gatewayFingerprint = fingerprint
+    this.#reassign(nowMs)
+  }
+
+  #reassign(nowMs: number): void {
+    const names = new Set<string>()
+    for (const assignment of this.#assignments.all()) {
+      const name = assignment.record.name
+      names.add(name)
+      const service = this.#services.get(name)
+      if (service !== undefined) service.assign(assignment, nowMs)
+      else {
+        const created = new ServiceSlots(assignment, this.#options, () => this.#newId(), nowMs)
+        this.#services.set(name, created)
+      }
+    }
+    for (const [name, service] of this.#services) {
+      if (names.has(name) && service.assignment.workers.length > 0) continue
+      this.#local.refuseAll(service, slotErrors.noBackendServer(name), nowMs)
+      if (!names.has(name)) this.#services.delete(name)
+    }
+  }
+
+  #freeHints(nowMs: number): Readonly<Record<string, number>> {
+    const hints: Record<string, number> = {}
+    for (const [name, service] of this.#services) {
+      if (service.assignment.owned.length > 0) {
+        hints[name] = Math.max(0, service.freeNormal(nowMs) - service.queue.length)
+      }
+    }
+    return hints
+  }
+
+  #selfPeer(): SlotPeer {
+    const self = this.#membership.self()
+    return {
+      memberId: self.memberId,
+      incarnation: self.incarnation,
+      startedAtMs: self.startedAtMs,
+      address: self.internalAddress,
+    }
+  }
+
+  /** Unique over all processes and over their restarts. */
+  #newId(): string {
+    this.#nextId += 1
+    return `${this.#membership.self().incarnation}:${this.#nextId.toString(36)}`
+  }
+}
--- /dev/null
+++ b/src/slots/slotLending.ts
@@ -0,0 +1,185 @@
+/** The lender's side: own slots go to the oldest waiter, and each loan ends exactly once. */
+import { RpcErrorKind } from '../common/rpc.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import { MemberHealth, MemberState } from '../membership/memberRecord.js'
+import type { ServiceSlots, SlotWaiter } from './serviceSlots.js'
+import type { MailboxPeer } from './slotMailbox.js'
+import type { BorrowMessage, CancelMessage, GrantMessage, ReturnMessage } from './slotMessages.js'
+import { SlotMessageKind } from './slotMessages.js'
+import type { PoolSlot, SlotHold, SlotPeer } from './slotPool.js'
+import { SlotUse } from './slotSource.js'
+
+/** Sends a message, in the answer to the peer's present call if there is one. */
+export type SendMessage = (
+  peer: MailboxPeer,
+  message: BorrowMessage | GrantMessage | ReturnMessage | CancelMessage,
+) => void
+
+interface RemoteWaiter extends SlotWaiter {
+  readonly service: ServiceSlots
+  readonly borrower: SlotPeer
+}
+
+interface Loan {
+  readonly loanId: string
+  readonly service: ServiceSlots
+  readonly borrower: SlotPeer
+  /** Whether membership knew this process when it borrowed. */
+  readonly wasMember: boolean
+}
+
+/** Pause before a grant is sent again whose delivery is unknown, in milliseconds. */
+const GRANT_RESEND_MS = 50
+
+/** Grants of own slots to borrowers. Messages may be lost, repeated or overtake each other. */
+export class SlotLending {
+  readonly #services: ReadonlyMap<string, ServiceSlots>
+  readonly #membership: MembershipView
+  readonly #send: SendMessage
+  readonly #waiters = new Map<string, RemoteWaiter>()
+  /** By borrow identifier, so that a cancellation finds a loan whose grant was lost. */
+  readonly #loans = new Map<string, Loan>()
+  readonly #resends: { peer: MailboxPeer; message: GrantMessage; atMs: number }[] = []
+
+  constructor(
+    services: ReadonlyMap<string, ServiceSlots>,
+    membership: MembershipView,
+    send: SendMessage,
+  ) {
+    this.#services = services
+    this.#membership = membership
+    this.#send = send
+  }
+
+  /** Slots lent at present. */
+  get loanCount(): number {
+    return this.#loans.size
+  }
+
+  /** Grants a slot now or keeps the request until one becomes free. */
+  borrow(borrower: SlotPeer, message: BorrowMessage, nowMs: number): void {
+    const service = this.#services.get(message.service)
+    const isKnown = this.#waiters.has(message.borrowId) || this.#loans.has(message.borrowId)
+    if (service === undefined || isKnown || service.assignment.owned.length === 0) return
+    const waiter: RemoteWaiter = {
+      requestId: message.borrowId,
+      requestClass: message.requestClass,
+      priority: message.priority,
+      arrivedAtMs: nowMs - message.waitedMs,
+      deadlineMs: nowMs + message.remainingMs,
+      excludedWorkers: new Set(message.excludedWorkers),
+      borrower,
+      service,
+      granted: (slot, hold) => {
+        this.#lend(waiter, slot, hold)
+      },
+    }
+    if (service.tryGrant(waiter, nowMs)) return
+    this.#waiters.set(waiter.requestId, waiter)
+    service.queue.add(waiter)
+  }
+
+  /** Ends a loan. Unknown loans were ended before. */
+  giveBack(message: ReturnMessage, nowMs: number): void {
+    for (const [borrowId, loan] of this.#loans) {
+      if (loan.loanId !== message.loanId) continue
+      this.#end(borrowId, message.use, message.durationMs, nowMs)
+      return
+    }
+  }
+
+  /** Forgets a borrow request and takes back what was granted for it. */
+  cancel(message: CancelMessage, nowMs: number): void {
+    const waiter = this.#waiters.get(message.borrowId)
+    if (waiter !== undefined) {
+      this.#waiters.delete(message.borrowId)
+      waiter.service.queue.remove(waiter)
+    }
+    this.#end(message.borrowId, SlotUse.Unused, 0, nowMs)
+  }
+
+  /**
+   * Handles a grant whose call failed. If it was not sent, the slot is free
+   * again. Otherwise the borrower may use it, so the grant is repeated until
+   * an answer tells or the loan reaches its deadline.
+   */
+  grantFailed(peer: MailboxPeer, message: GrantMessage, kind: RpcErrorKind, nowMs: number): void {
+    if (kind === RpcErrorKind.NotSent) this.#end(message.borrowId, SlotUse.Unused, 0, nowMs)
+    else this.#resends.push({ peer, message, atMs: nowMs + GRANT_RESEND_MS })
+  }
+
+  /** Ends overdue loans and waits, and repeats grants whose delivery is unknown. */
+  tick(nowMs: number): void {
+    for (const [borrowId, waiter] of this.#waiters) {
+      if (waiter.deadlineMs > nowMs) continue
+      this.#waiters.delete(borrowId)
+      waiter.service.queue.remove(waiter)
+    }
+    this.#resendGrants(nowMs)
+  }
+
+  /** Forgets a loan whose hold ended by its deadline. */
+  holdExpired(holdId: string): void {
+    for (const [borrowId, loan] of this.#loans) {
+      if (loan.loanId === holdId) this.#loans.delete(borrowId)
+    }
+  }
+
+  /** Ends the loans and waits of borrowers that failed, left or were restarted. */
+  membershipChanged(nowMs: number): void {
+    for (const [borrowId, loan] of this.#loans) {
+      if (this.#isGone(loan.borrower, loan.wasMember)) {
+        this.#end(borrowId, SlotUse.Failed, 0, nowMs)
+      }
+    }
+    for (const [borrowId, waiter] of this.#waiters) {
+      if (!this.#isGone(waiter.borrower, false)) continue
+      this.#waiters.delete(borrowId)
+      waiter.service.queue.remove(waiter)
+    }
+  }
+
+  #lend(waiter: RemoteWaiter, slot: PoolSlot, hold: SlotHold): void {
+    this.#waiters.delete(waiter.requestId)
+    this.#loans.set(waiter.requestId, {
+      loanId: hold.holdId,
+      service: waiter.service,
+      borrower: waiter.borrower,
+      wasMember: this.#membership.find(waiter.borrower.memberId) !== undefined,
+    })
+    this.#send(waiter.borrower, {
+      kind: SlotMessageKind.Grant,
+      borrowId: waiter.requestId,
+      loanId: hold.holdId,
+      service: waiter.service.assignment.record.name,
+      workerId: slot.worker.workerId,
+      address: slot.worker.address,
+    })
+  }
+
+  #end(borrowId: string, use: SlotUse, durationMs: number, nowMs: number): void {
+    const loan = this.#loans.get(borrowId)
+    if (loan === undefined) return
+    this.#loans.delete(borrowId)
+    loan.service.end(loan.loanId, use, durationMs, nowMs)
+  }
+
+  #resendGrants(nowMs: number): void {
+    const due = this.#resends.filter((resend) => resend.atMs <= nowMs)
+    if (due.length === 0) return
+    const later = this.#resends.filter((resend) => resend.atMs > nowMs)
+    this.#resends.splice(0, this.#resends.length, ...later)
+    for (const { peer, message } of due) {
+      if (this.#loans.has(message.borrowId)) this.#send(peer, message)
+    }
+  }
+
+  #isGone(borrower: SlotPeer, wasMember: boolean): boolean {
+    const member = this.#membership.find(borrower.memberId)
+    if (member === undefined) return wasMember
+    if (member.incarnation !== borrower.incarnation) {
+      return member.startedAtMs > borrower.startedAtMs
+    }
+    return member.health === MemberHealth.Failed || member.state === MemberState.Left
+  }
+}
--- /dev/null
+++ b/src/slots/slotMailbox.ts
@@ -0,0 +1,113 @@
+/** Sends slot messages to peers with few calls: messages of one event-loop turn share a call. */
+import type { RpcCaller } from '../common/rpc.js'
+import { RpcErrorKind } from '../common/rpc.js'
+import type { SlotEnvelope, SlotMessage } from './slotMessages.js'
+import { SLOT_EXCHANGE_METHOD } from './slotMessages.js'
+
+/** Where a peer can be reached. */
+export interface MailboxPeer {
+  readonly memberId: string
+  readonly address: string
+}
+
+/** What became of messages that were sent. */
+export interface MailboxListener {
+  /** The peer handled the messages. */
+  answered(peer: MailboxPeer, sent: readonly SlotMessage[], answer: SlotEnvelope): void
+  /** The messages were not handled, or it is unknown whether they were. */
+  failed(peer: MailboxPeer, sent: readonly SlotMessage[], kind: RpcErrorKind): void
+}
+
+/** Limits of the mailbox. */
+export interface MailboxOptions {
+  readonly callTimeoutMs: number
+  /** Calls in flight per peer; further messages wait and share the next call. */
+  readonly maxCallsPerPeer: number
+}
+
+interface Outbox {
+  readonly peer: MailboxPeer
+  waiting: SlotMessage[]
+  calls: number
+  scheduled: boolean
+}
+
+/** One outbox per peer address. Messages may overtake each other; the protocol allows it. */
+export class SlotMailbox {
+  readonly #rpc: RpcCaller
+  readonly #options: MailboxOptions
+  readonly #listener: MailboxListener
+  readonly #envelope: (messages: readonly SlotMessage[]) => SlotEnvelope
+  readonly #outboxes = new Map<string, Outbox>()
+  readonly #abort = new AbortController()
+  #isStopped = false
+  #callCount = 0
+
+  constructor(
+    rpc: RpcCaller,
+    options: MailboxOptions,
+    listener: MailboxListener,
+    envelope: (messages: readonly SlotMessage[]) => SlotEnvelope,
+  ) {
+    this.#rpc = rpc
+    this.#options = options
+    this.#listener = listener
+    this.#envelope = envelope
+  }
+
+  /** Calls made so far. */
+  get callCount(): number {
+    return this.#callCount
+  }
+
+  /** Adds a message to the next call to the peer. */
+  post(peer: MailboxPeer, message: SlotMessage): void {
+    let outbox = this.#outboxes.get(peer.address)
+    if (outbox === undefined) {
+      outbox = { peer, waiting: [], calls: 0, scheduled: false }
+      this.#outboxes.set(peer.address, outbox)
+    }
+    outbox.waiting.push(message)
+    this.#schedule(outbox)
+  }
+
+  /** Ends all calls; nothing is sent any more. */
+  stop(): void {
+    this.#isStopped = true
+    this.#abort.abort()
+    this.#outboxes.clear()
+  }
+
+  #stopped(): boolean {
+    return this.#isStopped
+  }
+
+  #schedule(outbox: Outbox): void {
+    if (outbox.scheduled || outbox.calls >= this.#options.maxCallsPerPeer) return
+    outbox.scheduled = true
+    setImmediate(() => {
+      outbox.scheduled = false
+      void this.#send(outbox)
+    })
+  }
+
+  async #send(outbox: Outbox): Promise<void> {
+    if (outbox.waiting.length === 0 || this.#stopped()) return
+    const sent = outbox.waiting
+    outbox.waiting = []
+    outbox.calls += 1
+    this.#callCount += 1
+    const result = await this.#rpc.call(
+      outbox.peer.address,
+      SLOT_EXCHANGE_METHOD,
+      this.#envelope(sent),
+      { timeoutMs: this.#options.callTimeoutMs, signal: this.#abort.signal },
+    )
+    outbox.calls -= 1
+    if (this.#stopped()) return
+    if (result.ok) this.#listener.answered(outbox.peer, sent, result.val as SlotEnvelope)
+    else this.#listener.failed(outbox.peer, sent, result.val.kind)
+    if (outbox.waiting.length > 0) this.#schedule(outbox)
+    else if (outbox.calls === 0) this.#outboxes.delete(outbox.peer.address)
+  }
+}
--- /dev/null
+++ b/src/slots/slotOwnership.ts
@@ -0,0 +1,76 @@
+/** Which gateway owns which slot: rendezvous hashing over the live gateways of the region. */
+import { hashText } from '../common/hashing.js'
+import type { WorkerRecord } from '../configuration/document.js'
+import type { Member, MembershipView } from '../membership/memberRecord.js'
+import { MemberRole, MemberState } from '../membership/memberRecord.js'
+
+/** What is assigned to an owner as one unit. */
+export enum OwnershipUnit {
+  /** Each slot on its own. */
+  Slot = 'slot',
+  /** All slots of a worker together, so that one gateway sees all work of the worker. */
+  Worker = 'worker',
+}
+
+/** One slot of a worker. */
+export interface SlotIdentity {
+  readonly worker: WorkerRecord
+  /** 0 to `worker.slots - 1` */
+  readonly index: number
+}
+
+/** Returns the text that identifies a slot of a service. */
+export function slotIdOf(slot: SlotIdentity): string {
+  return `${slot.worker.workerId}/${slot.worker.generation}/${slot.index}`
+}
+
+/** Live gateways of the region, which own its slots. A leaving gateway only borrows. */
+export function owningGateways(membership: MembershipView, region: string): readonly Member[] {
+  return membership
+    .members()
+    .filter(
+      (member) =>
+        member.role === MemberRole.Gateway &&
+        member.state === MemberState.Live &&
+        member.region === region,
+    )
+}
+
+/**
+ * Assigns each slot to one gateway. A gateway that joins takes only slots for
+ * itself, and the slots of one that leaves spread over the others; no other
+ * slot moves.
+ */
+export class SlotOwnership {
+  readonly #gateways: readonly { readonly id: string; readonly hash: number }[]
+  readonly #unit: OwnershipUnit
+
+  constructor(gatewayIds: readonly string[], unit: OwnershipUnit) {
+    this.#gateways = [...new Set(gatewayIds)].sort().map((id) => ({ id, hash: hashText(id) }))
+    this.#unit = unit
+  }
+
+  /** Returns the owner's member identifier, or `undefined` without live gateways. */
+  ownerOf(service: string, slot: SlotIdentity): string | undefined {
+    const key = this.#unit === OwnershipUnit.Slot ? slotIdOf(slot) : slot.worker.workerId
+    const keyHash = hashText(`${service}\n${key}`)
+    let best: string | undefined
+    let bestScore = -1
+    for (const gateway of this.#gateways) {
+      const score = mix(keyHash, gateway.hash)
+      if (score > bestScore) {
+        best = gateway.id
+        bestScore = score
+      }
+    }
+    return best
+  }
+}
+
+/** Combines two hashes; a text hash per pair would cost milliseconds with 115 gateways. */
+function mix(left: number, right: number): number {
+  let value = Math.imul(left ^ Math.imul(right, 0x9e3779b1), 0x85ebca6b)
+  value = Math.imul(value ^ (value >>> 13) ^ right, 0xc2b2ae35)
+  value = Math.imul(value ^ (value >>> 16), 0x27d4eb2f)
+  return (value ^ (value >>> 15)) >>> 0
+}
