--- /dev/null
+++ b/playground/inProcessStore.ts
@@ -0,0 +1,141 @@
+/** Store stand-in without HTTP, with the fate of each call in the hands of a test. */
+import type { Result } from '../src/common/results.js'
+import { Err, Ok } from '../src/common/results.js'
+import type {
+  KeyValueStore,
+  Lease,
+  StoreCallOptions,
+  StoredValue,
+} from '../src/platform/keyValueStore.js'
+import { StoreError, StoreErrorKind } from '../src/platform/keyValueStore.js'
+import { waitForChange } from './storeMethods.js'
+import { StoreState } from './storeState.js'
+
+/** What happens to a call. */
+export enum CallFate {
+  Execute = 'execute',
+  /** Certainly not executed. */
+  Refuse = 'refuse',
+  /** Executed, but the answer is lost. */
+  LoseAnswer = 'loseAnswer',
+  /** Neither executed nor answered; looks like {@link LoseAnswer}. */
+  LoseRequest = 'loseRequest',
+  /** The answer is lost, and the call is executed when {@link InProcessStore.runLateCalls} is called. */
+  ExecuteLate = 'executeLate',
+}
+
+/** A call that waits for its fate. */
+export interface PendingCall {
+  readonly method: string
+  readonly key: string
+}
+
+type Execution<Value> = () => Result<Value, StoreError>
+
+/** {@link KeyValueStore} over a {@link StoreState} that several clients can share. */
+export class InProcessStore implements KeyValueStore {
+  readonly state: StoreState
+  readonly #decide: (call: PendingCall) => CallFate | Promise<CallFate>
+  readonly #late: (() => unknown)[] = []
+  /** Calls so far, a watch counted once. */
+  calls = 0
+
+  constructor(
+    state = new StoreState(),
+    decide: (call: PendingCall) => CallFate | Promise<CallFate> = () => CallFate.Execute,
+  ) {
+    this.state = state
+    this.#decide = decide
+  }
+
+  /** Executes the calls that were delayed beyond their lost answers. */
+  runLateCalls(): void {
+    for (const execute of this.#late.splice(0)) execute()
+  }
+
+  get(key: string): Promise<Result<StoredValue | undefined, StoreError>> {
+    return this.#read('get', key, () => Ok(this.state.get(key, Date.now())))
+  }
+
+  list(prefix: string): Promise<Result<readonly StoredValue[], StoreError>> {
+    return this.#read('list', prefix, () => Ok(this.state.list(prefix, Date.now())))
+  }
+
+  compareAndSwap(
+    key: string,
+    value: string,
+    expectedVersion: number,
+    options: StoreCallOptions & { readonly leaseId?: string },
+  ): Promise<Result<number, StoreError>> {
+    return this.#write('compareAndSwap', key, () => {
+      const { leaseId } = options
+      const version = this.state.compareAndSwap(key, value, expectedVersion, Date.now(), leaseId)
+      return version === undefined ? Err(storeError(StoreErrorKind.Conflict)) : Ok(version)
+    })
+  }
+
+  compareAndDelete(key: string, expectedVersion: number): Promise<Result<void, StoreError>> {
+    return this.#write('compareAndDelete', key, () =>
+      this.state.compareAndDelete(key, expectedVersion, Date.now())
+        ? Ok(undefined)
+        : Err(storeError(StoreErrorKind.Conflict)),
+    )
+  }
+
+  grantLease(timeToLiveMs: number): Promise<Result<Lease, StoreError>> {
+    return this.#write('grantLease', '', () =>
+      Ok({ leaseId: this.state.grantLease(timeToLiveMs, Date.now()), timeToLiveMs }),
+    )
+  }
+
+  renewLease(leaseId: string): Promise<Result<Lease, StoreError>> {
+    return this.#write('renewLease', leaseId, () => {
+      const timeToLiveMs = this.state.renewLease(leaseId, Date.now())
+      return timeToLiveMs === undefined
+        ? Err(storeError(StoreErrorKind.Failed))
+        : Ok({ leaseId, timeToLiveMs })
+    })
+  }
+
+  async watch(
+    key: string,
+    afterVersion: number,
+    options: StoreCallOptions,
+  ): Promise<Result<StoredValue | undefined, StoreError>> {
+    const started = await this.#read('watch', key, () => Ok(undefined))
+    if (started.err) return started
+    const signal = options.signal ?? new AbortController().signal
+    const request = { key, afterVersion, waitMs: options.timeoutMs }
+    const answer = await waitForChange(this.state, request, signal)
+    if (signal.aborted) return Err(storeError(StoreErrorKind.Failed))
+    return Ok((answer.body as { found: StoredValue | null }).found ?? undefined)
+  }
+
+  async #read<Value>(
+    method: string,
+    key: string,
+    execute: Execution<Value>,
+  ): Promise<Result<Value, StoreError>> {
+    this.calls++
+    const fate = await this.#decide({ method, key })
+    return fate === CallFate.Execute ? execute() : Err(storeError(StoreErrorKind.Failed))
+  }
+
+  async #write<Value>(
+    method: string,
+    key: string,
+    execute: Execution<Value>,
+  ): Promise<Result<Value, StoreError>> {
+    this.calls++
+    const fate = await this.#decide({ method, key })
+    if (fate === CallFate.Refuse) return Err(storeError(StoreErrorKind.Failed))
+    if (fate === CallFate.ExecuteLate) this.#late.push(execute)
+    if (fate === CallFate.Execute) return execute()
+    if (fate === CallFate.LoseAnswer) execute()
+    return Err(storeError(StoreErrorKind.Unknown))
+  }
+}
+
+function storeError(kind: StoreErrorKind): StoreError {
+  return new StoreError(kind, `The stand-in ended the call as ${kind}`, 'see the test')
+}
--- a/playground/storeMethods.ts
+++ b/playground/storeMethods.ts
@@ -1,4 +1,5 @@
 /** The store stand-in's methods as a lookup table; see `src/platform/httpKeyValueStore.ts`. */
+import { sleep } from '../src/common/clock.js'
 import { MAX_VALUE_BYTES } from './storeState.js'
 import type { StoreState } from './storeState.js'
 
@@ -56,3 +57,23 @@
   },
   watch: (state, { key = '' }, nowMs) => done({ found: state.get(key, nowMs) ?? null }),
 }
+
+/** Waits until the key's version is above `afterVersion`, `waitMs` passed or `signal` aborted. */
+export async function waitForChange(
+  state: StoreState,
+  { key = '', afterVersion = 0, waitMs = 0 }: StoreRequest,
+  signal: AbortSignal,
+): Promise<StoreAnswer> {
+  const changed = new AbortController()
+  const stopListening = state.onWrite(key, () => {
+    changed.abort()
+  })
+  const found = state.get(key, Date.now())
+  if (found === undefined || found.version <= afterVersion) {
+    await sleep(waitMs, AbortSignal.any([signal, changed.signal]))
+  }
+  stopListening()
+  const latest = state.get(key, Date.now())
+  const isNewer = latest !== undefined && latest.version > afterVersion
+  return { status: 200, body: { found: isNewer ? latest : null } }
+}
--- a/playground/storeServer.ts
+++ b/playground/storeServer.ts
@@ -13,7 +13,7 @@
 import { sleep } from '../src/common/clock.js'
 import { runStandIn } from './standInProgram.js'
 import type { StoreAnswer, StoreRequest } from './storeMethods.js'
-import { STORE_METHODS, WRITE_METHODS } from './storeMethods.js'
+import { STORE_METHODS, WRITE_METHODS, waitForChange } from './storeMethods.js'
 import { MAX_VALUE_BYTES, StoreState } from './storeState.js'
 
 /** What the store does instead of executing a call. */
@@ -147,9 +147,7 @@
     if (outage === StoreOutage.Refuse) return toolkit.response({ message: 'outage' }).code(503)
     if (outage === StoreOutage.HangUp) return hangUp(request, toolkit)
     if (outage === StoreOutage.Silent) {
-      await new Promise((resolve) => {
-        this.#abort.signal.addEventListener('abort', resolve)
-      })
+      await sleep(MAX_SILENCE_MS, this.#abort.signal)
       return hangUp(request, toolkit)
     }
     if (this.#faults.slownessMs > 0) await sleep(this.#faults.slownessMs, this.#abort.signal)
@@ -194,24 +192,4 @@
   return toolkit.abandon
 }
 
-/** Waits until the key's version is above `afterVersion`, `waitMs` passed or `signal` aborted. */
-export async function waitForChange(
-  state: StoreState,
-  { key = '', afterVersion = 0, waitMs = 0 }: StoreRequest,
-  signal: AbortSignal,
-): Promise<StoreAnswer> {
-  const changed = new AbortController()
-  const stopListening = state.onWrite(key, () => {
-    changed.abort()
-  })
-  const found = state.get(key, Date.now())
-  if (found === undefined || found.version <= afterVersion) {
-    await sleep(waitMs, AbortSignal.any([signal, changed.signal]))
-  }
-  stopListening()
-  const latest = state.get(key, Date.now())
-  const isNewer = latest !== undefined && latest.version > afterVersion
-  return { status: 200, body: { found: isNewer ? latest : null } }
-}
-
 await runStandIn(import.meta.url, 'storeServer', (port) => new StoreServer(port))
--- /dev/null
+++ b/src/configuration/__tests__/testCluster.ts
@@ -0,0 +1,157 @@
+/** Daemons' configuration parts in one process, over an in-process network that can be cut. */
+import { InProcessStore } from '../../../playground/inProcessStore.js'
+import type { Result } from '../../common/results.js'
+import { Err, Ok } from '../../common/results.js'
+import type { CallOptions, RpcCaller, RpcMethod, RpcMethodRegistry } from '../../common/rpc.js'
+import { RpcError, RpcErrorKind } from '../../common/rpc.js'
+import type { Member, MemberRecord, MembershipView } from '../../membership/memberRecord.js'
+import { MemberHealth, MemberRole, MemberState } from '../../membership/memberRecord.js'
+import type { DistributorOptions } from '../configurationDistributor.js'
+import { ConfigurationDistributor } from '../configurationDistributor.js'
+import { ConfigurationReplica } from '../configurationReplica.js'
+import { ConfigurationRepository } from '../configurationRepository.js'
+
+/** Delivers calls between the nodes of a test. */
+export class TestNetwork {
+  readonly methods = new Map<string, Map<string, RpcMethod>>()
+  /** Addresses that nothing reaches and that reach nothing. */
+  readonly cut = new Set<string>()
+  calls = 0
+
+  registry(address: string): RpcMethodRegistry {
+    const methods = new Map<string, RpcMethod>()
+    this.methods.set(address, methods)
+    return {
+      addMethod: (name, schema, method) => {
+        methods.set(name, (params, context) => {
+          const checked = schema.validate(params)
+          if (checked.error !== undefined) throw checked.error
+          return method(params, context)
+        })
+      },
+    }
+  }
+
+  caller(from: string): RpcCaller {
+    return {
+      call: (address, method, params, options) =>
+        this.#call(from, address, method, params, options),
+    }
+  }
+
+  async #call(
+    from: string,
+    address: string,
+    name: string,
+    params: unknown,
+    options: CallOptions,
+  ): Promise<Result<unknown, RpcError>> {
+    this.calls++
+    const method = this.methods.get(address)?.get(name)
+    const isCut = this.cut.has(from) || this.cut.has(address) || options.signal?.aborted === true
+    if (method === undefined || isCut) return Err(rpcError(RpcErrorKind.NotSent, address))
+    try {
+      const copy = structuredClone(params) as never
+      const answer = await method(copy, { signal: new AbortController().signal })
+      return Ok(structuredClone(answer))
+    } catch (error) {
+      return Err(rpcError(RpcErrorKind.Remote, `${address}: ${String(error)}`))
+    }
+  }
+}
+
+function rpcError(kind: RpcErrorKind, address: string): RpcError {
+  return new RpcError(kind, `No answer from ${address}`, 'see the test')
+}
+
+/** One daemon's parts. */
+export interface TestNode {
+  readonly record: MemberRecord
+  readonly replica: ConfigurationReplica
+  readonly repository: ConfigurationRepository
+  readonly distributor: ConfigurationDistributor
+}
+
+/** Nodes that know each other. */
+export class TestCluster {
+  readonly network = new TestNetwork()
+  readonly store: InProcessStore
+  readonly nodes: TestNode[] = []
+  readonly #listeners = new Set<() => void>()
+
+  constructor(store = new InProcessStore()) {
+    this.store = store
+  }
+
+  /** Adds a node without starting it. */
+  add(region: string, options: DistributorOptions = {}, store = this.store): TestNode {
+    const record = recordOf(`${region}-${String(this.nodes.length)}`, region)
+    const address = record.internalAddress
+    const replica = new ConfigurationReplica()
+    const repository = new ConfigurationRepository(store, { view: replica })
+    const distributor = new ConfigurationDistributor(
+      replica,
+      repository,
+      this.#viewOf(record),
+      this.network.caller(address),
+      options,
+    )
+    distributor.registerMethods(this.network.registry(address))
+    const node = { record, replica, repository, distributor }
+    this.nodes.push(node)
+    for (const listener of [...this.#listeners]) listener()
+    return node
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.nodes.map((node) => node.distributor.stop()))
+  }
+
+  #viewOf(self: MemberRecord): MembershipView {
+    const members = (): Member[] =>
+      this.nodes
+        .filter(({ record }) => !this.network.cut.has(record.internalAddress))
+        .map(({ record }) => ({ ...record, health: MemberHealth.Alive }))
+    return {
+      self: () => self,
+      members,
+      find: (memberId) => members().find((member) => member.memberId === memberId),
+      largestGatewayCount: () => 1,
+      subscribe: (listener) => {
+        this.#listeners.add(listener)
+        return () => {
+          this.#listeners.delete(listener)
+        }
+      },
+    }
+  }
+}
+
+function recordOf(memberId: string, region: string): MemberRecord {
+  return {
+    memberId,
+    role: MemberRole.Gateway,
+    incarnation: '0123456789abcdef',
+    startedAtMs: 0,
+    version: 1,
+    state: MemberState.Live,
+    region,
+    zone: `${region}-a`,
+    site: `${region}-1`,
+    callerAddress: '',
+    internalAddress: `${memberId}:1`,
+  }
+}
+
+/** Waits until `condition` holds; fails after `timeoutMs`. */
+export async function eventually(
+  what: string,
+  condition: () => boolean,
+  timeoutMs = 4000,
+): Promise<void> {
+  const deadlineMs = Date.now() + timeoutMs
+  while (!condition()) {
+    if (Date.now() > deadlineMs) throw new Error(`Not within ${String(timeoutMs)} ms: ${what}`)
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
--- /dev/null
+++ b/src/configuration/commitAttempt.ts
@@ -0,0 +1,195 @@
+/** The commit of one change: body first, then the head by compare-and-swap. */
+import type { Clock } from '../common/clock.js'
+import { sleep } from '../common/clock.js'
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { KeyValueStore, StoreError } from '../platform/keyValueStore.js'
+import { StoreErrorKind } from '../platform/keyValueStore.js'
+import type { InterveningChange } from './configurationErrors.js'
+import {
+  CommitConflict,
+  ConfigurationError,
+  ConfigurationErrorKind,
+  malformed,
+  refused,
+  storeUnavailable,
+} from './configurationErrors.js'
+import type { NamedChange, VersionedHead } from './configurationHead.js'
+import {
+  HEAD_KEY,
+  HISTORY_LENGTH,
+  changeKey,
+  committedRevision,
+  encodeHead,
+  headWithChange,
+  namesAllSince,
+} from './configurationHead.js'
+import type { ConfigurationChange } from './document.js'
+
+/** Result of a successful commit. */
+export interface CommitReceipt {
+  readonly changeId: string
+  readonly revision: number
+  /** Whether an earlier call had already committed the change. */
+  readonly isRepeated: boolean
+}
+
+/** What an attempt needs of its repository. */
+export interface CommitContext {
+  readonly store: KeyValueStore
+  readonly callTimeoutMs: number
+  readonly clock: Clock
+  readHead(): Promise<Result<VersionedHead, ConfigurationError>>
+  describe(changes: readonly NamedChange[]): Promise<readonly InterveningChange[]>
+  /** Checks that the change can be applied on top of the head. */
+  check(head: VersionedHead): Promise<Result<void, ConfigurationError>>
+}
+
+/** The change to commit. */
+export interface CommitRequest {
+  readonly change: ConfigurationChange
+  readonly text: string
+  readonly baseRevision: number
+}
+
+type Outcome = Result<CommitReceipt, ConfigurationError>
+
+/**
+ * Changes after which a snapshot must be there before the next commit. A
+ * reader without any revision needs a snapshot and all changes after it, and
+ * the head names only the last 256.
+ */
+export const MAX_CHANGES_SINCE_SNAPSHOT = HISTORY_LENGTH - 16
+const FIRST_PAUSE_MS = 20
+const LONGEST_PAUSE_MS = 500
+
+/** Runs until the outcome is certain or the deadline has passed. */
+export class CommitAttempt {
+  readonly #context: CommitContext
+  readonly #request: CommitRequest
+  readonly #deadlineMs: number
+  /** Whether a write of the head was sent whose effect is not known. */
+  #isOpen = false
+  #isPrepared = false
+  #pauseMs = FIRST_PAUSE_MS
+
+  constructor(context: CommitContext, request: CommitRequest, deadlineMs: number) {
+    this.#context = context
+    this.#request = request
+    this.#deadlineMs = deadlineMs
+  }
+
+  async run(): Promise<Outcome> {
+    for (;;) {
+      const read = await this.#context.readHead()
+      const outcome = read.err ? this.#afterFailure(read.val) : await this.#tryOn(read.val)
+      if (outcome !== undefined) return outcome
+      if (this.#context.clock() >= this.#deadlineMs) return Err(this.#undecided())
+      await sleep(this.#pauseMs)
+      this.#pauseMs = Math.min(2 * this.#pauseMs, LONGEST_PAUSE_MS)
+    }
+  }
+
+  /** Returns `undefined` when the head must be read again. */
+  async #tryOn(head: VersionedHead): Promise<Outcome | undefined> {
+    const decided = await this.#decide(head)
+    if (decided !== undefined) return decided
+    if (!this.#isPrepared) {
+      const prepared = await this.#prepare(head)
+      if (prepared.err) return prepared
+      this.#isPrepared = true
+    }
+    const value = encodeHead(headWithChange(head, this.#request.change.changeId))
+    const swapped = await this.#swapHead(value, head.storeVersion)
+    if (swapped.ok) return Ok(this.#receipt(head.revision + 1, false))
+    if (swapped.val.kind === StoreErrorKind.Conflict) return undefined
+    if (swapped.val.kind === StoreErrorKind.Unknown) {
+      this.#isOpen = true
+      return undefined
+    }
+    return this.#afterFailure(swapped.val)
+  }
+
+  /** Returns the outcome if the head decides it. */
+  async #decide(head: VersionedHead): Promise<Outcome | undefined> {
+    const { change, baseRevision } = this.#request
+    const revision = committedRevision(head, change.changeId)
+    if (revision !== undefined) return Ok(this.#receipt(revision, !this.#isOpen))
+    if (head.revision < baseRevision) {
+      return Err(refused(`Revision ${String(baseRevision)} does not exist yet`))
+    }
+    if (head.revision === baseRevision) return undefined
+    // The change could only have become the revision after its base; if the head
+    // no longer names that one, only an absent body proves that it was not committed.
+    if (!namesAllSince(head, baseRevision) && (await this.#mayHaveBeenCommitted())) {
+      return Err(this.#outcomeUnknown())
+    }
+    const named = head.changeIds.filter((candidate) => candidate.revision > baseRevision)
+    const described = new Map(
+      (await this.#context.describe(named.slice(-10))).map((entry) => [entry.revision, entry]),
+    )
+    const intervening = named.map((entry) => described.get(entry.revision) ?? entry)
+    return Err(new CommitConflict(baseRevision, head.revision, intervening))
+  }
+
+  async #mayHaveBeenCommitted(): Promise<boolean> {
+    const { change, baseRevision } = this.#request
+    const key = changeKey(baseRevision + 1, change.changeId)
+    const body = await this.#context.store.get(key, { timeoutMs: this.#context.callTimeoutMs })
+    return body.err || body.val !== undefined
+  }
+
+  async #prepare(head: VersionedHead): Promise<Result<void, ConfigurationError>> {
+    if (head.revision - head.snapshotRevision >= MAX_CHANGES_SINCE_SNAPSHOT) {
+      return Err(refused('No snapshot was written for too many revisions'))
+    }
+    const checked = await this.#context.check(head)
+    return checked.err ? checked : this.#writeBody(head.revision + 1)
+  }
+
+  async #writeBody(revision: number): Promise<Result<void, ConfigurationError>> {
+    const { change, text } = this.#request
+    const key = changeKey(revision, change.changeId)
+    const { store, callTimeoutMs: timeoutMs } = this.#context
+    const written = await store.compareAndSwap(key, text, 0, { timeoutMs })
+    if (written.ok) return Ok(undefined)
+    if (written.val.kind === StoreErrorKind.Failed)
+      return Err(storeUnavailable(written.val.message))
+    // The body may be there from this or an earlier call.
+    const read = await store.get(key, { timeoutMs })
+    if (read.err) return Err(storeUnavailable(read.val.message))
+    if (read.val?.value === text) return Ok(undefined)
+    return read.val === undefined
+      ? Err(storeUnavailable(`The body ${key} could not be written`))
+      : Err(malformed(`The change id ${change.changeId} is in use for another change`))
+  }
+
+  #swapHead(value: string, version: number): Promise<Result<number, StoreError>> {
+    const { store, callTimeoutMs: timeoutMs } = this.#context
+    return store.compareAndSwap(HEAD_KEY, value, version, { timeoutMs })
+  }
+
+  /** Without an open write a failed call ends the commit, with one the head is read again. */
+  #afterFailure(error: Error): Outcome | undefined {
+    return this.#isOpen ? undefined : Err(storeUnavailable(error.message))
+  }
+
+  #receipt(revision: number, isRepeated: boolean): CommitReceipt {
+    return { changeId: this.#request.change.changeId, revision, isRepeated }
+  }
+
+  #undecided(): ConfigurationError {
+    if (this.#isOpen) return this.#outcomeUnknown()
+    return storeUnavailable('The head kept changing or could not be written until the deadline')
+  }
+
+  #outcomeUnknown(): ConfigurationError {
+    const { change, baseRevision } = this.#request
+    return new ConfigurationError(
+      ConfigurationErrorKind.OutcomeUnknown,
+      `It is not known whether the change ${change.changeId} was committed`,
+      'ask again with the same change id, or look for it in the history',
+      { changeId: change.changeId, baseRevision },
+    )
+  }
+}
--- /dev/null
+++ b/src/configuration/configurationChange.ts
@@ -0,0 +1,77 @@
+/** Checks of the form of changes and their text in the store and between peers. */
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import { ConfigurationError, ConfigurationErrorKind, malformed } from './configurationErrors.js'
+import type { ConfigurationChange, ConfigurationRecord } from './document.js'
+import { RecordKind } from './document.js'
+import { CHANGE_SCHEMA, RECORD_SCHEMAS } from './recordSchemas.js'
+
+/** A change with the revision that it became. */
+export interface CommittedChange {
+  readonly revision: number
+  readonly change: ConfigurationChange
+}
+
+/** Largest text of a change in bytes; the store holds values of up to a megabyte. */
+export const MAX_CHANGE_BYTES = 900 * 1024
+
+/** Longest list of faults in one message. */
+const MAX_FAULTS = 20
+
+/** Checks the form of a change and lists all its faults at once. */
+export function checkChange(value: unknown): Result<ConfigurationChange, ConfigurationError> {
+  const checked = CHANGE_SCHEMA.validate(value, { abortEarly: false, convert: false })
+  if (checked.error !== undefined) {
+    return Err(malformed(`The change is malformed: ${checked.error.message}`))
+  }
+  const change = value as ConfigurationChange
+  const faults: string[] = []
+  for (const [index, record] of change.records.entries()) {
+    const schema = schemaOf(record)
+    if (schema === undefined) return Err(unknownKind(change.changeId, index, record))
+    const { error } = schema.validate(record, { abortEarly: false, convert: false })
+    if (error !== undefined) faults.push(`record ${String(index)}: ${error.message}`)
+  }
+  if (faults.length === 0) return Ok(change)
+  const shown = faults.slice(0, MAX_FAULTS).join('; ')
+  return Err(malformed(`The change ${change.changeId} is malformed: ${shown}`))
+}
+
+/** Returns the text of a change, or an error when it is too long for the store. */
+export function encodeChange(change: ConfigurationChange): Result<string, ConfigurationError> {
+  const text = JSON.stringify(change)
+  if (Buffer.byteLength(text) <= MAX_CHANGE_BYTES) return Ok(text)
+  return Err(
+    new ConfigurationError(
+      ConfigurationErrorKind.Malformed,
+      `The change ${change.changeId} is longer than ${String(MAX_CHANGE_BYTES)} bytes`,
+      'split it into several changes',
+    ),
+  )
+}
+
+/** Parses and checks the text of a change. */
+export function decodeChange(text: string): Result<ConfigurationChange, ConfigurationError> {
+  try {
+    return checkChange(JSON.parse(text))
+  } catch {
+    return Err(malformed('The text of a change is not JSON'))
+  }
+}
+
+function schemaOf(record: ConfigurationRecord): (typeof RECORD_SCHEMAS)[RecordKind] | undefined {
+  const known: readonly string[] = Object.values(RecordKind)
+  return known.includes(record.kind) ? RECORD_SCHEMAS[record.kind] : undefined
+}
+
+function unknownKind(
+  changeId: string,
+  index: number,
+  record: ConfigurationRecord,
+): ConfigurationError {
+  return new ConfigurationError(
+    ConfigurationErrorKind.UnknownRecordKind,
+    `Record ${String(index)} of the change ${changeId} has the unknown kind ${JSON.stringify(record.kind)}`,
+    'upgrade this program to the version that wrote the change',
+  )
+}
--- /dev/null
+++ b/src/configuration/configurationDistributor.ts
@@ -0,0 +1,278 @@
+/** Keeps the replica up to date from the store and from peers, and passes revisions on. */
+import type { Clock } from '../common/clock.js'
+import { sleep, systemClock } from '../common/clock.js'
+import { createLogger } from '../common/logger.js'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import type { Member, MembershipView } from '../membership/memberRecord.js'
+import type { VersionedHead } from './configurationHead.js'
+import type { ConfigurationReplica } from './configurationReplica.js'
+import type { ConfigurationRepository, ConfigurationUpdate } from './configurationRepository.js'
+import { emptyConfiguration } from './documentBuilder.js'
+import type { AnnounceMessage, ExchangeMessage } from './distributionMessages.js'
+import { DistributionMethod, EXCHANGE_SCHEMA, REVISION_SCHEMA } from './distributionMessages.js'
+import { DistributionMethods } from './distributionMethods.js'
+import { HeadWatcher } from './headWatcher.js'
+import { PeerCatchUp } from './peerCatchUp.js'
+import { chooseExchangePeer, choosePushPeers, chooseStartPeers } from './peerSelection.js'
+import { estimateBytes } from './recentChanges.js'
+import { StoreContact } from './storeContact.js'
+
+/** Options of a distributor; the defaults are meant for daemons. */
+export interface DistributorOptions {
+  readonly clock?: Clock
+  /** Random numbers from 0 to below 1. */
+  readonly random?: () => number
+  /** Time between comparisons with a random peer, in milliseconds. */
+  readonly exchangeIntervalMs?: number
+  /** Time without news from the store after which this process reads the head itself, in milliseconds. */
+  readonly staleAfterMs?: number
+  /** Shortest time between such reads, in milliseconds; up to half of it is added at random. */
+  readonly headReadIntervalMs?: number
+  /** Time for a short call to a peer, in milliseconds. */
+  readonly callTimeoutMs?: number
+}
+
+/** Shortest time between pushes; bounds them to 30 calls/s during a burst of changes. */
+const PUSH_INTERVAL_MS = 100
+/** Longest changes that a push carries; longer ones are fetched, so that they arrive only once. */
+const MAX_PUSH_BYTES = 8 * 1024
+
+const DEFAULTS = {
+  clock: systemClock,
+  random: Math.random,
+  exchangeIntervalMs: 1000,
+  // News of the store reach half of 115 peers after about 2 s of exchanges and
+  // nearly all after 4 s, so that 2 s would let half of the daemons read the head.
+  staleAfterMs: 5000,
+  headReadIntervalMs: 5000,
+  callTimeoutMs: 1000,
+} satisfies Required<DistributorOptions>
+
+/** Distribution of the configuration in one process. */
+export class ConfigurationDistributor {
+  readonly #replica: ConfigurationReplica
+  readonly #repository: ConfigurationRepository
+  readonly #membership: MembershipView
+  readonly #rpc: RpcCaller
+  readonly #options: Required<DistributorOptions>
+  readonly #contact = new StoreContact()
+  readonly #stopped = new AbortController()
+  readonly #catchUp: PeerCatchUp
+  readonly #methods: DistributionMethods
+  readonly #log = createLogger('configuration')
+  readonly #tasks = new Set<Promise<void>>()
+  #unsubscribe: () => void = () => undefined
+  #pushedRevision = -1
+  #isPushPlanned = false
+  #lastPushMs = Number.NEGATIVE_INFINITY
+  #nextHeadReadMs = Number.NEGATIVE_INFINITY
+
+  constructor(
+    replica: ConfigurationReplica,
+    repository: ConfigurationRepository,
+    membership: MembershipView,
+    rpc: RpcCaller,
+    options: DistributorOptions = {},
+  ) {
+    this.#replica = replica
+    this.#repository = repository
+    this.#membership = membership
+    this.#rpc = rpc
+    this.#options = { ...DEFAULTS, ...options }
+    this.#catchUp = new PeerCatchUp(replica, rpc, this.#stopped.signal)
+    this.#methods = new DistributionMethods({
+      replica,
+      membership,
+      exchange: (message) => this.#answerExchange(message),
+      announce: (message) => {
+        this.#takeAnnouncement(message)
+      },
+    })
+  }
+
+  /** Adds the methods that peers call; see `distributionMessages.ts`. */
+  registerMethods(registry: RpcMethodRegistry): void {
+    this.#methods.register(registry)
+  }
+
+  /**
+   * Takes the highest revision among the store and up to 3 peers, then keeps
+   * up to date. Resolves after the first attempt; without store and peers the
+   * replica has no revision then, and attempts continue.
+   */
+  async start(): Promise<void> {
+    this.#unsubscribe = this.#replica.subscribe(() => {
+      this.#planPush()
+    })
+    await this.#firstRead()
+    this.#spawn(this.#exchangeLoop())
+    const watcher = new HeadWatcher({
+      repository: this.#repository,
+      membership: this.#membership,
+      contact: this.#contact,
+      clock: this.#options.clock,
+      random: this.#options.random,
+      takeHead: (head) => this.#takeHead(head),
+    })
+    this.#spawn(watcher.run(this.#stopped.signal))
+  }
+
+  /** Ends all tasks and waiting calls. */
+  async stop(): Promise<void> {
+    this.#stopped.abort()
+    this.#unsubscribe()
+    this.#methods.stop()
+    await Promise.all(this.#tasks)
+  }
+
+  async #firstRead(): Promise<void> {
+    const peers = chooseStartPeers(this.#membership, this.#options.random)
+    const [head, ...revisions] = await Promise.all([
+      this.#repository.readHead(),
+      ...peers.map((peer) => this.#exchange(peer)),
+    ])
+    const best = peers
+      .map((peer, index) => ({ peer, revision: revisions[index] ?? -1 }))
+      .sort((left, right) => right.revision - left.revision)[0]
+    const peerRevision = best?.revision ?? -1
+    if (head.ok) this.#contact.note(this.#options.clock())
+    // A peer at the store's revision saves the store the calls.
+    if (
+      best !== undefined &&
+      peerRevision >= 0 &&
+      (head.err || peerRevision >= head.val.revision)
+    ) {
+      await this.#catchUp.fetch(best.peer.internalAddress, peerRevision)
+    }
+    if (head.ok && this.#replica.revision < head.val.revision) await this.#takeHead(head.val)
+    this.#log.event('started', {
+      revision: this.#replica.revision,
+      storeRevision: head.ok ? head.val.revision : null,
+      peerRevision: best === undefined ? null : peerRevision,
+      withoutStore: head.err,
+      steers: this.#replica.revision >= 0,
+    })
+  }
+
+  async #exchangeLoop(): Promise<void> {
+    const { random, exchangeIntervalMs } = this.#options
+    while (!this.#stopped.signal.aborted) {
+      await sleep(exchangeIntervalMs * (0.9 + 0.2 * random()), this.#stopped.signal)
+      const peer = chooseExchangePeer(this.#membership, random)
+      if (peer !== undefined) await this.#exchangeAndFetch(peer)
+      if (this.#isHeadReadDue(this.#options.clock())) this.#spawn(this.#readHeadAlone())
+    }
+  }
+
+  async #exchangeAndFetch(peer: Member): Promise<void> {
+    const revision = await this.#exchange(peer)
+    if (revision === undefined) return
+    if (revision > this.#replica.revision) await this.#catchUp.fetch(peer.internalAddress, revision)
+    else if (revision < this.#replica.revision) await this.#announce(peer, revision)
+  }
+
+  /** Returns the peer's revision, or `undefined` if it gave no answer. */
+  async #exchange(peer: Member): Promise<number | undefined> {
+    const message = this.#ownState()
+    const answer = await this.#rpc.call(
+      peer.internalAddress,
+      DistributionMethod.Exchange,
+      message,
+      { timeoutMs: this.#options.callTimeoutMs, signal: this.#stopped.signal },
+    )
+    if (answer.err || EXCHANGE_SCHEMA.validate(answer.val).error !== undefined) return undefined
+    const { revision, storeAgeMs } = answer.val as ExchangeMessage
+    this.#noteContact(revision, storeAgeMs)
+    return revision
+  }
+
+  #answerExchange(message: ExchangeMessage): ExchangeMessage {
+    this.#noteContact(message.revision, message.storeAgeMs)
+    return this.#ownState()
+  }
+
+  #ownState(): ExchangeMessage {
+    const storeAgeMs = this.#contact.ageMs(this.#options.clock())
+    return { revision: this.#replica.revision, storeAgeMs }
+  }
+
+  /** A peer with an older revision may have heard from the store before this one's revision. */
+  #noteContact(revision: number, storeAgeMs: number | null): void {
+    if (revision < this.#replica.revision) return
+    this.#contact.noteAge(storeAgeMs, this.#options.clock())
+  }
+
+  #isHeadReadDue(nowMs: number): boolean {
+    const ageMs = this.#contact.ageMs(nowMs) ?? Number.POSITIVE_INFINITY
+    return ageMs > this.#options.staleAfterMs && nowMs >= this.#nextHeadReadMs
+  }
+
+  async #readHeadAlone(): Promise<void> {
+    const { clock, random, headReadIntervalMs } = this.#options
+    this.#nextHeadReadMs = clock() + headReadIntervalMs * (1 + 0.5 * random())
+    const head = await this.#repository.readHead()
+    if (head.err) return
+    this.#contact.note(clock())
+    await this.#takeHead(head.val)
+  }
+
+  async #takeHead(head: VersionedHead): Promise<void> {
+    if (head.revision <= this.#replica.revision) return
+    const update = await this.#repository.readSince(this.#replica.revision, head)
+    if (update.ok) this.#takeUpdate(update.val)
+    else this.#log.event('readFailed', { revision: head.revision, message: update.val.message })
+  }
+
+  #takeUpdate({ snapshot, changes }: ConfigurationUpdate): void {
+    const base = snapshot ?? (this.#replica.revision < 0 ? emptyConfiguration() : undefined)
+    if (base === undefined) this.#replica.offerChanges(changes, 'store')
+    else this.#replica.offerSnapshot(base, 'store', changes)
+  }
+
+  #takeAnnouncement({ address, revision, changes }: AnnounceMessage): void {
+    const isUseful = revision > this.#replica.revision && this.#replica.revision >= 0
+    const outcome = isUseful ? this.#replica.offerChanges(changes, address) : undefined
+    if (outcome?.error !== undefined || revision <= this.#replica.revision) return
+    this.#spawn(this.#catchUp.fetch(address, revision))
+  }
+
+  #planPush(): void {
+    if (this.#isPushPlanned) return
+    this.#isPushPlanned = true
+    const waitMs = Math.max(0, this.#lastPushMs + PUSH_INTERVAL_MS - this.#options.clock())
+    this.#spawn(this.#push(waitMs))
+  }
+
+  async #push(waitMs: number): Promise<void> {
+    await sleep(waitMs, this.#stopped.signal)
+    this.#isPushPlanned = false
+    if (this.#stopped.signal.aborted) return
+    this.#lastPushMs = this.#options.clock()
+    const before = this.#pushedRevision
+    this.#pushedRevision = this.#replica.revision
+    const targets = choosePushPeers(this.#membership, this.#options.random)
+    await Promise.all(targets.map((peer) => this.#announce(peer, before)))
+  }
+
+  /** Sends the own revision with the changes above `fromRevision`, if they are short. */
+  async #announce(peer: Member, fromRevision: number): Promise<void> {
+    const since = fromRevision < 0 ? [] : (this.#replica.changesSince(fromRevision) ?? [])
+    const bytes = since.reduce((sum, change) => sum + estimateBytes(change), 0)
+    const message: AnnounceMessage = {
+      address: this.#membership.self().internalAddress,
+      revision: this.#replica.revision,
+      changes: bytes <= MAX_PUSH_BYTES ? since : [],
+    }
+    const options = { timeoutMs: this.#options.callTimeoutMs, signal: this.#stopped.signal }
+    const method = DistributionMethod.Announce
+    const answer = await this.#rpc.call(peer.internalAddress, method, message, options)
+    if (answer.err || REVISION_SCHEMA.validate(answer.val).error !== undefined) return
+    const { revision } = answer.val as { revision: number }
+    if (revision > this.#replica.revision) await this.#catchUp.fetch(peer.internalAddress, revision)
+  }
+
+  #spawn(task: Promise<void>): void {
+    const tracked = task.finally(() => this.#tasks.delete(tracked))
+    this.#tasks.add(tracked)
+  }
+}
--- /dev/null
+++ b/src/configuration/distributionMethods.ts
@@ -0,0 +1,136 @@
+/** Methods that a daemon serves to its peers for the distribution of the configuration. */
+import type { RpcMethodRegistry } from '../common/rpc.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import type { CommittedChange } from './configurationChange.js'
+import { ConfigurationError, ConfigurationErrorKind } from './configurationErrors.js'
+import type { ConfigurationReplica } from './configurationReplica.js'
+import type {
+  AcknowledgedRevision,
+  AnnounceMessage,
+  ChangesAnswer,
+  ExchangeMessage,
+  SnapshotManifest,
+} from './distributionMessages.js'
+import {
+  ANNOUNCE_SCHEMA,
+  DistributionMethod,
+  EXCHANGE_SCHEMA,
+  NO_PARAMETERS_SCHEMA,
+  PART_REQUEST_SCHEMA,
+  REVISION_SCHEMA,
+} from './distributionMessages.js'
+import { estimateBytes } from './recentChanges.js'
+import { SnapshotCache } from './snapshotCache.js'
+
+/** What the methods work with. */
+export interface DistributionMethodsContext {
+  readonly replica: ConfigurationReplica
+  readonly membership: MembershipView
+  readonly exchange: (message: ExchangeMessage) => ExchangeMessage
+  readonly announce: (message: AnnounceMessage) => void
+}
+
+/** Changes in one answer; more are asked for by the next call. */
+const MAX_ANSWER_BYTES = 1024 * 1024
+
+/** Handlers of the methods in `distributionMessages.ts`. */
+export class DistributionMethods {
+  readonly #context: DistributionMethodsContext
+  readonly #snapshots = new SnapshotCache()
+
+  constructor(context: DistributionMethodsContext) {
+    this.#context = context
+  }
+
+  register(registry: RpcMethodRegistry): void {
+    const { replica, exchange, announce } = this.#context
+    registry.addMethod(DistributionMethod.Exchange, EXCHANGE_SCHEMA, (message: ExchangeMessage) =>
+      Promise.resolve(exchange(message)),
+    )
+    registry.addMethod(DistributionMethod.Announce, ANNOUNCE_SCHEMA, (message: AnnounceMessage) => {
+      announce(message)
+      return Promise.resolve({ revision: replica.revision })
+    })
+    registry.addMethod(
+      DistributionMethod.ChangesSince,
+      REVISION_SCHEMA,
+      ({ revision }: { revision: number }) => Promise.resolve(this.#changesSince(revision)),
+    )
+    registry.addMethod(
+      DistributionMethod.SnapshotManifest,
+      REVISION_SCHEMA,
+      ({ revision }: { revision: number }) =>
+        Promise.resolve().then(() => this.#manifest(revision)),
+    )
+    registry.addMethod(
+      DistributionMethod.SnapshotPart,
+      PART_REQUEST_SCHEMA,
+      ({ revision, part }: { revision: number; part: number }) =>
+        Promise.resolve().then(() => this.#part(revision, part)),
+    )
+    registry.addMethod(DistributionMethod.AcknowledgedRevision, NO_PARAMETERS_SCHEMA, () =>
+      Promise.resolve(this.#acknowledged()),
+    )
+  }
+
+  /** Drops what is kept for peers. */
+  stop(): void {
+    this.#snapshots.clear()
+  }
+
+  #changesSince(revision: number): ChangesAnswer {
+    const { replica } = this.#context
+    const changes = replica.changesSince(revision)
+    return {
+      revision: replica.revision,
+      changes: changes === undefined ? null : withinLimit(changes),
+    }
+  }
+
+  #manifest(askedRevision: number): SnapshotManifest {
+    const { replica } = this.#context
+    const current = replica.current()
+    if (current === undefined) throw notHeld('this process holds no configuration yet')
+    return this.#snapshots.offer(current, this.#oldestUseful(askedRevision, current.revision))
+  }
+
+  /** A kept snapshot must be above the asker's revision and the later changes must be kept too. */
+  #oldestUseful(askedRevision: number, currentRevision: number): number {
+    let oldest = currentRevision
+    while (oldest > askedRevision + 1 && oldest > currentRevision - 64) {
+      if (this.#context.replica.changesSince(oldest - 1) === undefined) break
+      oldest--
+    }
+    return oldest
+  }
+
+  #part(revision: number, part: number): { text: string } {
+    const text = this.#snapshots.part(revision, part)
+    if (text === undefined) throw notHeld(`the snapshot ${String(revision)} is not kept any more`)
+    return { text }
+  }
+
+  #acknowledged(): AcknowledgedRevision {
+    const { memberId, incarnation } = this.#context.membership.self()
+    return { memberId, incarnation, revision: this.#context.replica.revision }
+  }
+}
+
+function withinLimit(changes: readonly CommittedChange[]): readonly CommittedChange[] {
+  let bytes = 0
+  let count = 0
+  for (const change of changes) {
+    bytes += estimateBytes(change)
+    if (bytes > MAX_ANSWER_BYTES && count > 0) break
+    count++
+  }
+  return changes.slice(0, count)
+}
+
+function notHeld(problem: string): ConfigurationError {
+  return new ConfigurationError(
+    ConfigurationErrorKind.NotHeld,
+    `The snapshot can't be served: ${problem}`,
+    'ask for the description of the snapshot again, or ask another member',
+  )
+}
--- /dev/null
+++ b/src/configuration/documentBuilder.ts
@@ -0,0 +1,110 @@
+/** Applies changes to a configuration: all records of a change or none. */
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import { BlockTable } from './blockTable.js'
+import type { CommittedChange } from './configurationChange.js'
+import { checkChange } from './configurationChange.js'
+import type { ConfigurationError } from './configurationErrors.js'
+import { refused } from './configurationErrors.js'
+import type { ClientBlock, ConfigurationChange, ConfigurationRecord } from './document.js'
+import type { BlockChanges } from './documentDraft.js'
+import { DocumentDraft, emptyDocument } from './documentDraft.js'
+import { RECORD_HANDLERS } from './recordHandlers.js'
+import type { Configuration } from './view.js'
+
+/** The configuration before the first change. */
+export function emptyConfiguration(): Configuration {
+  return { revision: 0, document: emptyDocument(), blocks: BlockTable.empty() }
+}
+
+/** Result of applying several changes. */
+export interface AppliedChanges {
+  /** The configuration after the last change that could be applied. */
+  readonly configuration: Configuration
+  /** Why the change after it could not be applied. */
+  readonly error: ConfigurationError | undefined
+}
+
+/** Applies one change as the next revision, or returns why it can't be applied. */
+export function applyChange(
+  configuration: Configuration,
+  change: ConfigurationChange,
+): Result<Configuration, ConfigurationError> {
+  const committed = { revision: configuration.revision + 1, change }
+  const { configuration: result, error } = applyChanges(configuration, [committed])
+  return error === undefined ? Ok(result) : Err(error)
+}
+
+/**
+ * Applies changes that follow the configuration without a gap. The block table
+ * is rebuilt once for all of them, because that costs the whole table.
+ */
+export function applyChanges(
+  configuration: Configuration,
+  changes: readonly CommittedChange[],
+): AppliedChanges {
+  let draft = new DocumentDraft(configuration.document)
+  const blockChanges: BlockChanges = new Map()
+  let revision = configuration.revision
+  let error: ConfigurationError | undefined
+  for (const { revision: next, change } of changes) {
+    const result =
+      next === revision + 1
+        ? applyRecords(draft, change)
+        : Err(refused(`Revision ${String(next)} does not follow ${String(revision)}`))
+    if (result.err) {
+      error = result.val
+      break
+    }
+    draft = result.val
+    for (const [cidr, block] of draft.blockChanges) blockChanges.set(cidr, block)
+    revision = next
+  }
+  if (revision === configuration.revision) return { configuration, error }
+  return { configuration: build(configuration, draft, blockChanges, revision), error }
+}
+
+function applyRecords(
+  base: DocumentDraft,
+  change: ConfigurationChange,
+): Result<DocumentDraft, ConfigurationError> {
+  const checked = checkChange(change)
+  if (checked.err) return checked
+  const draft = new DocumentDraft(base)
+  for (const [index, record] of change.records.entries()) {
+    const problem = applyRecord(draft, record)
+    if (problem !== undefined) {
+      const place = `Record ${String(index)} (${record.kind}) of the change ${change.changeId}`
+      return Err(refused(`${place} is refused: ${problem}`))
+    }
+  }
+  return Ok(draft)
+}
+
+type AnyHandler = (draft: DocumentDraft, record: ConfigurationRecord) => string | undefined
+
+function applyRecord(draft: DocumentDraft, record: ConfigurationRecord): string | undefined {
+  // The table pairs each kind with the handler of its own record type.
+  const handler = RECORD_HANDLERS[record.kind] as AnyHandler
+  return handler(draft, record)
+}
+
+function build(
+  base: Configuration,
+  draft: DocumentDraft,
+  blockChanges: BlockChanges,
+  revision: number,
+): Configuration {
+  const put: ClientBlock[] = []
+  const remove: string[] = []
+  for (const [cidr, block] of blockChanges) {
+    if (block === undefined) remove.push(cidr)
+    else put.push(block)
+  }
+  const blocks =
+    blockChanges.size === 0
+      ? base.blocks
+      : // Every CIDR was parsed when it was noted, so that this can't fail.
+        base.blocks.withChanges(put, remove).unwrap()
+  return { revision, document: draft.toDocument(), blocks }
+}
--- /dev/null
+++ b/src/configuration/recentChanges.ts
@@ -0,0 +1,51 @@
+/** The last changes, from which peers that are a little behind catch up. */
+import type { CommittedChange } from './configurationChange.js'
+
+/** Changes that are kept, as many as the head names. */
+export const MAX_RECENT_CHANGES = 256
+/** Bound on the memory of kept changes; a peer that lacks more takes a snapshot. */
+const MAX_RECENT_BYTES = 4 * 1024 * 1024
+
+/** Bounded list of committed changes without gaps. */
+export class RecentChanges {
+  readonly #changes: { readonly committed: CommittedChange; readonly bytes: number }[] = []
+  #bytes = 0
+
+  /** Adds changes that follow the kept ones. */
+  add(changes: readonly CommittedChange[]): void {
+    for (const committed of changes) {
+      const bytes = estimateBytes(committed)
+      this.#changes.push({ committed, bytes })
+      this.#bytes += bytes
+    }
+    while (this.#changes.length > MAX_RECENT_CHANGES || this.#bytes > MAX_RECENT_BYTES) {
+      this.#bytes -= this.#changes.shift()?.bytes ?? 0
+    }
+  }
+
+  clear(): void {
+    this.#changes.length = 0
+    this.#bytes = 0
+  }
+
+  /** Returns the changes above `revision` up to `latest`, or `undefined` if some are not kept. */
+  since(revision: number, latest: number): readonly CommittedChange[] | undefined {
+    const kept = this.#changes
+      .map(({ committed }) => committed)
+      .filter((committed) => committed.revision > revision)
+    return kept[0]?.revision === revision + 1 && kept.at(-1)?.revision === latest ? kept : undefined
+  }
+}
+
+/** Returns about the length of a change's text; records are counted, as writing the text costs time. */
+export function estimateBytes({ change }: CommittedChange): number {
+  let bytes = 200
+  for (const record of change.records) {
+    if ('blocks' in record) bytes += 64 * record.blocks.length
+    else if ('cidrs' in record) bytes += 24 * record.cidrs.length
+    else if ('service' in record && typeof record.service === 'object') {
+      bytes += 300 + 160 * record.service.workers.length
+    } else bytes += 300
+  }
+  return bytes
+}
--- /dev/null
+++ b/src/configuration/recordHandlers.ts
@@ -0,0 +1,172 @@
+/** Effect and cross-checks of each record kind. */
+import type { ConfigurationRecord, ServiceRecord, ShiftRecord, WorkerRecord } from './document.js'
+import { RecordKind, linkKey, steeringKey } from './document.js'
+import type { DocumentDraft } from './documentDraft.js'
+
+/** Applies a record to the draft; returns the problem, or `undefined` if there is none. */
+type RecordHandler<Kind extends RecordKind> = (
+  draft: DocumentDraft,
+  record: Extract<ConfigurationRecord, { kind: Kind }>,
+) => string | undefined
+
+/** Shares are given in decimal, so that their sum can miss 1 by rounding. */
+const SHARE_TOLERANCE = 1e-6
+
+function firstProblem(...problems: (string | false | undefined)[]): string | undefined {
+  return problems.find((problem): problem is string => typeof problem === 'string')
+}
+
+function missingRegion(draft: DocumentDraft, region: string): string | undefined {
+  return draft.regions.has(region) ? undefined : `the region ${region} is unknown`
+}
+
+function missingZone(draft: DocumentDraft, region: string, zone: string): string | undefined {
+  return (
+    missingRegion(draft, region) ??
+    (draft.hasZone(region, zone) ? undefined : `the region ${region} has no zone ${zone}`)
+  )
+}
+
+function missingService(draft: DocumentDraft, service: string): string | undefined {
+  return draft.services.has(service) ? undefined : `the service ${service} is unknown`
+}
+
+function lostZone(draft: DocumentDraft, region: string): string | undefined {
+  const places = [
+    ...draft.sites.values(),
+    ...[...draft.services.values()].flatMap((service) => service.workers),
+  ]
+  const stranded = places.find(
+    (place) => place.region === region && !draft.hasZone(region, place.zone),
+  )
+  return stranded && `the zone ${stranded.zone} of region ${region} is still in use`
+}
+
+function workerProblem(
+  draft: DocumentDraft,
+  service: string,
+  worker: WorkerRecord,
+): string | undefined {
+  const known = draft.findWorker(worker.workerId)
+  const owner = [...draft.services.values()].find(
+    (other) => other.name !== service && other.workers.some((w) => w.workerId === worker.workerId),
+  )
+  return firstProblem(
+    missingZone(draft, worker.region, worker.zone),
+    owner && `the worker ${worker.workerId} belongs to the service ${owner.name}`,
+    known !== undefined &&
+      known.generation > worker.generation &&
+      `the worker ${worker.workerId} is at the higher generation ${String(known.generation)}`,
+  )
+}
+
+function putService(draft: DocumentDraft, service: ServiceRecord): string | undefined {
+  for (const worker of service.workers) {
+    const problem = workerProblem(draft, service.name, worker)
+    if (problem !== undefined) return problem
+  }
+  draft.services.set(service.name, service)
+  return undefined
+}
+
+function removeService(draft: DocumentDraft, service: string): string | undefined {
+  const shift = [...draft.shifts.values()].find((candidate) => candidate.service === service)
+  const steering = [...draft.steering.values()].find((candidate) => candidate.service === service)
+  const problem = firstProblem(
+    missingService(draft, service),
+    shift && `the shift ${shift.shiftId} still names the service ${service}`,
+    steering && `the steering of region ${steering.clientRegion} still names ${service}`,
+  )
+  if (problem === undefined) draft.services.delete(service)
+  return problem
+}
+
+function putShift(draft: DocumentDraft, shift: ShiftRecord): string | undefined {
+  const known = draft.shifts.get(shift.shiftId)
+  const problem = firstProblem(
+    missingService(draft, shift.service),
+    missingRegion(draft, shift.from),
+    missingRegion(draft, shift.to),
+    known !== undefined &&
+      known.step > shift.step &&
+      `the shift ${shift.shiftId} has already taken step ${String(known.step)}`,
+    known !== undefined &&
+      (known.service !== shift.service || known.from !== shift.from || known.to !== shift.to) &&
+      `the shift ${shift.shiftId} has another service or other regions`,
+  )
+  if (problem === undefined) draft.shifts.set(shift.shiftId, shift)
+  return problem
+}
+
+/** Handlers by record kind. */
+export const RECORD_HANDLERS: { readonly [Kind in RecordKind]: RecordHandler<Kind> } = {
+  [RecordKind.PutRegion]: (draft, { region }) => {
+    draft.regions.set(region.name, region)
+    return lostZone(draft, region.name)
+  },
+  [RecordKind.PutLink]: (draft, { link }) => {
+    draft.links.set(linkKey(link.from, link.to), link)
+    return firstProblem(missingRegion(draft, link.from), missingRegion(draft, link.to))
+  },
+  [RecordKind.PutSite]: (draft, { site }) => {
+    draft.sites.set(site.name, site)
+    return missingZone(draft, site.region, site.zone)
+  },
+  [RecordKind.PutService]: (draft, { service }) => putService(draft, service),
+  [RecordKind.RemoveService]: (draft, { service }) => removeService(draft, service),
+  [RecordKind.PutSteering]: (draft, { steering }) => {
+    const shares = Object.entries(steering.shares)
+    const sum = shares.reduce((total, [, share]) => total + share, 0)
+    draft.steering.set(steeringKey(steering.service, steering.clientRegion), steering)
+    return firstProblem(
+      missingService(draft, steering.service),
+      missingRegion(draft, steering.clientRegion),
+      ...shares.map(([region]) => missingRegion(draft, region)),
+      Math.abs(sum - 1) > SHARE_TOLERANCE && `the shares sum to ${String(sum)} instead of 1`,
+    )
+  },
+  [RecordKind.RemoveSteering]: (draft, { service, clientRegion }) =>
+    draft.steering.delete(steeringKey(service, clientRegion))
+      ? undefined
+      : `there is no steering of ${service} for region ${clientRegion}`,
+  [RecordKind.PutShift]: (draft, { shift }) => putShift(draft, shift),
+  [RecordKind.RemoveShift]: (draft, { shiftId }) =>
+    draft.shifts.delete(shiftId) ? undefined : `the shift ${shiftId} is unknown`,
+  [RecordKind.MarkLeaving]: (draft, { leaving }) => {
+    const worker = draft.findWorker(leaving.workerId)
+    const marked = draft.leaving.get(leaving.workerId)?.generation ?? 0
+    if (worker === undefined) return `the worker ${leaving.workerId} is unknown`
+    // A mark of an earlier generation would replace the one that keeps new work away.
+    if (leaving.generation < Math.max(worker.generation, marked)) {
+      return `the worker ${leaving.workerId} has a higher generation than ${String(leaving.generation)}`
+    }
+    draft.leaving.set(leaving.workerId, leaving)
+    return undefined
+  },
+  [RecordKind.ClearLeaving]: (draft, { workerId }) => {
+    const mark = draft.leaving.get(workerId)
+    if (mark === undefined) return `the worker ${workerId} is not marked as leaving`
+    const worker = draft.findWorker(workerId)
+    // A removed worker's mark can go; a present worker must be another instance than the marked one.
+    if (worker !== undefined && worker.generation <= mark.generation) {
+      return `the worker ${workerId} has not been replaced by a generation above ${String(mark.generation)}`
+    }
+    draft.leaving.delete(workerId)
+    return undefined
+  },
+  [RecordKind.PutBlocks]: (draft, { blocks }) => {
+    for (const block of blocks) {
+      if (!draft.sites.has(block.site)) return `the site ${block.site} is unknown`
+      const problem = draft.noteBlock(block.cidr, block)
+      if (problem !== undefined) return problem
+    }
+    return undefined
+  },
+  [RecordKind.RemoveBlocks]: (draft, { cidrs }) => {
+    for (const cidr of cidrs) {
+      const problem = draft.noteBlock(cidr, undefined)
+      if (problem !== undefined) return problem
+    }
+    return undefined
+  },
+}
--- /dev/null
+++ b/src/configuration/snapshotStore.ts
@@ -0,0 +1,136 @@
+/** Snapshots in the store, in parts that the head names only once they are complete. */
+import type { Clock } from '../common/clock.js'
+import { sleep } from '../common/clock.js'
+import { hashText64 } from '../common/hashing.js'
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
+import { StoreErrorKind } from '../platform/keyValueStore.js'
+import type { ConfigurationError } from './configurationErrors.js'
+import { malformed, storeUnavailable } from './configurationErrors.js'
+import type { NamedSnapshot, VersionedHead } from './configurationHead.js'
+import { HEAD_KEY, encodeHead, headWithSnapshot, snapshotPartKey } from './configurationHead.js'
+import { packSnapshot, unpackSnapshot } from './configurationSnapshot.js'
+import type { Configuration } from './view.js'
+
+type HeadReader = () => Promise<Result<VersionedHead, ConfigurationError>>
+
+/** Changes after which a control daemon writes the next snapshot. */
+export const SNAPSHOT_INTERVAL = 128
+const RETRY_PAUSE_MS = 50
+
+/** Tells whether the next snapshot is due. */
+export function isSnapshotDue(head: VersionedHead): boolean {
+  return head.revision - head.snapshotRevision >= SNAPSHOT_INTERVAL
+}
+
+/** Writes, reads and removes snapshots. */
+export class SnapshotStore {
+  readonly #store: KeyValueStore
+  readonly #timeoutMs: number
+
+  constructor(store: KeyValueStore, timeoutMs: number) {
+    this.#store = store
+    this.#timeoutMs = timeoutMs
+  }
+
+  /** Reads the latest snapshot, one part after the other. */
+  async readLatest(head: VersionedHead): Promise<Result<Configuration, ConfigurationError>> {
+    const named = head.snapshots.at(-1)
+    if (named === undefined) return Err(malformed('The head names no snapshot'))
+    const parts: string[] = []
+    for (const part of named.partVersions.keys()) {
+      const key = snapshotPartKey(named.revision, named.snapshotId, part)
+      const read = await this.#store.get(key, { timeoutMs: this.#timeoutMs })
+      if (read.err) return Err(storeUnavailable(read.val.message))
+      if (read.val === undefined) {
+        return Err(storeUnavailable(`The snapshot part ${key} was removed while it was read`))
+      }
+      parts.push(read.val.value)
+    }
+    if (contentHash(parts) !== named.snapshotId) {
+      return Err(malformed(`The snapshot of revision ${String(named.revision)} is damaged`))
+    }
+    return unpackSnapshot(parts)
+  }
+
+  /** Writes a snapshot and names it in the head; see `ConfigurationRepository.writeSnapshot`. */
+  async write(
+    configuration: Configuration,
+    readHead: HeadReader,
+    deadlineMs: number,
+    clock: Clock,
+  ): Promise<Result<boolean, ConfigurationError>> {
+    const first = await readHead()
+    if (first.err) return first
+    if (first.val.snapshotRevision >= configuration.revision) return Ok(false)
+    const written = await this.#writeParts(configuration)
+    if (written.err) return written
+    while (clock() < deadlineMs) {
+      const read = await readHead()
+      if (read.ok) {
+        if (isNamed(read.val, written.val)) return Ok(true)
+        if (read.val.snapshotRevision >= configuration.revision) return Ok(false)
+        if (await this.#nameInHead(read.val, written.val)) return Ok(true)
+      }
+      await sleep(RETRY_PAUSE_MS)
+    }
+    return Err(storeUnavailable('The snapshot was written, but could not be named in the head'))
+  }
+
+  async #writeParts(
+    configuration: Configuration,
+  ): Promise<Result<NamedSnapshot, ConfigurationError>> {
+    const parts = packSnapshot(configuration)
+    const snapshotId = contentHash(parts)
+    const partVersions: number[] = []
+    for (const [part, text] of parts.entries()) {
+      const key = snapshotPartKey(configuration.revision, snapshotId, part)
+      const written = await this.#writePart(key, text)
+      if (written.err) return written
+      partVersions.push(written.val)
+    }
+    return Ok({ revision: configuration.revision, snapshotId, partVersions })
+  }
+
+  /** Returns the version of the part, which another writer may have written before. */
+  async #writePart(key: string, text: string): Promise<Result<number, ConfigurationError>> {
+    const options = { timeoutMs: this.#timeoutMs }
+    const written = await this.#store.compareAndSwap(key, text, 0, options)
+    if (written.ok) return Ok(written.val)
+    if (written.val.kind === StoreErrorKind.Failed)
+      return Err(storeUnavailable(written.val.message))
+    const read = await this.#store.get(key, options)
+    if (read.err) return Err(storeUnavailable(read.val.message))
+    return read.val?.value === text
+      ? Ok(read.val.version)
+      : Err(storeUnavailable(`The snapshot part ${key} could not be written`))
+  }
+
+  async #nameInHead(head: VersionedHead, snapshot: NamedSnapshot): Promise<boolean> {
+    const value = encodeHead(headWithSnapshot(head, snapshot))
+    const options = { timeoutMs: this.#timeoutMs }
+    const swapped = await this.#store.compareAndSwap(HEAD_KEY, value, head.storeVersion, options)
+    if (swapped.err) return false
+    for (const dropped of head.snapshots.slice(0, -1)) await this.#remove(dropped)
+    return true
+  }
+
+  /** Removes parts as far as the store lets it; a remainder only takes up room. */
+  async #remove(snapshot: NamedSnapshot): Promise<void> {
+    for (const [part, version] of snapshot.partVersions.entries()) {
+      const key = snapshotPartKey(snapshot.revision, snapshot.snapshotId, part)
+      await this.#store.compareAndDelete(key, version, { timeoutMs: this.#timeoutMs })
+    }
+  }
+}
+
+function isNamed(head: VersionedHead, snapshot: NamedSnapshot): boolean {
+  return head.snapshots.some(({ snapshotId, revision }) => {
+    return snapshotId === snapshot.snapshotId && revision === snapshot.revision
+  })
+}
+
+function contentHash(parts: readonly string[]): string {
+  return hashText64(parts.map((part) => hashText64(part)).join(' '))
+}
