--- a/src/daemon/configurationParts.ts
+++ b/src/daemon/configurationParts.ts
@@ -1,24 +1,36 @@
 /** The configuration modules of one daemon. */
-import type { RpcMethodRegistry } from '../common/rpc.js'
-import type { Configuration, ConfigurationView } from '../configuration/view.js'
+import type { Clock } from '../common/clock.js'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import { ConfigurationDistributor } from '../configuration/configurationDistributor.js'
+import { ConfigurationReplica } from '../configuration/configurationReplica.js'
+import { ConfigurationRepository } from '../configuration/configurationRepository.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
 
-/** What a daemon does with the configuration modules. */
-export interface ConfigurationParts {
-  readonly view: ConfigurationView
-  registerMethods(registry: RpcMethodRegistry): void
-  start(): Promise<void>
-  stop(): Promise<void>
-}
+/** Replica, commits and distribution, wired to each other. */
+export class ConfigurationParts {
+  readonly view: ConfigurationReplica
+  readonly repository: ConfigurationRepository
+  readonly #distributor: ConfigurationDistributor
+
+  constructor(store: KeyValueStore, members: MembershipView, rpc: RpcCaller, clock: Clock) {
+    this.view = new ConfigurationReplica()
+    this.repository = new ConfigurationRepository(store, { view: this.view, clock })
+    this.#distributor = new ConfigurationDistributor(this.view, this.repository, members, rpc, {
+      clock,
+    })
+  }
+
+  registerMethods(registry: RpcMethodRegistry): void {
+    this.#distributor.registerMethods(registry)
+  }
+
+  /** Resolves after the first attempt to get a configuration, whether it succeeded or not. */
+  start(): Promise<void> {
+    return this.#distributor.start()
+  }
 
-/** Creates the parts; the view is empty until the start. */
-export function createConfigurationParts(): ConfigurationParts {
-  return {
-    view: {
-      current: (): Configuration | undefined => undefined,
-      subscribe: () => () => undefined,
-    },
-    registerMethods: () => undefined,
-    start: () => Promise.resolve(),
-    stop: () => Promise.resolve(),
+  stop(): Promise<void> {
+    return this.#distributor.stop()
   }
 }
--- a/src/daemon/nodeRuntime.ts
+++ b/src/daemon/nodeRuntime.ts
@@ -17,8 +17,7 @@
 import type { InstanceList } from '../platform/instanceList.js'
 import type { KeyValueStore } from '../platform/keyValueStore.js'
 import { RegionLoadTable } from '../shift/regionLoadTable.js'
-import type { ConfigurationParts } from './configurationParts.js'
-import { createConfigurationParts } from './configurationParts.js'
+import { ConfigurationParts } from './configurationParts.js'
 import type { NodeSettings } from './nodeSettings.js'
 
 /** Options of {@link NodeRuntime}. */
@@ -79,7 +78,7 @@
     })
     this.loads = new RegionLoadTable()
     this.exchange.addPayloadProvider(this.loads)
-    this.configuration = createConfigurationParts()
+    this.configuration = new ConfigurationParts(this.store, this.members, this.#caller, this.clock)
     this.exchange.registerMethods(this.#server)
     this.configuration.registerMethods(this.#server)
   }
