--- /dev/null
+++ b/src/daemon/configurationParts.ts
@@ -0,0 +1,36 @@
+/** The configuration modules of one daemon. */
+import type { Clock } from '../common/clock.js'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import { ConfigurationDistributor } from '../configuration/configurationDistributor.js'
+import { ConfigurationReplica } from '../configuration/configurationReplica.js'
+import { ConfigurationRepository } from '../configuration/configurationRepository.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
+
+/** Replica, commits and distribution, wired to each other. */
+export class ConfigurationParts {
+  readonly view: ConfigurationReplica
+  readonly repository: ConfigurationRepository
+  readonly #distributor: ConfigurationDistributor
+
+  constructor(store: KeyValueStore, members: MembershipView, rpc: RpcCaller, clock: Clock) {
+    this.view = new ConfigurationReplica()
+    this.repository = new ConfigurationRepository(store, { view: this.view, clock })
+    this.#distributor = new ConfigurationDistributor(this.view, this.repository, members, rpc, {
+      clock,
+    })
+  }
+
+  registerMethods(registry: RpcMethodRegistry): void {
+    this.#distributor.registerMethods(registry)
+  }
+
+  /** Resolves after the first attempt to get a configuration, whether it succeeded or not. */
+  start(): Promise<void> {
+    return this.#distributor.start()
+  }
+
+  stop(): Promise<void> {
+    return this.#distributor.stop()
+  }
+}
