--- /dev/null
+++ b/src/cli/cliSettings.ts
@@ -0,0 +1,48 @@
+/** Settings of the operators' command. */
+import Joi from 'joi'
+import type { SettingDefinition } from '../common/settings.js'
+import { durationSetting, secretSetting } from '../daemon/nodeSettings.js'
+
+/** Settings of the operators' command. */
+export interface CliSettings {
+  /** `host:port` of control daemons, tried in this order. */
+  readonly servers: readonly string[]
+  readonly operatorToken: string
+  readonly operator: string
+  readonly callTimeoutMs: number
+}
+
+const SERVER = Joi.string().pattern(/^[^\s,:]+:\d{1,5}$/, 'host:port')
+
+/** Splits a list at commas, so that several servers fit into one variable. */
+const SERVER_LIST = Joi.string().custom((text: string, helpers) => {
+  const servers = text.split(',').map((server) => server.trim())
+  const checked = Joi.array().items(SERVER).min(1).validate(servers)
+  return checked.error === undefined
+    ? servers
+    : helpers.message({ custom: 'must be host:port, several separated by commas' })
+})
+
+/** Definitions of {@link CliSettings}. */
+export const CLI_SETTINGS: readonly SettingDefinition[] = [
+  {
+    name: 'servers',
+    description: 'operator ports of the control daemons, tried in this order',
+    range: 'host:port, several separated by commas',
+    unit: '',
+    schema: SERVER_LIST,
+  },
+  secretSetting(
+    'operatorToken',
+    'secret that the control daemons have in their setting of the same name',
+  ),
+  {
+    name: 'operator',
+    description: 'your name, for the history',
+    range: '1 to 128 characters',
+    unit: '',
+    schema: Joi.string().max(128),
+    defaultValue: process.env.USER ?? 'operator',
+  },
+  durationSetting('callTimeoutMs', 'time for one control daemon to answer', 10_000, 100, 120_000),
+]
--- /dev/null
+++ b/src/cli/followProgress.ts
@@ -0,0 +1,123 @@
+/** Follows a confirmed plan until it is in force everywhere and its shift is finished. */
+import cliProgress from 'cli-progress'
+import { sleep } from '../common/clock.js'
+import type { ErrorDetails } from '../common/errors.js'
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { ShiftRecord } from '../configuration/document.js'
+import { ShiftState } from '../configuration/document.js'
+import type { StatusReport } from '../control/operatorStatus.js'
+
+/** State of a plan on its way. */
+export interface FollowState {
+  /** Revision that is waited for. */
+  readonly revision: number
+  readonly membersInForce: number
+  readonly liveMembers: number
+  readonly isInForce: boolean
+  readonly shift: ShiftRecord | undefined
+  readonly isDone: boolean
+}
+
+/** What {@link follow} needs. */
+export interface FollowParts {
+  readonly status: (askMembers: boolean) => Promise<Result<StatusReport, ErrorDetails>>
+  readonly show: (state: FollowState) => void
+  readonly intervalMs: number
+  /** Gives up after this time; the change itself goes on. */
+  readonly timeoutMs: number
+  readonly clock: () => number
+}
+
+/** Polls until done. A control daemon that does not answer is asked again until the time is up. */
+export async function follow(
+  revision: number,
+  shiftId: string | undefined,
+  parts: FollowParts,
+): Promise<Result<FollowState, ErrorDetails>> {
+  const endMs = parts.clock() + parts.timeoutMs
+  let last: FollowState | undefined
+  let failure: ErrorDetails | undefined
+  for (;;) {
+    const report = await parts.status(last?.isInForce !== true)
+    if (report.ok) {
+      last = stateOf(report.val, revision, shiftId, last)
+      parts.show(last)
+      if (last.isDone) return Ok(last)
+    }
+    failure = report.err ? report.val : undefined
+    if (parts.clock() >= endMs) return Err(failure ?? timedOut(revision))
+    await sleep(parts.intervalMs)
+  }
+}
+
+/** Derives the state from a status. */
+export function stateOf(
+  report: StatusReport,
+  revision: number,
+  shiftId: string | undefined,
+  last: FollowState | undefined,
+): FollowState {
+  const behind = report.behind.filter((member) => (member.revision ?? -1) < revision)
+  const wasInForce = last?.isInForce === true
+  const isAsked = report.membersInForce !== null
+  const isInForce =
+    wasInForce || (isAsked && report.liveMembers > 0 && behind.length === 0 && isHeld(report))
+  const membersInForce = isAsked ? report.liveMembers - behind.length : (last?.membersInForce ?? 0)
+  const shift = report.shifts.find((candidate) => candidate.shiftId === shiftId)
+  const isShiftDone =
+    shiftId === undefined || shift === undefined || shift.state === ShiftState.Finished
+  return {
+    revision,
+    membersInForce,
+    liveMembers: report.liveMembers,
+    isInForce,
+    shift,
+    isDone: isInForce && isShiftDone,
+  }
+
+  function isHeld(status: StatusReport): boolean {
+    return status.heldRevision >= revision
+  }
+}
+
+/** Shows states as progress bars on a terminal. */
+export class ProgressDisplay {
+  readonly #bars = new cliProgress.MultiBar(
+    { format: '{label} [{bar}] {value}/{total} {note}', hideCursor: true, clearOnComplete: false },
+    cliProgress.Presets.shades_classic,
+  )
+  #members: cliProgress.SingleBar | undefined
+  #shift: cliProgress.SingleBar | undefined
+
+  show(state: FollowState): void {
+    this.#members ??= this.#bars.create(state.liveMembers, 0, {
+      label: 'members in force',
+      note: '',
+    })
+    this.#members.setTotal(state.liveMembers)
+    this.#members.update(state.membersInForce, { note: `revision ${String(state.revision)}` })
+    if (state.shift === undefined) return
+    const { capShare, currentShare, state: shiftState, pauseReason } = state.shift
+    const total = toTenths(capShare)
+    this.#shift ??= this.#bars.create(total, 0, { label: 'shift (0.1%)   ', note: '' })
+    const note = pauseReason === undefined ? shiftState : `${shiftState}: ${pauseReason}`
+    this.#shift.update(toTenths(currentShare), { note })
+  }
+
+  stop(): void {
+    this.#bars.stop()
+  }
+}
+
+function toTenths(share: number): number {
+  return Math.round(share * 1000)
+}
+
+function timedOut(revision: number): ErrorDetails {
+  return {
+    kind: 'followTimedOut',
+    message: `Revision ${String(revision)} is committed; it did not get done within the time to follow it`,
+    remedy: 'see what it waits for with: tamarackdrift status; then follow it again',
+  }
+}
--- /dev/null
+++ b/src/cli/intentFlags.ts
@@ -0,0 +1,146 @@
+/** Subcommands of `plan`: each turns its flags into an intent; the control daemon checks it. */
+import { readFileSync } from 'node:fs'
+import type { Command } from 'commander'
+import { SteeringError, messageOf } from '../common/errors.js'
+import { IntentKind } from '../control/intent.js'
+
+/** Receives the intent of a subcommand. */
+export type IntentSink = (intent: unknown) => Promise<void>
+
+/** Kinds of errors about files. */
+export enum IntentFileErrorKind {
+  Unreadable = 'fileUnreadable',
+}
+
+type Flags = Record<string, string | undefined>
+
+/** Adds the subcommands of `plan`. */
+export function addPlanCommands(plan: Command, sink: IntentSink): void {
+  addSteeringCommands(plan, sink)
+  addWorkerCommands(plan, sink)
+  addFileCommands(plan, sink)
+}
+
+function addSteeringCommands(plan: Command, sink: IntentSink): void {
+  plan
+    .command('shift')
+    .description('move up to a share of the callers of a service to another region in steps')
+    .requiredOption('--service <name>')
+    .requiredOption('--from <region>')
+    .requiredOption('--to <region>')
+    .requiredOption('--cap <share>', 'largest share that moves, 0 to 1')
+    .option('--step <share>', 'largest increase per step, 0 to 1 (default 0.05)')
+    .option('--interval-ms <ms>', 'shortest time between steps (default 5000)')
+    .action((flags: Flags) =>
+      sink({
+        kind: IntentKind.ShiftService,
+        service: flags.service,
+        from: flags.from,
+        to: flags.to,
+        capShare: numberOf(flags.cap),
+        ...optional('stepShare', numberOf(flags.step)),
+        ...optional('stepIntervalMs', numberOf(flags.intervalMs)),
+      }),
+    )
+  plan
+    .command('serve-from')
+    .description('set the regions that serve the callers of a region, at once')
+    .requiredOption('--service <name>')
+    .requiredOption('--client-region <region>')
+    .requiredOption('--shares <list>', 'for example nyeri=0.7,nakuru=0.3')
+    .action((flags: Flags) =>
+      sink({
+        kind: IntentKind.ServeFrom,
+        service: flags.service,
+        clientRegion: flags.clientRegion,
+        shares: parseShares(flags.shares ?? ''),
+      }),
+    )
+  for (const [name, kind] of [
+    ['pause-shift', IntentKind.PauseShift],
+    ['resume-shift', IntentKind.ResumeShift],
+    ['reverse-shift', IntentKind.ReverseShift],
+  ] as const) {
+    plan
+      .command(`${name} <shiftId>`)
+      .description('as the command without "plan", but with a plan to read first')
+      .action((shiftId: string) => sink({ kind, shiftId }))
+  }
+}
+
+function addWorkerCommands(plan: Command, sink: IntentSink): void {
+  plan
+    .command('drain <workerId>')
+    .description('give a backend server no new work')
+    .action((workerId: string) => sink({ kind: IntentKind.DrainBackendServer, workerId }))
+  plan
+    .command('undrain <workerId>')
+    .description('use a backend server again, under a higher generation')
+    .requiredOption('--generation <number>')
+    .option('--address <host:port>', 'address of the new instance, if it changed')
+    .action((workerId: string, flags: Flags) =>
+      sink({
+        kind: IntentKind.Undrain,
+        workerId,
+        generation: numberOf(flags.generation),
+        ...optional('address', flags.address),
+      }),
+    )
+}
+
+function addFileCommands(plan: Command, sink: IntentSink): void {
+  plan
+    .command('put-service <file>')
+    .description('add or replace a service; the JSON file holds the service')
+    .action((file: string) => sink({ kind: IntentKind.PutService, service: readJson(file) }))
+  plan
+    .command('put-blocks <file>')
+    .description('add or move client blocks; the JSON file holds a list of blocks')
+    .action((file: string) => sink({ kind: IntentKind.PutBlocks, blocks: readJson(file) }))
+  plan
+    .command('apply <file>')
+    .description('first deployment: a JSON list of records, or an object with "records"')
+    .action((file: string) => sink({ kind: IntentKind.ApplyRecords, records: recordsOf(file) }))
+  plan
+    .command('intent <file>')
+    .description('any intent from a JSON file')
+    .action((file: string) => sink(readJson(file)))
+}
+
+function recordsOf(file: string): unknown {
+  const content = readJson(file)
+  if (Array.isArray(content)) return content
+  return (content as { records?: unknown } | null)?.records
+}
+
+function readJson(file: string): unknown {
+  try {
+    return JSON.parse(readFileSync(file, 'utf8')) as unknown
+  } catch (error) {
+    throw new SteeringError(
+      IntentFileErrorKind.Unreadable,
+      `${file} can't be read as JSON: ${messageOf(error)}`,
+      'correct the path or the file',
+    )
+  }
+}
+
+/** A text that is no number stays a text, so that the intent's schema names the field. */
+function numberOf(text: string | undefined): number | string | undefined {
+  if (text === undefined || text.trim() === '') return text
+  const value = Number(text)
+  return Number.isNaN(value) ? text : value
+}
+
+function optional(name: string, value: unknown): Record<string, unknown> {
+  return value === undefined ? {} : { [name]: value }
+}
+
+function parseShares(text: string): Record<string, number | string | undefined> {
+  return Object.fromEntries(
+    text.split(',').map((part) => {
+      const [region = '', share] = part.split('=')
+      return [region.trim(), numberOf(share)]
+    }),
+  )
+}
--- /dev/null
+++ b/src/cli/operatorCommands.ts
@@ -0,0 +1,208 @@
+/** What each command of the operators' program does. */
+import { randomBytes } from 'node:crypto'
+import type { ErrorDetails } from '../common/errors.js'
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { HistoryLine } from '../control/changeLog.js'
+import type { StatusReport } from '../control/operatorStatus.js'
+import type { PlanDocument } from '../control/plan.js'
+import type { ControlAnswer, ControlClient, ControlFailure } from './controlClient.js'
+import { CallEffect } from './controlClient.js'
+import { ExitCode, exitCodeOf } from './exitCodes.js'
+import type { FollowState } from './followProgress.js'
+import { ProgressDisplay, follow } from './followProgress.js'
+import { formatError, formatHistory, formatPlan, formatStatus } from './output.js'
+
+/** Where output goes; tests collect it. */
+export interface Terminal {
+  readonly out: (text: string) => void
+  readonly error: (text: string) => void
+  /** Whether progress bars make sense. */
+  readonly isInteractive: boolean
+}
+
+/** What the commands need. */
+export interface CommandParts {
+  readonly client: ControlClient
+  readonly terminal: Terminal
+  readonly operator: string
+  readonly json: boolean
+  readonly clock: () => number
+}
+
+const FOLLOW_INTERVAL_MS = 500
+const HISTORY_OF_FOLLOW = 256
+
+/** The commands. Each returns an exit code and never rejects. */
+export class OperatorCommands {
+  readonly #parts: CommandParts
+
+  constructor(parts: CommandParts) {
+    this.#parts = parts
+  }
+
+  async plan(intent: unknown): Promise<ExitCode> {
+    const answer = await this.#call('intent.plan', { intent }, CallEffect.Reads)
+    return this.#showPlan(answer)
+  }
+
+  async show(planId: string): Promise<ExitCode> {
+    return this.#showPlan(await this.#call('plan.show', { planId }, CallEffect.Reads))
+  }
+
+  /** A lost answer that another daemon settles as "already confirmed" is a success of this command. */
+  async confirm(planId: string, digest: string): Promise<ExitCode> {
+    const { operator } = this.#parts
+    const params = { planId, digest, operator }
+    const answer = await this.#call('plan.confirm', params, CallEffect.Changes)
+    if (answer.ok) return this.#confirmed(answer.val.value as { revision: number }, planId)
+    const { error, afterLostAnswer } = answer.val
+    if (afterLostAnswer && error.kind === 'planAlreadyConfirmed') {
+      return this.#confirmed(error.details as { revision: number }, planId)
+    }
+    return this.#fail(error)
+  }
+
+  async commandShift(method: string, shiftId: string, changeId?: string): Promise<ExitCode> {
+    const { operator } = this.#parts
+    const id = changeId ?? `command-${randomBytes(6).toString('hex')}`
+    const params = { shiftId, operator, changeId: id }
+    const answer = await this.#call(method, params, CallEffect.Changes)
+    if (answer.err) {
+      const { error } = answer.val
+      const isOpen = exitCodeOf(error) === ExitCode.OutcomeUnknown
+      return this.#fail(
+        isOpen
+          ? {
+              ...error,
+              remedy: `${error.remedy} (--change-id ${id})`,
+              message: `${error.message} Change id: ${id}`,
+            }
+          : error,
+      )
+    }
+    const { revision } = answer.val.value as { revision: number }
+    this.#print(answer.val.value, `done in revision ${String(revision)}`)
+    return ExitCode.Done
+  }
+
+  async status(): Promise<ExitCode> {
+    const answer = await this.#call('status', { askMembers: true }, CallEffect.Reads)
+    if (answer.err) return this.#fail(answer.val.error)
+    const report = answer.val.value as StatusReport
+    this.#print(report, formatStatus(report))
+    return ExitCode.Done
+  }
+
+  async history(limit: number): Promise<ExitCode> {
+    const answer = await this.#call('history', { limit }, CallEffect.Reads)
+    if (answer.err) return this.#fail(answer.val.error)
+    const lines = answer.val.value as HistoryLine[]
+    this.#print(lines, formatHistory(lines))
+    return ExitCode.Done
+  }
+
+  /** @param id of a confirmed plan or a shift */
+  async follow(id: string, timeoutMs: number): Promise<ExitCode> {
+    const planId = id.replace(/^shift-/, '')
+    const revision = await this.#revisionOf(planId)
+    if (revision.err) return this.#fail(revision.val)
+    const { terminal, json, clock } = this.#parts
+    const display = terminal.isInteractive && !json ? new ProgressDisplay() : undefined
+    let lastLine = ''
+    const show = (state: FollowState): void => {
+      display?.show(state)
+      const line = json ? JSON.stringify(state) : formatFollow(state)
+      if (display === undefined && line !== lastLine) terminal.out(line)
+      lastLine = line
+    }
+    const result = await follow(revision.val, `shift-${planId}`, {
+      status: (askMembers) => this.#statusOf(askMembers),
+      show,
+      intervalMs: FOLLOW_INTERVAL_MS,
+      timeoutMs,
+      clock,
+    })
+    display?.stop()
+    return result.ok ? ExitCode.Done : this.#fail(result.val)
+  }
+
+  /** Calls each server by itself. */
+  async check(clients: ReadonlyMap<string, ControlClient>): Promise<ExitCode> {
+    let reachable = 0
+    const lines: object[] = []
+    for (const [server, client] of clients) {
+      const answer = await client.call('status', { askMembers: false }, CallEffect.Reads)
+      if (answer.ok) reachable++
+      lines.push({ server, ok: answer.ok, ...(answer.err ? { problem: answer.val.error } : {}) })
+      if (!this.#parts.json) {
+        this.#parts.terminal.out(
+          answer.ok ? `${server}: answers` : `${server}: ${formatError(answer.val.error)}`,
+        )
+      }
+    }
+    if (this.#parts.json) this.#parts.terminal.out(JSON.stringify(lines))
+    return reachable > 0 ? ExitCode.Done : ExitCode.Unavailable
+  }
+
+  #showPlan(answer: Result<ControlAnswer, ControlFailure>): ExitCode {
+    if (answer.err) return this.#fail(answer.val.error)
+    const plan = answer.val.value as PlanDocument
+    this.#print(plan, formatPlan(plan, this.#parts.clock()))
+    return plan.refusals.length === 0 ? ExitCode.Done : ExitCode.Refused
+  }
+
+  #confirmed(result: { revision: number }, planId: string): ExitCode {
+    const { revision } = result
+    this.#print(
+      { planId, revision },
+      `confirmed as revision ${String(revision)}\nfollow with: tamarackdrift follow ${planId}`,
+    )
+    return ExitCode.Done
+  }
+
+  async #revisionOf(planId: string): Promise<Result<number, ErrorDetails>> {
+    const answer = await this.#call('history', { limit: HISTORY_OF_FOLLOW }, CallEffect.Reads)
+    if (answer.err) return Err(answer.val.error)
+    const line = (answer.val.value as HistoryLine[]).find(({ changeId }) => changeId === planId)
+    if (line !== undefined) return Ok(line.revision)
+    return Err({
+      kind: 'planNotFound',
+      message: `Plan ${planId} is not among the latest ${String(HISTORY_OF_FOLLOW)} changes`,
+      remedy: 'confirm it first, or see older shifts with: tamarackdrift status',
+    })
+  }
+
+  async #statusOf(askMembers: boolean): Promise<Result<StatusReport, ErrorDetails>> {
+    const answer = await this.#call('status', { askMembers }, CallEffect.Reads)
+    return answer.ok ? Ok(answer.val.value as StatusReport) : Err(answer.val.error)
+  }
+
+  #call(
+    method: string,
+    params: unknown,
+    effect: CallEffect,
+  ): Promise<Result<ControlAnswer, ControlFailure>> {
+    return this.#parts.client.call(method, params, effect)
+  }
+
+  #print(value: unknown, text: string): void {
+    this.#parts.terminal.out(this.#parts.json ? JSON.stringify(value) : text)
+  }
+
+  #fail(error: ErrorDetails): ExitCode {
+    const { terminal, json } = this.#parts
+    if (json) terminal.out(JSON.stringify({ error }))
+    else terminal.error(formatError(error))
+    return exitCodeOf(error)
+  }
+}
+
+function formatFollow(state: FollowState): string {
+  const members = `in force on ${String(state.membersInForce)} of ${String(state.liveMembers)} members`
+  if (state.shift === undefined) return members
+  const { currentShare, capShare, state: shiftState, pauseReason } = state.shift
+  const reason = pauseReason === undefined ? '' : ` (${pauseReason})`
+  const percent = (share: number): string => String(Math.round(share * 1000) / 10)
+  return `${members}; shift at ${percent(currentShare)}% of ${percent(capShare)}%, ${shiftState}${reason}`
+}
--- /dev/null
+++ b/src/cli/output.ts
@@ -0,0 +1,137 @@
+/** Output for people: plans, status and history as text. */
+import type { ErrorDetails } from '../common/errors.js'
+import { ShiftState } from '../configuration/document.js'
+import type { ShiftRecord } from '../configuration/document.js'
+import type { HistoryLine } from '../control/changeLog.js'
+import type { StatusReport } from '../control/operatorStatus.js'
+import type { LinkOutlook, PlanDocument, RegionOutlook } from '../control/plan.js'
+import { keysOfRecords } from '../control/recordKeys.js'
+import { capacityOf } from '../shift/regionLoad.js'
+
+const MAX_KEYS_SHOWN = 12
+const MAX_MEMBERS_SHOWN = 20
+const MAX_HISTORY_ID = 24
+
+/** Text of a plan, with the command that confirms it. */
+export function formatPlan(plan: PlanDocument, nowMs: number): string {
+  const keys = keysOfRecords(plan.changes)
+  const lines = [
+    `plan ${plan.planId}: ${plan.summary}`,
+    `  made on revision ${String(plan.baseRevision)}, expires ${timeLeft(plan.expiresAtMs - nowMs)}`,
+    `  changes: ${keys.slice(0, MAX_KEYS_SHOWN).join(', ')}${more(keys.length - MAX_KEYS_SHOWN)}`,
+    `  expected duration: ${duration(plan.expectedDurationMs)}`,
+    ...section('  load (requests/s of capacity, headroom)', plan.regions.map(formatRegion)),
+    ...section('  links (Mbit/s of bandwidth)', plan.links.map(formatLink)),
+    ...section(
+      '  warnings',
+      plan.warnings.map((warning) => `    ${warning}`),
+    ),
+    ...section(
+      '  REFUSED',
+      plan.refusals.map(({ message, remedy }) => `    ${message}\n      remedy: ${remedy}`),
+    ),
+  ]
+  if (plan.refusals.length === 0) {
+    lines.push(`confirm with: tamarackdrift confirm ${plan.planId} --digest ${plan.digest}`)
+  }
+  return lines.join('\n')
+}
+
+/** Text of a status. */
+export function formatStatus(status: StatusReport): string {
+  const accepted = status.acceptedRevision
+  const lines = [
+    accepted === null
+      ? `accepted revision: not known, the key-value service does not answer (held here: ${String(status.heldRevision)})`
+      : `accepted revision: ${String(accepted)}`,
+    `in force on: ${status.membersInForce === null ? '(not asked)' : String(status.membersInForce)} of ${String(status.liveMembers)} live members`,
+    ...status.behind
+      .slice(0, MAX_MEMBERS_SHOWN)
+      .map(
+        ({ memberId, region, revision }) =>
+          `  ${memberId} (${region}): ${revision === null ? 'no answer' : `revision ${String(revision)}`}`,
+      ),
+    ...section('shifts', status.shifts.map(formatShift)),
+    ...section(
+      'leaving backend servers',
+      status.leaving.map(
+        ({ workerId, generation }) => `  ${workerId} (generation ${String(generation)})`,
+      ),
+    ),
+    ...section(
+      'load',
+      status.loads.map(
+        (load) =>
+          `  ${load.service} in ${load.region}: ${figure(load.requestsPerSecond)}/s of ` +
+          `${figure(capacityOf(load))}/s, measured ${duration(status.reportedAtMs - load.measuredAtMs)} ago`,
+      ),
+    ),
+  ]
+  return lines.join('\n')
+}
+
+/** One line about a shift. */
+export function formatShift(shift: ShiftRecord): string {
+  const reason = shift.pauseReason === undefined ? '' : ` (${shift.pauseReason})`
+  const share = `${percent(shift.currentShare)} of at most ${percent(shift.capShare)}`
+  const state = shift.state === ShiftState.Finished ? 'finished' : `${shift.state}${reason}`
+  return `  ${shift.shiftId}: ${shift.service} ${shift.from} -> ${shift.to}, ${share}, ${state}`
+}
+
+/** Text of the history, newest first. */
+export function formatHistory(lines: readonly HistoryLine[]): string {
+  if (lines.length === 0) return 'no changes yet'
+  return lines
+    .map(
+      ({ revision, changeId, operator, createdAtMs, summary }) =>
+        `${String(revision).padStart(6)}  ${new Date(createdAtMs).toISOString()}  ` +
+        `${changeId.padEnd(MAX_HISTORY_ID)}  ${operator}: ${summary}`,
+    )
+    .join('\n')
+}
+
+/** Text of an error; the message ends with the remedy. */
+export function formatError(error: ErrorDetails): string {
+  const text = error.message.includes('Remedy: ')
+    ? error.message
+    : `${error.message}. Remedy: ${error.remedy}`
+  return `${error.kind}: ${text}`
+}
+
+/** A duration in the largest fitting unit. */
+export function duration(durationMs: number): string {
+  if (durationMs < 1000) return `${String(Math.round(durationMs))} ms`
+  if (durationMs < 120_000) return `${figure(durationMs / 1000)} s`
+  return `${figure(durationMs / 60_000)} min`
+}
+
+function formatRegion({ region, service, before, after }: RegionOutlook): string {
+  const side = (outlook: RegionOutlook['before']): string =>
+    `${figure(outlook.requestsPerSecond)}/${figure(outlook.capacity)} (${percent(outlook.headroomShare)})`
+  return `    ${service} in ${region}: ${side(before)} -> ${side(after)}`
+}
+
+function formatLink({ from, to, bitsPerSecond, beforeBits, afterBits }: LinkOutlook): string {
+  const megabits = (bits: number): string => figure(bits / 1e6)
+  return `    ${from} -> ${to}: ${megabits(beforeBits)} -> ${megabits(afterBits)} of ${megabits(bitsPerSecond)}`
+}
+
+function section(title: string, lines: readonly string[]): string[] {
+  return lines.length === 0 ? [] : [`${title}:`, ...lines]
+}
+
+function more(count: number): string {
+  return count > 0 ? ` and ${String(count)} more` : ''
+}
+
+function timeLeft(leftMs: number): string {
+  return leftMs <= 0 ? `${duration(-leftMs)} ago` : `in ${duration(leftMs)}`
+}
+
+function percent(share: number): string {
+  return `${String(Math.round(share * 1000) / 10)}%`
+}
+
+function figure(value: number): string {
+  return String(Math.round(value * 10) / 10)
+}
--- a/src/common/rpc.ts
+++ b/src/common/rpc.ts
@@ -20,10 +20,19 @@
 export class RpcError extends SteeringError<RpcErrorKind> {
   /** The other side's typed error, for kind `Remote`. */
   readonly remote: ErrorDetails | undefined
+  /** HTTP status of the answer, for kind `Broken` with an answer other than 200. */
+  readonly statusCode: number | undefined
 
-  constructor(kind: RpcErrorKind, problem: string, remedy: string, remote?: ErrorDetails) {
+  constructor(
+    kind: RpcErrorKind,
+    problem: string,
+    remedy: string,
+    remote?: ErrorDetails,
+    statusCode?: number,
+  ) {
     super(kind, problem, remedy, remote === undefined ? undefined : { remote })
     this.remote = remote
+    this.statusCode = statusCode
   }
 }
 
--- a/src/common/rpcClient.ts
+++ b/src/common/rpcClient.ts
@@ -56,7 +56,7 @@
         maxBytes: MAX_ANSWER_BYTES,
       })
       if (response.statusCode !== 200) {
-        return Err(broken(address, `status ${String(response.statusCode)}`))
+        return Err(broken(address, `status ${String(response.statusCode)}`, response.statusCode))
       }
       return decodeAnswer(body)
     } catch (error) {
@@ -92,11 +92,13 @@
   )
 }
 
-function broken(address: string, reason: string): RpcError {
+function broken(address: string, reason: string, statusCode?: number): RpcError {
   return new RpcError(
     RpcErrorKind.Broken,
     `The call to ${address} ended without a usable answer: ${reason}`,
     'check tokens and versions of both processes, then repeat if the method is idempotent',
+    undefined,
+    statusCode,
   )
 }
 
--- a/src/control/__tests__/fakes.ts
+++ b/src/control/__tests__/fakes.ts
@@ -18,7 +18,7 @@
 } from '../../platform/keyValueStore.js'
 import { StoreError, StoreErrorKind } from '../../platform/keyValueStore.js'
 import type { RegionLoadView, ServiceLoad } from '../../shift/regionLoad.js'
-import type { ChangeLog, CommittedChange, HeadState } from '../changeLog.js'
+import type { ChangeLog, CommittedChange, HeadState, HistoryLine } from '../changeLog.js'
 import { CommitError, CommitErrorKind } from '../changeLog.js'
 
 /** What happens to one call. */
@@ -157,6 +157,12 @@
     return Promise.resolve(Ok(this.committed.slice(first - 1, last)))
   }
 
+  history(): Promise<Result<readonly HistoryLine[], CommitError>> {
+    return Promise.resolve(
+      Ok(this.committed.map(({ revision, change }) => ({ revision, ...change }))),
+    )
+  }
+
   commit(change: ConfigurationChange, baseRevision: number): Promise<Result<number, CommitError>> {
     const hook = this.beforeCommit
     this.beforeCommit = () => undefined
--- a/src/control/changeLog.ts
+++ b/src/control/changeLog.ts
@@ -24,6 +24,16 @@
   readonly change: ConfigurationChange
 }
 
+/** A change as the history shows it. */
+export interface HistoryLine {
+  readonly revision: number
+  readonly changeId: string
+  readonly operator: string
+  /** Milliseconds since the epoch. */
+  readonly createdAtMs: number
+  readonly summary: string
+}
+
 /** The head of the accepted configuration. */
 export interface HeadState {
   /** 0 before the first change. */
@@ -40,6 +50,8 @@
   head(): Promise<Result<HeadState, CommitError>>
   /** Reads the changes of the revisions `first` to `last`; fails only as `Unavailable`. */
   changes(first: number, last: number): Promise<Result<readonly CommittedChange[], CommitError>>
+  /** Returns the latest changes, newest last; fails only as `Unavailable`. */
+  history(): Promise<Result<readonly HistoryLine[], CommitError>>
   /**
    * Commits `change` as revision `baseRevision + 1`. A change id that is
    * committed already gives the revision that it became.
--- a/src/control/controlMethods.ts
+++ b/src/control/controlMethods.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '../common/logger.js'
 import type { Configuration, ConfigurationView } from '../configuration/view.js'
 import type { RegionLoadView } from '../shift/regionLoad.js'
-import type { ChangeLog } from './changeLog.js'
+import type { ChangeLog, HistoryLine } from './changeLog.js'
 import { parseIntent } from './intent.js'
 import type { PlanDocument } from './plan.js'
 import type { PlanConfirmation, Confirmation, Confirmed } from './planConfirmation.js'
@@ -100,6 +100,12 @@
     return orThrow(result)
   }
 
+  /** Returns the latest changes, newest first. */
+  async history(params: { readonly limit: number }): Promise<readonly HistoryLine[]> {
+    const lines = orThrow(await this.#parts.changeLog.history())
+    return lines.slice(-params.limit).reverse()
+  }
+
   async #configuration(): Promise<Configuration> {
     const held = this.#parts.configuration.current()
     if (held !== undefined) return held
--- /dev/null
+++ b/src/control/controlSettings.ts
@@ -0,0 +1,74 @@
+/** Settings of the control daemon. */
+import Joi from 'joi'
+import type { SettingDefinition } from '../common/settings.js'
+import type { NodeSettings } from '../daemon/nodeSettings.js'
+import {
+  NODE_SETTINGS,
+  durationSetting,
+  portSetting,
+  secretSetting,
+} from '../daemon/nodeSettings.js'
+
+/** Settings of the control daemon. */
+export interface ControlSettings extends NodeSettings {
+  readonly operatorPort: number
+  readonly operatorToken: string
+  readonly planLifetimeMs: number
+  readonly planRetentionMs: number
+  readonly maxPlans: number
+  readonly storeTimeoutMs: number
+  readonly statusTimeoutMs: number
+  readonly dutyIntervalMs: number
+  readonly dutyLeaseMs: number
+}
+
+/** Definitions of {@link ControlSettings}. */
+export const CONTROL_SETTINGS: readonly SettingDefinition[] = [
+  ...NODE_SETTINGS,
+  portSetting('operatorPort', 'port for the calls of operators'),
+  secretSetting('operatorToken', 'secret that operators send; must differ from the peer token'),
+  durationSetting(
+    'planLifetimeMs',
+    'time in which a plan can be confirmed',
+    300_000,
+    1000,
+    86_400_000,
+  ),
+  durationSetting(
+    'planRetentionMs',
+    'time that an expired plan is kept, to be shown',
+    600_000,
+    0,
+    86_400_000,
+  ),
+  {
+    name: 'maxPlans',
+    description: 'plans that are stored at the same time, by all control daemons together',
+    range: '1 to 10000',
+    unit: 'plans',
+    schema: Joi.number().integer().min(1).max(10_000),
+    defaultValue: '500',
+  },
+  durationSetting('storeTimeoutMs', 'time for one call to the key-value service', 2000, 50, 60_000),
+  durationSetting(
+    'statusTimeoutMs',
+    'time for a member to say which revision it holds',
+    1000,
+    50,
+    60_000,
+  ),
+  durationSetting(
+    'dutyIntervalMs',
+    'time between rounds of periodic work: steps of shifts, snapshots, removal of old plans',
+    500,
+    50,
+    60_000,
+  ),
+  durationSetting(
+    'dutyLeaseMs',
+    'lease of the control daemon that does the periodic work',
+    6000,
+    500,
+    600_000,
+  ),
+]
--- /dev/null
+++ b/src/control/operatorStatus.ts
@@ -0,0 +1,109 @@
+/** Status for operators: the accepted revision, and on how many members it is in force. */
+import type { RpcCaller } from '../common/rpc.js'
+import type { LeavingRecord, ShiftRecord } from '../configuration/document.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { Member, MemberRole, MembershipView } from '../membership/memberRecord.js'
+import { MemberHealth, MemberState } from '../membership/memberRecord.js'
+import type { RegionLoadView, ServiceLoad } from '../shift/regionLoad.js'
+import type { ChangeLog } from './changeLog.js'
+
+/** A live member that does not have the accepted revision in force, or did not answer. */
+export interface MemberBehind {
+  readonly memberId: string
+  readonly role: MemberRole
+  readonly region: string
+  /** Revision that it holds; `null` if it did not answer. */
+  readonly revision: number | null
+}
+
+/** What an operator sees. */
+export interface StatusReport {
+  /** `null` while the key-value service does not answer. */
+  readonly acceptedRevision: number | null
+  /** Revision that the answering control daemon holds; -1 if none. */
+  readonly heldRevision: number
+  /** Live members, the answering one included. */
+  readonly liveMembers: number
+  /** Live members that hold at least the accepted revision; `null` if they were not asked. */
+  readonly membersInForce: number | null
+  readonly behind: readonly MemberBehind[]
+  readonly shifts: readonly ShiftRecord[]
+  readonly leaving: readonly LeavingRecord[]
+  readonly loads: readonly ServiceLoad[]
+  /** Milliseconds since the epoch, by the answering daemon. */
+  readonly reportedAtMs: number
+}
+
+/** What the status needs. */
+export interface StatusParts {
+  readonly changeLog: ChangeLog
+  readonly configuration: ConfigurationView
+  readonly members: MembershipView
+  readonly loads: RegionLoadView
+  readonly rpc: RpcCaller
+  /** Method of the members that answers `{ revision }`. */
+  readonly revisionMethod: string
+  readonly timeoutMs: number
+  readonly clock: () => number
+}
+
+/** Members asked at the same time, so that one status is no burst of 460 calls. */
+const PARALLEL_CALLS = 32
+
+/** Reads the status. */
+export class OperatorStatus {
+  readonly #parts: StatusParts
+
+  constructor(parts: StatusParts) {
+    this.#parts = parts
+  }
+
+  /** @param askMembers whether to ask each live member for its revision */
+  async report(askMembers: boolean): Promise<StatusReport> {
+    const { changeLog, configuration, members, loads, clock } = this.#parts
+    const head = await changeLog.head()
+    const held = configuration.current()
+    const acceptedRevision = head.ok ? head.val.revision : null
+    const live = members.members().filter(isLive)
+    const revisions = askMembers ? await this.#askAll(live) : undefined
+    const expected = acceptedRevision ?? held?.revision ?? 0
+    const behind = (revisions ?? []).filter(({ revision }) => (revision ?? -1) < expected)
+    return {
+      acceptedRevision,
+      heldRevision: held?.revision ?? -1,
+      liveMembers: live.length,
+      membersInForce: revisions === undefined ? null : live.length - behind.length,
+      behind,
+      shifts: [...(held?.document.shifts.values() ?? [])],
+      leaving: [...(held?.document.leaving.values() ?? [])],
+      loads: loads.all(),
+      reportedAtMs: clock(),
+    }
+  }
+
+  async #askAll(live: readonly Member[]): Promise<MemberBehind[]> {
+    const answers: MemberBehind[] = []
+    for (let start = 0; start < live.length; start += PARALLEL_CALLS) {
+      const batch = live.slice(start, start + PARALLEL_CALLS)
+      answers.push(...(await Promise.all(batch.map((member) => this.#ask(member)))))
+    }
+    return answers
+  }
+
+  async #ask(member: Member): Promise<MemberBehind> {
+    const { memberId, role, region } = member
+    return { memberId, role, region, revision: await this.#revisionOf(member) }
+  }
+
+  async #revisionOf(member: Member): Promise<number | null> {
+    const { rpc, revisionMethod, timeoutMs, members, configuration } = this.#parts
+    if (member.memberId === members.self().memberId) return configuration.current()?.revision ?? -1
+    const answer = await rpc.call(member.internalAddress, revisionMethod, {}, { timeoutMs })
+    const revision = answer.ok ? (answer.val as { revision?: unknown } | null)?.revision : undefined
+    return typeof revision === 'number' ? revision : null
+  }
+}
+
+function isLive(member: Member): boolean {
+  return member.state === MemberState.Live && member.health !== MemberHealth.Failed
+}
