--- a/playground/storeServer.ts
+++ b/playground/storeServer.ts
@@ -45,6 +45,8 @@
   readonly responseBytes: number
 }
 
+/** Longest time that a silent store holds a call. */
+const MAX_SILENCE_MS = 600_000
 const FAULTS_SCHEMA = Joi.object<Partial<StoreFaults>>({
   outage: Joi.valid(...Object.values(StoreOutage)),
   slownessMs: Joi.number().min(0),
--- /dev/null
+++ b/src/control/controlDaemon.ts
@@ -0,0 +1,181 @@
+/** The control daemon: assembly, start and graceful stop. */
+import { randomBytes } from 'node:crypto'
+import type { DependencyContainer } from 'tsyringe'
+import { container as rootContainer, instanceCachingFactory } from 'tsyringe'
+import { createLogger } from '../common/logger.js'
+import type { HttpRpcServer } from '../common/rpcServer.js'
+import { ConfigurationRepository } from '../configuration/configurationRepository.js'
+import { DistributionMethod } from '../configuration/distributionMessages.js'
+import { emptyConfiguration } from '../configuration/documentBuilder.js'
+import type { Daemon } from '../daemon/daemonProgram.js'
+import { runDaemonProgram } from '../daemon/daemonProgram.js'
+import { NodeRuntime } from '../daemon/nodeRuntime.js'
+import { MemberRole } from '../membership/memberRecord.js'
+import { ControlMethods } from './controlMethods.js'
+import { createControlServer } from './controlServer.js'
+import type { ControlSettings } from './controlSettings.js'
+import { CONTROL_SETTINGS } from './controlSettings.js'
+import { OperatorStatus } from './operatorStatus.js'
+import { PlanConfirmation } from './planConfirmation.js'
+import { DEFAULT_PLAN_LIMITS } from './planContext.js'
+import { PlanStore } from './planStore.js'
+import { RepositoryChangeLog } from './repositoryChangeLog.js'
+import { ShiftCommands } from './shiftCommands.js'
+
+/** Tokens of the control daemon's container. */
+export const CONTROL_TOKENS = {
+  runtime: Symbol('runtime'),
+  repository: Symbol('repository'),
+  changeLog: Symbol('changeLog'),
+  plans: Symbol('plans'),
+  methods: Symbol('methods'),
+  status: Symbol('status'),
+  server: Symbol('server'),
+} as const
+
+/** Time for operators' calls in progress when the daemon stops, in milliseconds. */
+const SERVER_STOP_TIMEOUT_MS = 10_000
+const PLAN_ID_BYTES = 6
+
+/** Registers the parts of the control daemon; each is created on first use. */
+export function registerControlDaemon(settings: ControlSettings): DependencyContainer {
+  const container = rootContainer.createChildContainer()
+  const single = (token: symbol, create: (parts: ControlContainer) => object): void => {
+    const factory = (): object => create(new ControlContainer(container, settings))
+    container.register(token, { useFactory: instanceCachingFactory(factory) })
+  }
+  single(CONTROL_TOKENS.runtime, () => new NodeRuntime({ role: MemberRole.Control, settings }))
+  single(CONTROL_TOKENS.repository, createRepository)
+  single(
+    CONTROL_TOKENS.changeLog,
+    (parts) => new RepositoryChangeLog(parts.repository, parts.runtime.configuration.view),
+  )
+  single(CONTROL_TOKENS.plans, createPlanStore)
+  single(CONTROL_TOKENS.methods, createMethods)
+  single(CONTROL_TOKENS.status, createStatus)
+  single(CONTROL_TOKENS.server, (parts) =>
+    createControlServer(parts.methods, parts.status, {
+      host: settings.host,
+      port: settings.operatorPort,
+      operatorToken: settings.operatorToken,
+    }),
+  )
+  return container
+}
+
+/** A control daemon in a process. */
+export interface ControlDaemon extends Daemon {
+  /** `host:port` for operators, after the start. */
+  readonly operatorAddress: string
+}
+
+/** A daemon over the parts of a container. */
+export function createControlDaemon(settings: ControlSettings): ControlDaemon {
+  const parts = new ControlContainer(registerControlDaemon(settings), settings)
+  const { runtime, server } = parts
+  const operatorAddress = (): string => `${settings.host}:${String(server.port)}`
+  return {
+    get operatorAddress() {
+      return operatorAddress()
+    },
+    start: () =>
+      runtime.start(async () => {
+        await server.start()
+        createLogger('control').event('listening', { operatorAddress: operatorAddress() })
+        // Callers never reach a control daemon.
+        return ''
+      }),
+    stop: () => runtime.stop(() => server.stop(SERVER_STOP_TIMEOUT_MS)),
+  }
+}
+
+/** Entry of `bin/tamarackdrift-control.js`. */
+export function main(argv: readonly string[]): Promise<void> {
+  return runDaemonProgram('tamarackdrift-control', CONTROL_SETTINGS, argv, createControlDaemon)
+}
+
+/** Typed access to a container. */
+class ControlContainer {
+  readonly settings: ControlSettings
+  readonly #container: DependencyContainer
+
+  constructor(container: DependencyContainer, settings: ControlSettings) {
+    this.#container = container
+    this.settings = settings
+  }
+
+  get runtime(): NodeRuntime {
+    return this.#container.resolve(CONTROL_TOKENS.runtime)
+  }
+
+  get repository(): ConfigurationRepository {
+    return this.#container.resolve(CONTROL_TOKENS.repository)
+  }
+
+  get changeLog(): RepositoryChangeLog {
+    return this.#container.resolve(CONTROL_TOKENS.changeLog)
+  }
+
+  get plans(): PlanStore {
+    return this.#container.resolve(CONTROL_TOKENS.plans)
+  }
+
+  get methods(): ControlMethods {
+    return this.#container.resolve(CONTROL_TOKENS.methods)
+  }
+
+  get status(): OperatorStatus {
+    return this.#container.resolve(CONTROL_TOKENS.status)
+  }
+
+  get server(): HttpRpcServer {
+    return this.#container.resolve(CONTROL_TOKENS.server)
+  }
+}
+
+/** A repository of its own, so that operators' calls have their own time limit. */
+function createRepository({ runtime, settings }: ControlContainer): ConfigurationRepository {
+  return new ConfigurationRepository(runtime.store, {
+    callTimeoutMs: settings.storeTimeoutMs,
+    view: runtime.configuration.view,
+    clock: runtime.clock,
+  })
+}
+
+function createPlanStore({ runtime, settings }: ControlContainer): PlanStore {
+  const limits = { maxPlans: settings.maxPlans, retentionMs: settings.planRetentionMs }
+  return new PlanStore(runtime.store, limits, settings.storeTimeoutMs)
+}
+
+function createMethods({ runtime, changeLog, plans, settings }: ControlContainer): ControlMethods {
+  const { clock, loads } = runtime
+  const configuration = runtime.configuration.view
+  const limits = DEFAULT_PLAN_LIMITS
+  return new ControlMethods({
+    changeLog,
+    configuration,
+    emptyConfiguration: emptyConfiguration(),
+    loads,
+    limits,
+    plans,
+    confirmation: new PlanConfirmation({ plans, changeLog, configuration, loads, limits }, clock),
+    shiftCommands: new ShiftCommands(changeLog, configuration),
+    logger: createLogger('control'),
+    planLifetimeMs: settings.planLifetimeMs,
+    createPlanId: () => `plan-${randomBytes(PLAN_ID_BYTES).toString('hex')}`,
+    clock,
+  })
+}
+
+function createStatus({ runtime, changeLog, settings }: ControlContainer): OperatorStatus {
+  return new OperatorStatus({
+    changeLog,
+    configuration: runtime.configuration.view,
+    members: runtime.members,
+    loads: runtime.loads,
+    rpc: runtime.caller,
+    revisionMethod: DistributionMethod.AcknowledgedRevision,
+    timeoutMs: settings.statusTimeoutMs,
+    clock: runtime.clock,
+  })
+}
--- /dev/null
+++ b/src/control/repositoryChangeLog.ts
@@ -0,0 +1,81 @@
+/** {@link ChangeLog} over the configuration repository. */
+import type { Result } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
+import type { ConfigurationError } from '../configuration/configurationErrors.js'
+import { ConfigurationErrorKind } from '../configuration/configurationErrors.js'
+import type { ConfigurationReplica } from '../configuration/configurationReplica.js'
+import type { ConfigurationRepository } from '../configuration/configurationRepository.js'
+import type { ConfigurationChange } from '../configuration/document.js'
+import type { ChangeLog, CommittedChange, HeadState, HistoryLine } from './changeLog.js'
+import { CommitError, CommitErrorKind } from './changeLog.js'
+
+const KINDS: Readonly<Record<ConfigurationErrorKind, CommitErrorKind>> = {
+  [ConfigurationErrorKind.Conflict]: CommitErrorKind.Conflict,
+  [ConfigurationErrorKind.OutcomeUnknown]: CommitErrorKind.Unknown,
+  [ConfigurationErrorKind.StoreUnavailable]: CommitErrorKind.Unavailable,
+  [ConfigurationErrorKind.NotHeld]: CommitErrorKind.Unavailable,
+  [ConfigurationErrorKind.Malformed]: CommitErrorKind.Invalid,
+  [ConfigurationErrorKind.UnknownRecordKind]: CommitErrorKind.Invalid,
+  [ConfigurationErrorKind.Refused]: CommitErrorKind.Invalid,
+}
+
+/** Reads and commits through the repository, and reads recent changes from the replica where it has them. */
+export class RepositoryChangeLog implements ChangeLog {
+  readonly #repository: ConfigurationRepository
+  readonly #replica: ConfigurationReplica
+
+  constructor(repository: ConfigurationRepository, replica: ConfigurationReplica) {
+    this.#repository = repository
+    this.#replica = replica
+  }
+
+  async head(): Promise<Result<HeadState, CommitError>> {
+    const head = await this.#repository.readHead()
+    return head
+      .map(({ revision, snapshotRevision, changeIds }) => ({
+        revision,
+        snapshotRevision,
+        changeIds: new Map(changeIds.map((named) => [named.changeId, named.revision])),
+      }))
+      .mapErr(commitError)
+  }
+
+  async changes(
+    first: number,
+    last: number,
+  ): Promise<Result<readonly CommittedChange[], CommitError>> {
+    const isWanted = ({ revision }: CommittedChange): boolean =>
+      revision >= first && revision <= last
+    const held = this.#replica.revision >= last ? this.#replica.changesSince(first - 1) : undefined
+    if (held !== undefined) return Ok(held.filter(isWanted))
+    const update = await this.#repository.readSince(first - 1)
+    if (update.err) return Err(commitError(update.val))
+    const changes = update.val.changes.filter(isWanted)
+    return changes.length === last - first + 1 ? Ok(changes) : Err(notKept(first))
+  }
+
+  async history(): Promise<Result<readonly HistoryLine[], CommitError>> {
+    const history = await this.#repository.history()
+    return history.mapErr(commitError)
+  }
+
+  async commit(
+    change: ConfigurationChange,
+    baseRevision: number,
+  ): Promise<Result<number, CommitError>> {
+    const committed = await this.#repository.commit(change, baseRevision)
+    return committed.map(({ revision }) => revision).mapErr(commitError)
+  }
+}
+
+function commitError(error: ConfigurationError): CommitError {
+  return new CommitError(KINDS[error.kind], error.message, error.remedy)
+}
+
+function notKept(first: number): CommitError {
+  return new CommitError(
+    CommitErrorKind.Unavailable,
+    `The changes since revision ${String(first)} are only kept in a snapshot`,
+    'make a new plan',
+  )
+}
--- a/src/gateway/backendAttempt.ts
+++ b/src/gateway/backendAttempt.ts
@@ -77,7 +77,6 @@
 export function classify(result: AttemptResult): Execution {
   if (result.kind === AttemptKind.NotConnected) return Execution.CertainlyNot
   if (result.kind === AttemptKind.Broken) return Execution.Possible
-  const refused =
-    result.status === 503 && headerOf(result.headers, NOT_STARTED_HEADER) === 'true'
+  const refused = result.status === 503 && headerOf(result.headers, NOT_STARTED_HEADER) === 'true'
   return refused ? Execution.CertainlyNot : Execution.Ran
 }
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -66,14 +66,7 @@
     0,
     10_000,
   ),
-  countSetting(
-    'maxConnectionsPerWorker',
-    'connections to one backend server',
-    '',
-    32,
-    1,
-    1000,
-  ),
+  countSetting('maxConnectionsPerWorker', 'connections to one backend server', '', 32, 1, 1000),
   durationSetting(
     'backendIdleMs',
     "idle connections to backend servers are closed after this time; shorter than the backend servers' own limit",
@@ -82,14 +75,7 @@
     600_000,
   ),
   countSetting('ledgerEntries', 'operations whose outcome is kept', '', 200_000, 1, 10_000_000),
-  countSetting(
-    'ledgerBytes',
-    'memory for kept outcomes',
-    'bytes',
-    64 * MIB,
-    MIB,
-    4 * KIB * MIB,
-  ),
+  countSetting('ledgerBytes', 'memory for kept outcomes', 'bytes', 64 * MIB, MIB, 4 * KIB * MIB),
   durationSetting(
     'outcomeRetentionMs',
     'time that outcomes are kept after their prefix expired',
--- a/src/gateway/localRun.ts
+++ b/src/gateway/localRun.ts
@@ -68,7 +68,8 @@
     this.#parts.retryBudget.recordRequest(task.service.name)
     for (;;) {
       const grant = await this.#acquire(task, progress)
-      if (grant.err) return this.#giveUp(task, progress, slotRefusal(grant.val, progress), grant.val)
+      if (grant.err)
+        return this.#giveUp(task, progress, slotRefusal(grant.val, progress), grant.val)
       const refusal = this.#recheck(task)
       if (refusal !== undefined) {
         grant.val.release(SlotUse.Unused, 0, this.#parts.clock())
@@ -88,10 +89,7 @@
     }
   }
 
-  async #acquire(
-    task: LocalTask,
-    progress: Progress,
-  ): ReturnType<SlotSource['acquire']> {
+  async #acquire(task: LocalTask, progress: Progress): ReturnType<SlotSource['acquire']> {
     const { request, service } = task
     const startedAtMs = this.#parts.clock()
     const grant = await this.#parts.slots.acquire(
--- a/src/gateway/ownerForwarding.ts
+++ b/src/gateway/ownerForwarding.ts
@@ -9,7 +9,12 @@
 import type { OperationIdentifier } from '../operations/operationPrefix.js'
 import { maySend } from './deadline.js'
 import type { GatewayAnswer, GatewayRequest } from './exchange.js'
-import { decodeAnswer, encodeRequest, RUN_DELEGATED_METHOD, RUN_OWNED_METHOD } from './forwardCodec.js'
+import {
+  decodeAnswer,
+  encodeRequest,
+  RUN_DELEGATED_METHOD,
+  RUN_OWNED_METHOD,
+} from './forwardCodec.js'
 import type { LinkBudget, LinkUse } from './linkBudget.js'
 import { RefusalKind, refuse } from './refusals.js'
 import type { RegionRouting } from './regionRouting.js'
@@ -200,11 +205,7 @@
 }
 
 /** A refusal of a later gateway says nothing of what an earlier one may have run. */
-function certainAnswer(
-  answer: GatewayAnswer,
-  maybeRan: boolean,
-  requestId: string,
-): GatewayAnswer {
+function certainAnswer(answer: GatewayAnswer, maybeRan: boolean, requestId: string): GatewayAnswer {
   return maybeRan && answer.outcome === Outcome.NotRun
     ? refuse(RefusalKind.BrokenAnswer, requestId)
     : answer
--- a/src/gateway/regionRouting.ts
+++ b/src/gateway/regionRouting.ts
@@ -95,7 +95,6 @@
 ): ShiftRecord | undefined {
   if (grant?.shiftId === undefined) return undefined
   const shift = document.shifts.get(grant.shiftId)
-  const applies =
-    shift?.service === service && shift.to === own && shift.from === grant.homeRegion
+  const applies = shift?.service === service && shift.to === own && shift.from === grant.homeRegion
   return applies ? shift : undefined
 }
--- a/src/gateway/requestExecutor.ts
+++ b/src/gateway/requestExecutor.ts
@@ -154,10 +154,7 @@
   }
 
   /** Waits for the run in flight, up to the deadline of this request. */
-  async #join(
-    request: GatewayRequest,
-    running: Promise<GatewayAnswer>,
-  ): Promise<GatewayAnswer> {
+  async #join(request: GatewayRequest, running: Promise<GatewayAnswer>): Promise<GatewayAnswer> {
     const remainingMs = Math.max(0, request.deadline.deadlineMs - this.#parts.clock())
     const waiting = new AbortController()
     const ended = AbortSignal.any([waiting.signal, request.signal])
--- a/src/operations/operationLedger.ts
+++ b/src/operations/operationLedger.ts
@@ -46,7 +46,10 @@
   | { readonly kind: LedgerDecisionKind.Join; readonly answer: Promise<Answer> }
   | { readonly kind: LedgerDecisionKind.Stored; readonly answer: Answer }
   | {
-      readonly kind: Exclude<LedgerDecisionKind, LedgerDecisionKind.Join | LedgerDecisionKind.Stored>
+      readonly kind: Exclude<
+        LedgerDecisionKind,
+        LedgerDecisionKind.Join | LedgerDecisionKind.Stored
+      >
     }
 
 /** An arriving operation. */
@@ -226,10 +229,7 @@
   }
 }
 
-function decideKnown<Answer>(
-  entry: Entry<Answer>,
-  request: LedgerRequest,
-): LedgerDecision<Answer> {
+function decideKnown<Answer>(entry: Entry<Answer>, request: LedgerRequest): LedgerDecision<Answer> {
   if (entry.request.fingerprint !== request.fingerprint) {
     return { kind: LedgerDecisionKind.ContentDiffers }
   }
