--- /dev/null
+++ b/playground/demo.ts
@@ -0,0 +1,152 @@
+/**
+ * `npm run demo -- [--json] [--deployment NAME]`: three regions of an example
+ * deployment with every daemon in a process of its own. Real requests run while
+ * an operator shifts a service and drains a backend server, one gateway ends
+ * gracefully and another is killed. Prints what became of every request and
+ * exits 0 only if every promise that it can see was kept.
+ */
+import { Command, Option } from 'commander'
+import { sleep, systemClock } from '../src/common/clock.js'
+import { Outcome } from '../src/common/headers.js'
+import { HttpExchangeClient } from '../src/common/httpExchange.js'
+import { MemberRole } from '../src/membership/memberRecord.js'
+import type { DemoFinding, DemoRun } from './demoChecks.js'
+import { checkDemo } from './demoChecks.js'
+import { DemoOperator } from './demoOperator.js'
+import { DemoTraffic } from './demoTraffic.js'
+import { DeploymentName, loadDeployment, workersOf } from './deployment.js'
+import { LocalDeployment } from './localDeployment.js'
+import type { LocalDaemon } from './localDeployment.js'
+
+const IN_FORCE_LIMIT_MS = 4000
+const SHIFT_CAP = 0.2
+const CALLER_PAUSE_MS = 400
+const PHASE_MS = 4000
+const STOP_GATEWAY_TIMEOUT_MS = 15_000
+
+interface DemoOptions {
+  readonly json: boolean
+  readonly deployment: DeploymentName
+}
+
+function say(text: string): void {
+  console.log(text)
+}
+
+/** Runs the scenario on a started deployment. */
+async function runScenario(local: LocalDeployment): Promise<DemoRun> {
+  const operator = new DemoOperator(local)
+  await operator.bootstrap(local)
+  const inForceMs = await operator.waitUntilInForce(IN_FORCE_LIMIT_MS)
+  say(`first configuration in force on all daemons after ${String(inForceMs)} ms`)
+
+  const http = new HttpExchangeClient({
+    maxConnections: 256,
+    idleMs: 5000,
+    clock: systemClock,
+  })
+  const services = [...new Set(workersOf(local.deployment).map((worker) => worker.service))]
+  const traffic = new DemoTraffic(local, http, {
+    callersPerBlock: 1,
+    pauseMs: CALLER_PAUSE_MS,
+    services,
+  })
+  traffic.start()
+  await sleep(PHASE_MS)
+
+  const shift = await startShift(local, operator, services[0] ?? '')
+  const drain = await drainBackendServer(local, operator)
+  await sleep(PHASE_MS)
+  const leavingGateway = await stopGateway(local)
+  const killedGateway = killGateway(local)
+  await sleep(PHASE_MS)
+  await traffic.stop()
+  http.close()
+  return { local, calls: traffic.calls, inForceMs, shift, drain, leavingGateway, killedGateway }
+}
+
+async function startShift(
+  local: LocalDeployment,
+  operator: DemoOperator,
+  service: string,
+): Promise<DemoRun['shift']> {
+  const regions = [...new Set(local.deployment.entryInstances.map(({ region }) => region))]
+  const [from = '', to = ''] = regions
+  const startMs = Date.now()
+  const flags = ['--service', service, '--from', from, '--to', to, '--cap', String(SHIFT_CAP)]
+  await operator.planAndConfirm('shift', ...flags, '--step', '0.1', '--interval-ms', '1000')
+  say(`shift of up to ${String(SHIFT_CAP * 100)}% of ${service} from ${from} to ${to} confirmed`)
+  return { service, from, to, cap: SHIFT_CAP, startMs }
+}
+
+async function drainBackendServer(
+  local: LocalDeployment,
+  operator: DemoOperator,
+): Promise<DemoRun['drain']> {
+  const workerId = workersOf(local.deployment)[1]?.workerId ?? ''
+  await operator.planAndConfirm('drain', workerId)
+  say(`drain of backend server ${workerId} confirmed`)
+  return { workerId, confirmedMs: Date.now() }
+}
+
+/** Ends a gateway as the platform would: its daemon gets SIGTERM while requests run. */
+async function stopGateway(local: LocalDeployment): Promise<DemoRun['leavingGateway']> {
+  const gateway = gatewayAt(local, 0)
+  const startMs = Date.now()
+  const exit = await gateway.program.stop(STOP_GATEWAY_TIMEOUT_MS)
+  const endMs = Date.now()
+  say(`gateway ${gateway.memberId} left gracefully in ${String(endMs - startMs)} ms`)
+  return { address: gateway.serviceAddress, startMs, endMs, exitCode: exit.code }
+}
+
+function killGateway(local: LocalDeployment): DemoRun['killedGateway'] {
+  const gateway = gatewayAt(local, 4)
+  gateway.program.signal('SIGKILL')
+  say(`gateway ${gateway.memberId} killed`)
+  return { address: gateway.serviceAddress, killedMs: Date.now() }
+}
+
+function gatewayAt(local: LocalDeployment, index: number): LocalDaemon {
+  const gateway = local.daemonsOf(MemberRole.Gateway)[index]
+  if (gateway === undefined) throw new Error('The deployment has too few gateways')
+  return gateway
+}
+
+function printResult(run: DemoRun, findings: readonly DemoFinding[], json: boolean): void {
+  const counts = Object.fromEntries(
+    Object.values(Outcome).map((outcome) => [
+      outcome,
+      run.calls.filter((call) => call.report.outcome === outcome).length,
+    ]),
+  )
+  say(`${String(run.calls.length)} requests: ${JSON.stringify(counts)}`)
+  for (const finding of findings) {
+    say(`${finding.kept ? 'kept  ' : 'BROKEN'} ${finding.promise}: ${finding.detail}`)
+  }
+  if (json) console.log(JSON.stringify({ requests: run.calls.length, counts, promises: findings }))
+}
+
+async function main(options: DemoOptions): Promise<number> {
+  const deployment = loadDeployment(options.deployment).unwrap()
+  const startMs = Date.now()
+  const local = await LocalDeployment.start({ deployment, logs: '' })
+  say(`${String(local.daemons.length)} daemons started in ${String(Date.now() - startMs)} ms`)
+  try {
+    const run = await runScenario(local)
+    const findings = checkDemo(run)
+    printResult(run, findings, options.json)
+    return findings.every((finding) => finding.kept) ? 0 : 1
+  } finally {
+    await local.stop()
+  }
+}
+
+const command = new Command('demo')
+  .option('--json', 'print one JSON object as the last line', false)
+  .addOption(
+    new Option('--deployment <name>', 'example deployment')
+      .choices(Object.values(DeploymentName))
+      .default(DeploymentName.Kirinyaga),
+  )
+  .parse()
+process.exit(await main(command.opts<DemoOptions>()))
--- a/playground/managedProcess.ts
+++ b/playground/managedProcess.ts
@@ -98,7 +98,7 @@
 }
 
 /**
- * Polls a URL until it answers with a status below 500.
+ * Polls a URL until it answers, with any status: a daemon without a configuration serves 503.
  *
  * @throws Error with the last lines of the process if it ends or stays silent
  */
@@ -111,7 +111,7 @@
   while (program.isRunning && Date.now() < giveUpAt) {
     const answer = await fetch(url, { signal: AbortSignal.timeout(1000) }).catch(() => undefined)
     await answer?.arrayBuffer()
-    if (answer !== undefined && answer.status < 500) return
+    if (answer !== undefined) return
     await sleep(50)
   }
   const tail = program.lines.slice(-20).join('\n')
