--- a/playground/gatewayCluster.ts
+++ b/playground/gatewayCluster.ts
@@ -15,8 +15,8 @@
 import type { ConfigurationDocument, ServiceRecord } from '../src/configuration/document.js'
 import type { Configuration, ConfigurationView } from '../src/configuration/view.js'
 import type { LookupAnswer, LookupSource } from '../src/client/lookupSource.js'
-import type { GatewayNode } from '../src/gateway/gatewayDaemon.js'
-import { createGateway, GatewayDaemon } from '../src/gateway/gatewayDaemon.js'
+import type { Gateway, GatewayNode } from '../src/gateway/gatewayDaemon.js'
+import { createGateway } from '../src/gateway/gatewayDaemon.js'
 import type { GatewaySettings } from '../src/gateway/gatewaySettings.js'
 import { GATEWAY_SETTINGS } from '../src/gateway/gatewaySettings.js'
 import { checkSettings } from '../src/common/settings.js'
@@ -95,7 +95,7 @@
   readonly memberId: string
   readonly region: string
   readonly incarnation: string
-  readonly daemon: GatewayDaemon
+  readonly daemon: Gateway
   readonly callerAddress: string
   /** Ends it without a drain. */
   kill(): Promise<void>
@@ -249,7 +249,7 @@
     storeUrl: 'http://127.0.0.1:1',
     instanceListUrl: 'http://127.0.0.1:1',
     peerToken: CLUSTER_TOKEN,
-    lookupCacheMs: '200',
+    answerCacheMs: '200',
     ...options.settings,
   })
   return checked.unwrap()
--- /dev/null
+++ b/src/drain/leavingPayload.ts
@@ -0,0 +1,35 @@
+/** Leaving marks on the membership exchange: makes good lost pushes and informs other regions. */
+import Joi from 'joi'
+import type { ExchangePayloadProvider } from '../membership/membershipExchange.js'
+import type { LeavingMark, LeavingRegistry } from './leavingRegistry.js'
+import { LeavingSource } from './leavingRegistry.js'
+
+/** Newest marks that ride on an exchange; about 5 KB. */
+const MAX_MARKS = 64
+
+const MARKS_SCHEMA = Joi.array()
+  .items(
+    Joi.object({
+      workerId: Joi.string().max(128).required(),
+      generation: Joi.number().integer().min(0).required(),
+      source: Joi.string()
+        .valid(...Object.values(LeavingSource))
+        .required(),
+    }),
+  )
+  .required()
+
+/** Creates the provider of a registry. */
+export function leavingPayload(registry: LeavingRegistry): ExchangePayloadProvider {
+  return {
+    name: 'leaving',
+    collect: () => {
+      const marks = registry.marks().slice(-MAX_MARKS)
+      return marks.length === 0 ? undefined : marks
+    },
+    merge: (payload) => {
+      const checked = MARKS_SCHEMA.validate(payload)
+      if (checked.error === undefined) registry.merge(checked.value as readonly LeavingMark[])
+    },
+  }
+}
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,4 +1,4 @@
-/** The gateway daemon: assembly of its parts and its graceful shutdown. */
+/** A gateway: assembly of its parts and its graceful shutdown. */
 import 'reflect-metadata'
 import type { DependencyContainer } from 'tsyringe'
 import { container as rootContainer, instanceCachingFactory } from 'tsyringe'
@@ -63,7 +63,7 @@
 const REQUEST_ID_PREFIX_LENGTH = 8
 
 /** A running gateway without the parts that all daemons share. */
-export class GatewayDaemon {
+export class Gateway {
   readonly #node: GatewayNode
   readonly #settings: GatewaySettings
   readonly #executor: RequestExecutor
@@ -115,7 +115,7 @@
     log.event('drainStarted', { inFlight: this.#executor.inFlight })
     this.#server.startLeaving()
     await this.#node.announceLeaving()
-    await sleep(this.#settings.lookupCacheMs)
+    await sleep(this.#settings.answerCacheMs)
     this.#executor.refuseNew()
     await this.#untilIdle(clock() + this.#settings.maxTimeoutMs)
     await this.#node.loansReturned()
@@ -133,13 +133,13 @@
 }
 
 /** Assembles a gateway. */
-export function createGateway(node: GatewayNode, settings: GatewaySettings): GatewayDaemon {
+export function createGateway(node: GatewayNode, settings: GatewaySettings): Gateway {
   const parts = rootContainer.createChildContainer()
   parts.register(gatewayTokens.node, { useValue: node })
   parts.register(gatewayTokens.settings, { useValue: settings })
   registerBudgets(parts, node, settings)
   registerRequestPath(parts, node, settings)
-  return new GatewayDaemon(parts)
+  return new Gateway(parts)
 }
 
 function registerOnce(
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -18,7 +18,7 @@
   readonly ledgerEntries: number
   readonly ledgerBytes: number
   readonly outcomeRetentionMs: number
-  readonly lookupCacheMs: number
+  readonly answerCacheMs: number
 }
 
 function countSetting(
@@ -84,9 +84,9 @@
     3_600_000,
   ),
   durationSetting(
-    'lookupCacheMs',
-    'time that look-up answers naming this gateway may be cached; at least cacheMs of the look-up daemons',
-    5000,
+    'answerCacheMs',
+    'time that look-up answers naming this gateway may be cached; at least the setting of the same name of the lookup daemons',
+    2000,
     0,
     600_000,
   ),
--- /dev/null
+++ b/src/gateway/leavingWatch.ts
@@ -0,0 +1,133 @@
+/**
+ * Feeds the leaving registry from what this gateway can see: the platform's
+ * list, the configuration, and the status of backend servers. Answers of
+ * backend servers reach the registry from the request path.
+ */
+import type { Clock } from '../common/clock.js'
+import { sleep } from '../common/clock.js'
+import { rendezvousOrder } from '../common/hashing.js'
+import type { WorkerRecord } from '../configuration/document.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { LeavingRegistry } from '../drain/leavingRegistry.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import { MemberHealth, MemberRole, MemberState } from '../membership/memberRecord.js'
+import type { BackendStatusSource } from '../platform/backendStatus.js'
+import { BackendHealth } from '../platform/backendStatus.js'
+import type { InstanceList } from '../platform/instanceList.js'
+
+/** What the watch reads and feeds. */
+export interface LeavingWatchParts {
+  readonly clock: Clock
+  readonly configuration: ConfigurationView
+  readonly membership: MembershipView
+  readonly leaving: LeavingRegistry
+  readonly instances: InstanceList
+  readonly status: BackendStatusSource
+}
+
+/** A leaving backend server without requests must be found within the goal of 1 s. */
+const STATUS_POLL_MS = 500
+const READ_TIMEOUT_MS = 400
+/** Gateways that read one source; a second one covers the failure of the first. */
+const WATCHERS = 2
+const MIN_LIST_POLL_MS = 1000
+/**
+ * Time per listed instance between two readings. An entry is about 150 bytes, so
+ * that a reader spends at most 10 KB/s of its 21 KB/s on the list, whatever its length.
+ */
+const LIST_POLL_MS_PER_ENTRY = 15
+
+/** Periodic reader of the sources. */
+export class LeavingWatch {
+  readonly #parts: LeavingWatchParts
+  readonly #stop = new AbortController()
+  #unsubscribe: (() => void) | undefined
+  #running: Promise<unknown> | undefined
+
+  constructor(parts: LeavingWatchParts) {
+    this.#parts = parts
+  }
+
+  start(): void {
+    const { configuration, leaving } = this.#parts
+    const present = configuration.current()
+    if (present !== undefined) leaving.observeConfiguration(present.document)
+    this.#unsubscribe = configuration.subscribe((next) => {
+      leaving.observeConfiguration(next.document)
+    })
+    this.#running = Promise.all([
+      this.#repeat(() => this.#readInstances()),
+      this.#repeat(async () => {
+        await this.#readStatuses()
+        return STATUS_POLL_MS
+      }),
+    ])
+  }
+
+  async stop(): Promise<void> {
+    this.#unsubscribe?.()
+    this.#stop.abort()
+    await this.#running
+  }
+
+  /** @param read returns the time until the next reading, ms */
+  async #repeat(read: () => Promise<number>): Promise<void> {
+    while (!this.#stop.signal.aborted) await sleep(await read(), this.#stop.signal)
+  }
+
+  async #readInstances(): Promise<number> {
+    if (!this.#watches('instances', this.#gatewayIds())) return MIN_LIST_POLL_MS
+    const listed = await this.#parts.instances.read(READ_TIMEOUT_MS)
+    if (listed.err) return MIN_LIST_POLL_MS
+    this.#parts.leaving.observeInstances(listed.val)
+    return Math.max(MIN_LIST_POLL_MS, listed.val.length * LIST_POLL_MS_PER_ENTRY)
+  }
+
+  async #readStatuses(): Promise<void> {
+    await Promise.all(this.#watchedWorkers().map((worker) => this.#readStatus(worker)))
+  }
+
+  async #readStatus(worker: WorkerRecord): Promise<void> {
+    const status = await this.#parts.status.read(worker.address, READ_TIMEOUT_MS)
+    if (status.ok && status.val.health === BackendHealth.Draining) {
+      this.#parts.leaving.observeAnswer(worker.workerId, worker.generation)
+    }
+  }
+
+  /** Workers of the region whose status this gateway reads. */
+  #watchedWorkers(): WorkerRecord[] {
+    const { membership, configuration, leaving } = this.#parts
+    const { region } = membership.self()
+    const gateways = this.#gatewayIds()
+    const services = [...(configuration.current()?.document.services.values() ?? [])]
+    return services
+      .flatMap((service) => service.workers)
+      .filter(
+        (worker) =>
+          worker.region === region &&
+          !leaving.isLeaving(worker.workerId, worker.generation) &&
+          this.#watches(worker.workerId, gateways),
+      )
+  }
+
+  /** Chosen by rendezvous hashing, so that the gateways of a region share the readings. */
+  #watches(source: string, gateways: readonly string[]): boolean {
+    const own = this.#parts.membership.self().memberId
+    const order = rendezvousOrder(source, gateways, (memberId) => memberId)
+    return order.slice(0, WATCHERS).includes(own)
+  }
+
+  #gatewayIds(): string[] {
+    const { region } = this.#parts.membership.self()
+    return this.#parts.membership
+      .members()
+      .filter(
+        (member) =>
+          member.role === MemberRole.Gateway &&
+          member.region === region &&
+          member.state === MemberState.Live &&
+          member.health !== MemberHealth.Failed,
+      )
+      .map((member) => member.memberId)
+  }
+}
--- /dev/null
+++ b/src/gateway/runGatewayDaemon.ts
@@ -0,0 +1,118 @@
+/** The gateway daemon: the gateway over the parts that all daemons share. */
+import { sleep } from '../common/clock.js'
+import { createLogger } from '../common/logger.js'
+import type { Daemon } from '../daemon/daemonProgram.js'
+import { runDaemonProgram } from '../daemon/daemonProgram.js'
+import { NodeRuntime } from '../daemon/nodeRuntime.js'
+import { leavingPayload, LeavingPush, LeavingRegistry } from '../drain/index.js'
+import { MemberRole } from '../membership/memberRecord.js'
+import { HttpBackendStatusSource } from '../platform/httpBackendStatus.js'
+import { SlotDispatcher } from '../slots/index.js'
+import type { Gateway } from './gatewayDaemon.js'
+import { createGateway } from './gatewayDaemon.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+import { GATEWAY_SETTINGS } from './gatewaySettings.js'
+import { LeavingWatch } from './leavingWatch.js'
+
+const LOAN_POLL_MS = 20
+
+/** Entry of `bin/tamarackdrift-gateway.js`. */
+export function main(argv: readonly string[]): Promise<void> {
+  return runDaemonProgram('tamarackdrift-gateway', GATEWAY_SETTINGS, argv, createGatewayDaemon)
+}
+
+/** Assembles the daemon. */
+export function createGatewayDaemon(settings: GatewaySettings): Daemon {
+  const runtime = new NodeRuntime({ role: MemberRole.Gateway, settings })
+  const leaving = new LeavingRegistry()
+  const push = new LeavingPush(leaving, runtime.members, runtime.caller)
+  const slots = createSlots(runtime, leaving)
+  const status = new HttpBackendStatusSource()
+  const watch = new LeavingWatch({
+    clock: runtime.clock,
+    configuration: runtime.configuration.view,
+    membership: runtime.members,
+    leaving,
+    instances: runtime.instanceList,
+    status,
+  })
+  const gateway = assemble(runtime, settings, leaving, slots)
+  runtime.exchange.addPayloadProvider(leavingPayload(leaving))
+  push.registerMethods(runtime.methods)
+  slots.registerMethods(runtime.methods)
+  return {
+    start: async () => {
+      await runtime.start(async () => {
+        await gateway.start()
+        return `${settings.host}:${String(gateway.callerPort)}`
+      })
+      slots.start()
+      push.start()
+      watch.start()
+    },
+    stop: () =>
+      runtime.stop(async () => {
+        await gateway.drain()
+        await watch.stop()
+        push.stop()
+        slots.stop()
+        status.close()
+      }),
+  }
+}
+
+function createSlots(runtime: NodeRuntime, leaving: LeavingRegistry): SlotDispatcher {
+  return new SlotDispatcher(runtime.configuration.view, runtime.members, leaving, runtime.caller, {
+    clock: runtime.clock,
+  })
+}
+
+function assemble(
+  runtime: NodeRuntime,
+  settings: GatewaySettings,
+  leaving: LeavingRegistry,
+  slots: SlotDispatcher,
+): Gateway {
+  return createGateway(
+    {
+      clock: runtime.clock,
+      configuration: runtime.configuration.view,
+      membership: runtime.members,
+      loads: runtime.loads,
+      rpc: runtime.caller,
+      methods: runtime.methods,
+      slots,
+      log: createLogger('gateway'),
+      metrics: runtime.metrics,
+      onLeaving: (workerId) => {
+        const generation = generationOf(runtime, workerId)
+        if (generation !== undefined) leaving.observeAnswer(workerId, generation)
+      },
+      // The runtime has announced it before it drains the gateway.
+      announceLeaving: () => Promise.resolve(),
+      loansReturned: () => loansReturned(slots, runtime, settings.maxTimeoutMs),
+    },
+    settings,
+  )
+}
+
+/** Generation in the present configuration, which the answering address was taken from. */
+function generationOf(runtime: NodeRuntime, workerId: string): number | undefined {
+  const services = runtime.configuration.view.current()?.document.services.values() ?? []
+  for (const service of services) {
+    const worker = service.workers.find((candidate) => candidate.workerId === workerId)
+    if (worker !== undefined) return worker.generation
+  }
+  return undefined
+}
+
+/** Loans end at the deadlines of their requests, which bounds the wait. */
+async function loansReturned(
+  slots: SlotDispatcher,
+  runtime: NodeRuntime,
+  timeoutMs: number,
+): Promise<void> {
+  const latestMs = runtime.clock() + timeoutMs
+  const lent = (): boolean => slots.loads(runtime.clock()).some((load) => load.lentSlots > 0)
+  while (lent() && runtime.clock() < latestMs) await sleep(LOAN_POLL_MS)
+}
