test(configuration): lost answers, outages, races and paused writers; example

Two writers under random fates of their calls, scheduled by fast-check with a fixed seed, commit what they report as committed and nothing they report as failed. Removing the note of an open head write, or the check whether the head still names the base, makes these tests fail.

--- a/src/configuration/__tests__/configurationDistributor.spec.ts
+++ b/src/configuration/__tests__/configurationDistributor.spec.ts
@@ -140,7 +140,7 @@
       const answer = await caller.call('nyeri-0:1', method, {}, { timeoutMs: 100 })
       expect(answer.unwrap()).to.deep.equal({
         memberId: 'nyeri-0',
-        incarnation: '0123456789abcdef',
+        incarnation: '0000000000000001',
         revision: 0,
       })
     })
--- /dev/null
+++ b/src/configuration/__tests__/configurationRepository.spec.ts
@@ -0,0 +1,345 @@
+import { expect } from 'chai'
+import fastCheck from 'fast-check'
+import type { PendingCall } from '../../../playground/inProcessStore.js'
+import { CallFate, InProcessStore } from '../../../playground/inProcessStore.js'
+import { StoreState } from '../../../playground/storeState.js'
+import { CommitConflict, ConfigurationErrorKind } from '../configurationErrors.js'
+import { HEAD_KEY, committedRevision } from '../configurationHead.js'
+import type { VersionedHead } from '../configurationHead.js'
+import { ConfigurationRepository, SettledState } from '../configurationRepository.js'
+import { applyChanges, emptyConfiguration } from '../documentBuilder.js'
+import type { Configuration } from '../view.js'
+import { REGIONS, blockChange, changeOf } from './sampleChanges.js'
+
+const SEED = 20261204
+const QUICK = { retryPauseMs: 1, settleTimeoutMs: 60, callTimeoutMs: 50 }
+
+async function headOf(state: StoreState): Promise<VersionedHead> {
+  return (await new ConfigurationRepository(new InProcessStore(state)).readHead()).unwrap()
+}
+
+async function commitAll(
+  repository: ConfigurationRepository,
+  from: number,
+  to: number,
+): Promise<void> {
+  for (let base = from; base < to; base++) {
+    const change = base === 0 ? changeOf('regions', ...REGIONS) : blockChange(base)
+    ;(await repository.commit(change, base)).unwrap()
+  }
+}
+
+async function configurationOf(repository: ConfigurationRepository): Promise<Configuration> {
+  const { snapshot, changes } = (await repository.readSince(-1)).unwrap()
+  const { configuration, error } = applyChanges(snapshot ?? emptyConfiguration(), changes)
+  if (error !== undefined) throw error
+  return configuration
+}
+
+describe('ConfigurationRepository', () => {
+  let state: StoreState
+  /** Fates of the coming calls to a method and key; then calls are executed. */
+  let fates: { matches: (call: PendingCall) => boolean; fate: CallFate }[]
+  let store: InProcessStore
+  let repository: ConfigurationRepository
+
+  beforeEach(() => {
+    state = new StoreState()
+    fates = []
+    store = new InProcessStore(state, (call) => {
+      const index = fates.findIndex(({ matches }) => matches(call))
+      return index < 0 ? CallFate.Execute : (fates.splice(index, 1)[0]?.fate ?? CallFate.Execute)
+    })
+    repository = new ConfigurationRepository(store, QUICK)
+  })
+
+  const isHeadWrite = ({ method, key }: PendingCall): boolean =>
+    method === 'compareAndSwap' && key === HEAD_KEY
+  const isBodyWrite = ({ method, key }: PendingCall): boolean =>
+    method === 'compareAndSwap' && key !== HEAD_KEY
+
+  describe('commit', () => {
+    it('commits on the base revision and reads back what was committed', async () => {
+      await commitAll(repository, 0, 5)
+      const configuration = await configurationOf(repository)
+      expect(configuration.revision).to.equal(5)
+      expect(configuration.blocks.size).to.equal(4)
+    })
+
+    it('finds the revision of a change that was committed before, instead of committing twice', async () => {
+      await commitAll(repository, 0, 3)
+      const again = (await repository.commit(blockChange(1), 1)).unwrap()
+      expect(again).to.deep.equal({ changeId: 'block-1', revision: 2, isRepeated: true })
+      expect((await headOf(state)).revision).to.equal(3)
+    })
+
+    it('names the changes that came in between', async () => {
+      await commitAll(repository, 0, 3)
+      const late = await repository.commit(blockChange(9), 1)
+      if (!late.err || !(late.val instanceof CommitConflict)) throw new Error('no conflict')
+      expect(late.val.revision).to.equal(3)
+      const names = late.val.intervening.map(({ changeId, summary }) => [changeId, summary])
+      expect(names).to.deep.equal([
+        ['block-1', 'summary of block-1'],
+        ['block-2', 'summary of block-2'],
+      ])
+    })
+
+    it('lets exactly one of two racing writers through', async () => {
+      await commitAll(repository, 0, 1)
+      const other = new ConfigurationRepository(new InProcessStore(state), QUICK)
+      const results = await Promise.all([
+        repository.commit(blockChange(1, 'mine'), 1),
+        other.commit(blockChange(2, 'theirs'), 1),
+      ])
+      const kinds = results.map((result) => (result.ok ? 'ok' : result.val.kind))
+      expect(kinds.sort()).to.deep.equal([ConfigurationErrorKind.Conflict, 'ok'])
+    })
+
+    it('refuses a change that the replicas could not apply, before it is written', async () => {
+      await commitAll(repository, 0, 1)
+      const block = { cidr: '10.0.0.0/24', site: 'moon', weight: 1 }
+      const result = await repository.commit(
+        changeOf('bad', { kind: 'putBlocks', blocks: [block] } as never),
+        1,
+      )
+      expect(result.err && result.val.kind).to.equal(ConfigurationErrorKind.Refused)
+      expect((await headOf(state)).revision).to.equal(1)
+    })
+
+    it('refuses a change id that is in use for another change of the same revision', async () => {
+      await commitAll(repository, 0, 1)
+      fates = [{ matches: isHeadWrite, fate: CallFate.Refuse }]
+      await repository.commit(blockChange(1, 'same'), 1)
+      const other = await repository.commit(blockChange(2, 'same'), 1)
+      expect(other.err && other.val.kind).to.equal(ConfigurationErrorKind.Malformed)
+    })
+
+    const settled: readonly [string, CallFate][] = [
+      ['that took effect', CallFate.LoseAnswer],
+      ['that did not take effect', CallFate.LoseRequest],
+      ['that takes effect later', CallFate.ExecuteLate],
+    ]
+    for (const [what, fate] of settled) {
+      it(`settles a lost answer of a head write ${what}`, async () => {
+        await commitAll(repository, 0, 1)
+        fates = [{ matches: isHeadWrite, fate }]
+        const receipt = (await repository.commit(blockChange(1), 1)).unwrap()
+        expect(receipt.revision).to.equal(2)
+        store.runLateCalls()
+        const head = await headOf(state)
+        expect(head.changeIds.map(({ changeId }) => changeId)).to.deep.equal(['regions', 'block-1'])
+      })
+
+      it(`settles a lost answer of a body write ${what}`, async () => {
+        await commitAll(repository, 0, 1)
+        fates = [{ matches: isBodyWrite, fate }]
+        const first = await repository.commit(blockChange(1), 1)
+        const receipt = first.ok ? first : await repository.commit(blockChange(1), 1)
+        expect(receipt.unwrap().revision).to.equal(2)
+        store.runLateCalls()
+        expect((await configurationOf(repository)).blocks.size).to.equal(1)
+      })
+    }
+
+    it('answers unknown while the store is down after a lost answer, and settles when asked again', async () => {
+      await commitAll(repository, 0, 1)
+      let isDown = false
+      const decide = (call: PendingCall): CallFate => {
+        if (isHeadWrite(call)) {
+          isDown = true
+          return CallFate.LoseAnswer
+        }
+        return isDown ? CallFate.Refuse : CallFate.Execute
+      }
+      const unlucky = new ConfigurationRepository(new InProcessStore(state, decide), QUICK)
+      const unknown = await unlucky.commit(blockChange(1), 1)
+      expect(unknown.err && unknown.val.kind).to.equal(ConfigurationErrorKind.OutcomeUnknown)
+      const again = (await repository.commit(blockChange(1), 1)).unwrap()
+      expect(again).to.deep.equal({ changeId: 'block-1', revision: 2, isRepeated: true })
+    })
+
+    it('reports an outage before any write of the head as not committed', async () => {
+      const down = new ConfigurationRepository(new InProcessStore(state, () => CallFate.Refuse))
+      const result = await down.commit(blockChange(1), 0)
+      expect(result.err && result.val.kind).to.equal(ConfigurationErrorKind.StoreUnavailable)
+    })
+
+    it('retries on the same revision when a snapshot was named in between', async () => {
+      await commitAll(repository, 0, 2)
+      const configuration = await configurationOf(repository)
+      const other = new ConfigurationRepository(new InProcessStore(state), QUICK)
+      const racing = new InProcessStore(state, async (call) => {
+        if (isHeadWrite(call)) await other.writeSnapshot(configuration)
+        return CallFate.Execute
+      })
+      const receipt = await new ConfigurationRepository(racing, QUICK).commit(blockChange(2), 2)
+      expect(receipt.unwrap().revision).to.equal(3)
+      expect((await headOf(state)).snapshotRevision).to.equal(2)
+    })
+  })
+
+  describe('paused writer', () => {
+    it('does not commit an old revision after others went on, however long it was paused', async () => {
+      await commitAll(repository, 0, 2)
+      const other = new ConfigurationRepository(new InProcessStore(state), QUICK)
+      const paused = new InProcessStore(state, async (call) => {
+        if (isHeadWrite(call)) await commitAll(other, 2, 5)
+        return CallFate.Execute
+      })
+      const result = await new ConfigurationRepository(paused, QUICK).commit(
+        blockChange(77, 'late'),
+        2,
+      )
+      expect(result.err && result.val.kind).to.equal(ConfigurationErrorKind.Conflict)
+      const head = await headOf(state)
+      expect(head.revision).to.equal(5)
+      expect(committedRevision(head, 'late')).to.equal(undefined)
+    })
+
+    it('answers unknown when its lost commit has left the head meanwhile, never "not committed"', async () => {
+      await commitAll(repository, 0, 1)
+      const other = new ConfigurationRepository(new InProcessStore(state), QUICK)
+      // The head write takes effect, its answer is lost, and 270 changes follow before the next read.
+      let isSent = false
+      const paused = new InProcessStore(state, async (call) => {
+        if (isHeadWrite(call)) {
+          isSent = true
+          return CallFate.LoseAnswer
+        }
+        if (isSent && (await headOf(state)).revision === 2) {
+          await commitAll(other, 2, 200)
+          await other.writeSnapshot(await configurationOf(other))
+          await commitAll(other, 200, 272)
+        }
+        return CallFate.Execute
+      })
+      const unlucky = new ConfigurationRepository(paused, { ...QUICK, settleTimeoutMs: 10_000 })
+      const result = await unlucky.commit(blockChange(1, 'lost'), 1)
+      expect(result.err && result.val.kind).to.equal(ConfigurationErrorKind.OutcomeUnknown)
+      const stale = await other.commit(blockChange(1, 'never-sent'), 1)
+      expect(stale.err && stale.val.kind).to.equal(ConfigurationErrorKind.Conflict)
+    })
+  })
+
+  describe('settle', () => {
+    it('tells committed, not committed and still open apart', async () => {
+      await commitAll(repository, 0, 2)
+      const stateOf = async (changeId: string, base: number): Promise<SettledState> =>
+        (await repository.settle(changeId, base)).unwrap().state
+      expect(await stateOf('block-1', 1)).to.equal(SettledState.Committed)
+      expect(await stateOf('other', 1)).to.equal(SettledState.NotCommitted)
+      expect(await stateOf('other', 2)).to.equal(SettledState.Open)
+    })
+  })
+
+  describe('snapshots and history', () => {
+    it('reads a snapshot plus the changes after it, and removes the one before the previous', async () => {
+      await commitAll(repository, 0, 3)
+      for (const last of [4, 5, 6]) {
+        await commitAll(repository, last - 1, last)
+        const written = await repository.writeSnapshot(await configurationOf(repository))
+        expect(written.unwrap()).to.equal(true)
+      }
+      await commitAll(repository, 6, 8)
+      const update = (await repository.readSince(-1)).unwrap()
+      expect(update.snapshot?.revision).to.equal(6)
+      expect(update.changes.map(({ revision }) => revision)).to.deep.equal([7, 8])
+      const keys = state.list('configuration/snapshots/', 0).map(({ key }) => key.split('/')[2])
+      expect([...new Set(keys)]).to.deep.equal(['5', '6'])
+    })
+
+    it('never names a snapshot whose parts are incomplete', async () => {
+      await commitAll(repository, 0, 2)
+      const configuration = await configurationOf(repository)
+      fates = [{ matches: isBodyWrite, fate: CallFate.Refuse }]
+      expect((await repository.writeSnapshot(configuration)).err).to.equal(true)
+      expect((await headOf(state)).snapshots).to.deep.equal([])
+      expect((await repository.writeSnapshot(configuration)).unwrap()).to.equal(true)
+    })
+
+    it('settles a lost answer when naming, and does not replace a newer snapshot', async () => {
+      await commitAll(repository, 0, 2)
+      const older = await configurationOf(repository)
+      await commitAll(repository, 2, 3)
+      fates = [{ matches: isHeadWrite, fate: CallFate.LoseAnswer }]
+      const newer = await configurationOf(repository)
+      expect((await repository.writeSnapshot(newer)).unwrap()).to.equal(true)
+      expect((await repository.writeSnapshot(older)).unwrap()).to.equal(false)
+      expect((await headOf(state)).snapshotRevision).to.equal(3)
+    })
+
+    it('reads each body of the history once', async () => {
+      await commitAll(repository, 0, 4)
+      expect((await repository.history()).unwrap().length).to.equal(4)
+      const before = store.calls
+      const summaries = (await repository.history()).unwrap().map(({ summary }) => summary)
+      expect(summaries.at(-1)).to.equal('summary of block-3')
+      expect(store.calls - before).to.equal(1)
+    })
+  })
+
+  describe('two writers under random faults', () => {
+    it('commits what it reports as committed, and nothing that it reports as failed', async () => {
+      const anyFate = fastCheck.constantFrom(
+        ...[CallFate.Execute, CallFate.Execute, CallFate.Execute, CallFate.Refuse],
+        ...[CallFate.LoseAnswer, CallFate.LoseRequest, CallFate.ExecuteLate],
+      )
+      const fateLists = fastCheck.array(anyFate, { minLength: 40, maxLength: 40 })
+      await fastCheck.assert(
+        fastCheck.asyncProperty(fastCheck.scheduler(), fateLists, async (scheduler, list) => {
+          await checkTwoWriters(
+            list,
+            (fate) => scheduler.schedule(Promise.resolve(fate)),
+            () => scheduler.waitIdle(),
+          )
+        }),
+        { seed: SEED, numRuns: 60 },
+      )
+    })
+  })
+})
+
+async function checkTwoWriters(
+  list: readonly CallFate[],
+  schedule: (fate: CallFate) => Promise<CallFate>,
+  waitIdle: () => Promise<void>,
+): Promise<void> {
+  const state = new StoreState()
+  await commitAll(new ConfigurationRepository(new InProcessStore(state)), 0, 1)
+  const remaining = [...list]
+  const stores: InProcessStore[] = []
+  const results = new Map<string, string>()
+  const runWriter = async (name: string): Promise<void> => {
+    const store: InProcessStore = new InProcessStore(state, async () => {
+      const fate = await schedule(remaining.shift() ?? CallFate.Execute)
+      if (remaining.length % 5 === 0) for (const each of stores) each.runLateCalls()
+      return fate
+    })
+    stores.push(store)
+    const repository = new ConfigurationRepository(store, QUICK)
+    for (let number = 0; number < 4; number++) {
+      const head = await headOf(state)
+      const changeId = `${name}-${String(number)}`
+      const result = await repository.commit(blockChange(number, changeId), head.revision)
+      results.set(changeId, result.ok ? String(result.val.revision) : result.val.kind)
+    }
+  }
+  const writers = Promise.all([runWriter('a'), runWriter('b')])
+  const finished = writers.then(() => true)
+  // Pauses between attempts are timers, which the scheduler does not see.
+  const pause = (): Promise<boolean> => new Promise((resolve) => setTimeout(resolve, 1, false))
+  while (!(await Promise.race([finished, pause()]))) await waitIdle()
+  await writers
+  for (const store of stores) store.runLateCalls()
+  const head = await headOf(state)
+  expect(head.changeIds.map(({ revision }) => revision)).to.deep.equal(
+    Array.from({ length: head.revision }, (_, index) => index + 1),
+  )
+  for (const [changeId, reported] of results) {
+    if (reported === (ConfigurationErrorKind.OutcomeUnknown as string)) continue
+    const actual = committedRevision(head, changeId)
+    const expected = /^\d+$/.test(reported) ? Number(reported) : undefined
+    expect(actual, `${changeId} was reported as ${reported}`).to.equal(expected)
+  }
+}
--- a/src/configuration/__tests__/testCluster.ts
+++ b/src/configuration/__tests__/testCluster.ts
@@ -1,11 +1,12 @@
 /** Daemons' configuration parts in one process, over an in-process network that can be cut. */
+import { exampleMember } from '../../../playground/fixedMembership.js'
 import { InProcessStore } from '../../../playground/inProcessStore.js'
 import type { Result } from '../../common/results.js'
 import { Err, Ok } from '../../common/results.js'
 import type { CallOptions, RpcCaller, RpcMethod, RpcMethodRegistry } from '../../common/rpc.js'
 import { RpcError, RpcErrorKind } from '../../common/rpc.js'
 import type { Member, MemberRecord, MembershipView } from '../../membership/memberRecord.js'
-import { MemberHealth, MemberRole, MemberState } from '../../membership/memberRecord.js'
+import { MemberHealth } from '../../membership/memberRecord.js'
 import type { DistributorOptions } from '../configurationDistributor.js'
 import { ConfigurationDistributor } from '../configurationDistributor.js'
 import { ConfigurationReplica } from '../configurationReplica.js'
@@ -85,8 +86,9 @@
 
   /** Adds a node without starting it. */
   add(region: string, options: DistributorOptions = {}, store = this.store): TestNode {
-    const record = recordOf(`${region}-${String(this.nodes.length)}`, region)
-    const address = record.internalAddress
+    const memberId = `${region}-${String(this.nodes.length)}`
+    const address = `${memberId}:1`
+    const record = exampleMember(memberId, region, address)
     const replica = new ConfigurationReplica()
     const repository = new ConfigurationRepository(store, { view: replica })
     const distributor = new ConfigurationDistributor(
@@ -127,22 +129,6 @@
   }
 }
 
-function recordOf(memberId: string, region: string): MemberRecord {
-  return {
-    memberId,
-    role: MemberRole.Gateway,
-    incarnation: '0123456789abcdef',
-    startedAtMs: 0,
-    version: 1,
-    state: MemberState.Live,
-    region,
-    zone: `${region}-a`,
-    site: `${region}-1`,
-    callerAddress: '',
-    internalAddress: `${memberId}:1`,
-  }
-}
-
 /** Waits until `condition` holds; fails after `timeoutMs`. */
 export async function eventually(
   what: string,
--- a/src/configuration/commitAttempt.ts
+++ b/src/configuration/commitAttempt.ts
@@ -38,6 +38,7 @@
 export interface CommitContext {
   readonly store: KeyValueStore
   readonly callTimeoutMs: number
+  readonly firstPauseMs: number
   readonly clock: Clock
   readHead(): Promise<Result<VersionedHead, ConfigurationError>>
   describe(changes: readonly NamedChange[]): Promise<readonly InterveningChange[]>
@@ -60,7 +61,6 @@
  * the head names only the last 256.
  */
 export const MAX_CHANGES_SINCE_SNAPSHOT = HISTORY_LENGTH - 16
-const FIRST_PAUSE_MS = 20
 const LONGEST_PAUSE_MS = 500
 
 /** Runs until the outcome is certain or the deadline has passed. */
@@ -71,12 +71,13 @@
   /** Whether a write of the head was sent whose effect is not known. */
   #isOpen = false
   #isPrepared = false
-  #pauseMs = FIRST_PAUSE_MS
+  #pauseMs: number
 
   constructor(context: CommitContext, request: CommitRequest, deadlineMs: number) {
     this.#context = context
     this.#request = request
     this.#deadlineMs = deadlineMs
+    this.#pauseMs = context.firstPauseMs
   }
 
   async run(): Promise<Outcome> {
--- a/src/configuration/configurationRepository.ts
+++ b/src/configuration/configurationRepository.ts
@@ -31,6 +31,8 @@
   readonly callTimeoutMs?: number
   /** Time after which a commit without a known outcome is reported as unknown, in milliseconds. */
   readonly settleTimeoutMs?: number
+  /** First pause before the head is read again to settle a commit, in milliseconds; doubles up to 500. */
+  readonly retryPauseMs?: number
   /** Configuration of this process; saves reading it again to check a change against it. */
   readonly view?: ConfigurationView
   readonly clock?: Clock
@@ -69,6 +71,7 @@
 
 const DEFAULT_CALL_TIMEOUT_MS = 2000
 const DEFAULT_SETTLE_TIMEOUT_MS = 8000
+const DEFAULT_RETRY_PAUSE_MS = 20
 /** Bodies that are read at the same time, so that a catch-up does not use up the store's rate. */
 const PARALLEL_READS = 8
 /** Changes after which reading a snapshot costs fewer calls than reading each body. */
@@ -79,6 +82,7 @@
   readonly #store: KeyValueStore
   readonly #callTimeoutMs: number
   readonly #settleTimeoutMs: number
+  readonly #retryPauseMs: number
   readonly #view: ConfigurationView | undefined
   readonly #clock: Clock
   readonly #snapshots: SnapshotStore
@@ -89,6 +93,7 @@
     this.#store = store
     this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS
     this.#settleTimeoutMs = options.settleTimeoutMs ?? DEFAULT_SETTLE_TIMEOUT_MS
+    this.#retryPauseMs = options.retryPauseMs ?? DEFAULT_RETRY_PAUSE_MS
     this.#view = options.view
     this.#clock = options.clock ?? systemClock
     this.#snapshots = new SnapshotStore(store, this.#callTimeoutMs)
@@ -156,6 +161,7 @@
       {
         store: this.#store,
         callTimeoutMs: this.#callTimeoutMs,
+        firstPauseMs: this.#retryPauseMs,
         clock: this.#clock,
         readHead: () => this.readHead(),
         describe: (changes) => this.#describe(changes),
@@ -194,6 +200,18 @@
     return this.#snapshots.write(configuration, () => this.readHead(), deadlineMs, this.#clock)
   }
 
+  /** Reads the changes `first` to `last`, which the head must still name. One call, and one per change. */
+  async readChanges(
+    first: number,
+    last: number,
+  ): Promise<Result<readonly CommittedChange[], ConfigurationError>> {
+    const read = await this.readHead()
+    if (read.err) return read
+    const named = read.val.changeIds.filter(({ revision }) => revision >= first && revision <= last)
+    if (named.length === last - first + 1) return this.#readChanges(named)
+    return Err(malformed(`The head does not name all of ${String(first)} to ${String(last)}`))
+  }
+
   /** Returns the last 256 changes, newest last. Reads only bodies that were not read before. */
   async history(): Promise<Result<readonly HistoryEntry[], ConfigurationError>> {
     const read = await this.readHead()
