--- a/playground/demoTraffic.ts
+++ b/playground/demoTraffic.ts
@@ -1,4 +1,5 @@
 /** Callers of the demo: a steady mixture of reads and non-idempotent operations from all regions. */
+import { setMaxListeners } from 'node:events'
 import type { HttpExchangeClient } from '../src/common/httpExchange.js'
 import { sleep, systemClock } from '../src/common/clock.js'
 import type { CallReport, ServiceCall } from '../src/client/callerClient.js'
@@ -44,6 +45,8 @@
     this.#local = local
     this.#http = http
     this.#options = options
+    // Each caller waits on this signal.
+    setMaxListeners(0, this.#stop.signal)
   }
 
   /** Finished calls so far. */
