test(playground): real daemon processes under platform, process and operator faults

The first version stopped its callers too early: Mocha runs the tests of a block before its nested blocks, so the drain tests saw no traffic. They now check that callers went on.

--- /dev/null
+++ b/playground/__tests__/localDeployment.spec.ts
@@ -0,0 +1,268 @@
+import { expect } from 'chai'
+import { sleep, systemClock } from '../../src/common/clock.js'
+import { HttpExchangeClient } from '../../src/common/httpExchange.js'
+import { HttpRpcCaller } from '../../src/common/rpcClient.js'
+import { Outcome } from '../../src/common/headers.js'
+import { MemberRole } from '../../src/membership/memberRecord.js'
+import { InstanceKind, InstanceState } from '../../src/platform/instanceList.js'
+import type { ShownPlan } from '../demoOperator.js'
+import { DemoOperator } from '../demoOperator.js'
+import { DemoTraffic } from '../demoTraffic.js'
+import { DeploymentName, loadDeployment, workersOf } from '../deployment.js'
+import type { LocalDaemon } from '../localDeployment.js'
+import { LocalDeployment, PEER_TOKEN } from '../localDeployment.js'
+import { StoreOutage } from '../storeServer.js'
+
+/** Bound of the design for new work at a leaving backend server. */
+const NEW_WORK_LIMIT_MS = 3000
+/** Bound of the design for a change to be in force everywhere. */
+const IN_FORCE_LIMIT_MS = 4000
+const OBSERVATION_MS = 1500
+
+/** One entry instance per region, so that the whole deployment is 9 processes. */
+function smallDeployment(): LocalDeployment['deployment'] {
+  const deployment = loadDeployment(DeploymentName.Kirinyaga).unwrap()
+  const entryInstances = deployment.entryInstances.filter((instance) =>
+    instance.instanceId.endsWith('-1'),
+  )
+  return { ...deployment, entryInstances }
+}
+
+/** Real daemon processes under faults of the platform, of processes and of operators. */
+describe('local deployment under faults', function () {
+  this.timeout(60_000)
+  let local: LocalDeployment
+  let operator: DemoOperator
+  let traffic: DemoTraffic
+  const http = new HttpExchangeClient({ maxConnections: 128, idleMs: 4000, clock: systemClock })
+  const peers = new HttpRpcCaller(PEER_TOKEN)
+
+  const revisionOf = async (daemon: LocalDaemon): Promise<number> => {
+    const answer = await peers.call(
+      daemon.internalAddress,
+      'configuration.acknowledgedRevision',
+      {},
+      { timeoutMs: 1000 },
+    )
+    return answer.ok ? (answer.val as { revision: number }).revision : -1
+  }
+  /** Waits until every daemon holds at least the revision; returns the time it took. */
+  const waitForRevision = async (revision: number, limitMs: number): Promise<number> => {
+    const startMs = Date.now()
+    for (;;) {
+      const held = await Promise.all(local.daemons.map(revisionOf))
+      const tookMs = Date.now() - startMs
+      if (held.every((one) => one >= revision) || tookMs > limitMs) return tookMs
+      await sleep(50)
+    }
+  }
+  const acceptedRevision = async (): Promise<number> =>
+    (await operator.run<{ acceptedRevision: number }>('status')).acceptedRevision
+  /** Start of the last execution at a worker, in milliseconds after `sinceMs`. */
+  const lastNewWorkMs = (workerId: string, sinceMs: number): number => {
+    const server = local.backendServers.find((candidate) => candidate.workerId === workerId)
+    const starts = (server?.records ?? []).map((record) => record.startMs - sinceMs)
+    return Math.max(0, ...starts)
+  }
+  const list = (workerId: string, state: InstanceState): void => {
+    const worker = workersOf(local.deployment).find((candidate) => candidate.workerId === workerId)
+    if (worker === undefined) throw new Error(`There is no worker ${workerId}`)
+    const { region, zone, address, generation } = worker
+    local.instanceList.put({
+      instanceId: workerId,
+      kind: InstanceKind.Backend,
+      state,
+      generation,
+      region,
+      zone,
+      address,
+    })
+  }
+
+  before(async () => {
+    local = await LocalDeployment.start({ deployment: smallDeployment(), logs: '' })
+    operator = new DemoOperator(local)
+    await operator.bootstrap(local)
+    await waitForRevision(1, IN_FORCE_LIMIT_MS)
+    const services = [...new Set(workersOf(local.deployment).map((worker) => worker.service))]
+    traffic = new DemoTraffic(local, http, { callersPerBlock: 1, pauseMs: 500, services })
+    traffic.start()
+    await sleep(OBSERVATION_MS)
+  })
+
+  after(async () => {
+    await traffic.stop()
+    http.close()
+    peers.close()
+    await local.stop()
+  })
+
+  describe('a leaving backend server gets no new work after 3 s, on one signal alone', () => {
+    const signals: Readonly<Record<string, (workerId: string) => Promise<void>>> = {
+      "the platform's list": (workerId) => {
+        list(workerId, InstanceState.Leaving)
+        return Promise.resolve()
+      },
+      'its own answer': (workerId) => {
+        local.backendServers.find((server) => server.workerId === workerId)?.drain()
+        return Promise.resolve()
+      },
+      "an operator's intent": async (workerId) => {
+        await operator.planAndConfirm('drain', workerId)
+      },
+    }
+    Object.entries(signals).forEach(([name, leave], index) => {
+      it(`${name}, while the others contradict it`, async () => {
+        const workerId = workersOf(local.deployment)[index]?.workerId ?? ''
+        const before = lastNewWorkMs(workerId, 0)
+        expect(before, 'the worker had work before').to.be.greaterThan(0)
+        await leave(workerId)
+        const sinceMs = Date.now()
+        const callsBefore = traffic.calls.length
+        await sleep(NEW_WORK_LIMIT_MS + OBSERVATION_MS)
+        expect(traffic.calls.length, 'callers went on').to.be.greaterThan(callsBefore)
+        expect(lastNewWorkMs(workerId, sinceMs)).to.be.at.most(NEW_WORK_LIMIT_MS)
+      })
+    })
+
+    it('an older "live" entry of the list does not bring it back', async () => {
+      const workerId = workersOf(local.deployment)[0]?.workerId ?? ''
+      list(workerId, InstanceState.Live)
+      const sinceMs = Date.now()
+      await sleep(NEW_WORK_LIMIT_MS)
+      expect(lastNewWorkMs(workerId, sinceMs)).to.equal(0)
+    })
+  })
+
+  describe('configuration', () => {
+    const planDrain = (index: number): Promise<ShownPlan> => {
+      const worker = workersOf(local.deployment)[index]
+      return operator.run<ShownPlan>('plan', 'drain', worker?.workerId ?? '')
+    }
+
+    it('a change with a slow store is in force everywhere in 4 s', async () => {
+      const plan = await planDrain(12)
+      local.store.setFaults({ slownessMs: 300 })
+      await operator.run('confirm', plan.planId, '--digest', plan.digest)
+      const tookMs = await waitForRevision(await acceptedRevision(), IN_FORCE_LIMIT_MS)
+      local.store.setFaults({ slownessMs: 0 })
+      expect(tookMs).to.be.at.most(IN_FORCE_LIMIT_MS)
+    })
+
+    it('a lost answer of the store is settled: the change is made once and reported as made', async () => {
+      const before = await acceptedRevision()
+      const plan = await planDrain(16)
+      local.store.setFaults({ dropNextAnswers: 2 })
+      const result = await operator.tryRun('confirm', plan.planId, '--digest', plan.digest)
+      local.store.setFaults({ dropNextAnswers: 0 })
+      expect(result.exitCode, result.output).to.equal(0)
+      expect(await acceptedRevision()).to.equal(before + 1)
+    })
+
+    it('of two operators who race to change the same thing one wins and the other is told so', async () => {
+      const before = await acceptedRevision()
+      const plans = await Promise.all([planDrain(24), planDrain(24)])
+      const results = await Promise.all(
+        plans.map((plan) => operator.tryRun('confirm', plan.planId, '--digest', plan.digest)),
+      )
+      const codes = results.map((result) => result.exitCode).sort()
+      expect(codes, results.map((result) => result.output).join('\n')).to.deep.equal([0, 4])
+      expect(await acceptedRevision()).to.equal(before + 1)
+    })
+
+    it('a plan that was confirmed already is refused the second time', async () => {
+      const plan = await planDrain(32)
+      await operator.run('confirm', plan.planId, '--digest', plan.digest)
+      const again = await operator.tryRun('confirm', plan.planId, '--digest', plan.digest)
+      expect(again.exitCode).to.equal(4)
+      expect(again.output).to.contain('planAlreadyConfirmed')
+    })
+
+    describe('while the store is away', () => {
+      before(() => {
+        local.store.setFaults({ outage: StoreOutage.HangUp })
+      })
+      after(() => {
+        local.store.setFaults({ outage: StoreOutage.None })
+      })
+
+      it('requests are served, and operators learn that the store is away', async () => {
+        const served = traffic.calls.length
+        const planned = await operator.tryRun(
+          'plan',
+          'drain',
+          workersOf(local.deployment)[36]?.workerId ?? '',
+        )
+        expect(planned.exitCode, planned.output).to.equal(5)
+        await sleep(500)
+        expect(traffic.calls.length).to.be.greaterThan(served)
+      })
+
+      it('restarted daemons of a whole region take the revision of their peers, never an older one', async () => {
+        const accepted = Math.max(...(await Promise.all(local.daemons.map(revisionOf))))
+        const region = local.deployment.entryInstances[2]?.region ?? ''
+        const restarted = local.daemons.filter((daemon) => daemon.instance.region === region)
+        for (const daemon of restarted) daemon.program.signal('SIGKILL')
+        await Promise.all(restarted.map((daemon) => daemon.program.exited()))
+        for (const daemon of restarted) daemon.start()
+        await Promise.all(restarted.map((daemon) => daemon.ready()))
+        await waitForRevision(accepted, IN_FORCE_LIMIT_MS)
+        expect(await Promise.all(restarted.map(revisionOf))).to.deep.equal(
+          restarted.map(() => accepted),
+        )
+      })
+    })
+
+    it('a daemon that was frozen during a change has it 4 s after it continues', async () => {
+      const frozen = local.daemonsOf(MemberRole.Lookup)[1]
+      if (frozen === undefined) throw new Error('There is no second look-up daemon')
+      frozen.program.signal('SIGSTOP')
+      const plan = await planDrain(40)
+      await operator.run('confirm', plan.planId, '--digest', plan.digest)
+      const accepted = await acceptedRevision()
+      await sleep(1000)
+      frozen.program.signal('SIGCONT')
+      expect(await waitForRevision(accepted, IN_FORCE_LIMIT_MS)).to.be.at.most(IN_FORCE_LIMIT_MS)
+    })
+  })
+
+  describe('graceful shutdown', () => {
+    for (const role of Object.values(MemberRole)) {
+      it(`of a ${role} daemon cuts nothing, also with a second signal`, async () => {
+        const daemon = local.daemonsOf(role)[0]
+        if (daemon === undefined) throw new Error(`There is no ${role} daemon`)
+        const startMs = Date.now()
+        const exited = daemon.program.stop(20_000)
+        await sleep(200)
+        daemon.program.signal('SIGTERM')
+        const exit = await exited
+        const endMs = Date.now()
+        const cut = traffic.calls
+          .flatMap((call) => call.report.tries)
+          .filter((tried) => tried.address === daemon.serviceAddress && tried.sent)
+          .filter((tried) => tried.startMs <= endMs && tried.endMs >= startMs)
+          .filter((tried) => tried.status === undefined)
+        expect(cut).to.deep.equal([])
+        expect(exit).to.deep.equal({ code: 0, signal: null })
+      })
+    }
+  })
+
+  // Mocha runs the tests of a block before its nested blocks, so this has to be the last block.
+  describe('the whole run', () => {
+    it('every request of the whole run has a final outcome and no operation ran twice', async () => {
+      await traffic.stop()
+      const operations = new Set(
+        traffic.calls.filter((call) => !call.call.idempotent).map((call) => call.call.target),
+      )
+      const runs = new Map<string, number>()
+      for (const record of local.backendServers.flatMap((server) => [...server.records])) {
+        if (operations.has(record.target))
+          runs.set(record.target, (runs.get(record.target) ?? 0) + 1)
+      }
+      expect([...runs.values()].filter((count) => count > 1)).to.deep.equal([])
+      const ran = traffic.calls.filter((call) => call.report.outcome === Outcome.Ran)
+      expect(ran.length / traffic.calls.length).to.be.greaterThan(0.9)
+    })
+  })
+})
--- a/playground/demoOperator.ts
+++ b/playground/demoOperator.ts
@@ -20,6 +20,12 @@
   readonly membersInForce: number
 }
 
+/** How a command ended. */
+export interface CommandResult {
+  readonly exitCode: number | null
+  readonly output: string
+}
+
 /** Runs `tamarackdrift … --json` against the control daemons of a local deployment. */
 export class DemoOperator {
   readonly #environment: Readonly<Record<string, string>>
@@ -40,19 +46,22 @@
    * @throws Error with its output if it ended with another exit code than 0
    */
   async run<Answer>(...words: readonly string[]): Promise<Answer> {
-    const command = ManagedProcess.start(
-      `tamarackdrift ${words.join(' ')}`,
-      'bin/tamarackdrift.js',
-      ['--json', ...words],
-      this.#environment,
-    )
-    const exit = await command.exited()
-    const output = command.lines.join('\n')
-    if (exit.code !== 0)
-      throw new Error(`${command.name} ended with ${String(exit.code)}\n${output}`)
+    const { exitCode, output } = await this.tryRun(...words)
+    if (exitCode !== 0) {
+      throw new Error(`tamarackdrift ${words.join(' ')} ended with ${String(exitCode)}\n${output}`)
+    }
     return JSON.parse(output) as Answer
   }
 
+  /** Runs one command and returns its exit code with what it printed. */
+  async tryRun(...words: readonly string[]): Promise<CommandResult> {
+    const name = `tamarackdrift ${words.join(' ')}`
+    const script = 'bin/tamarackdrift.js'
+    const command = ManagedProcess.start(name, script, ['--json', ...words], this.#environment)
+    const exit = await command.exited()
+    return { exitCode: exit.code, output: command.lines.join('\n') }
+  }
+
   /** Plans, and confirms exactly the plan that was shown. */
   async planAndConfirm(...words: readonly string[]): Promise<ShownPlan> {
     const plan = await this.run<ShownPlan>('plan', ...words)
--- a/playground/localDeployment.ts
+++ b/playground/localDeployment.ts
@@ -14,7 +14,8 @@
 import { StoreServer } from './storeServer.js'
 
 const HOST = '127.0.0.1'
-const PEER_TOKEN = 'peer-token-of-the-local-deployment'
+/** Token between the daemons of a local deployment. */
+export const PEER_TOKEN = 'peer-token-of-the-local-deployment'
 const PREFIX_KEY = 'prefix-key-of-the-local-deployment'
 /** Token of the operators' port in a local deployment. */
 export const OPERATOR_TOKEN = 'operator-token-of-the-local-deployment'
