--- a/src/configuration/configurationHead.ts
+++ b/src/configuration/configurationHead.ts
@@ -67,7 +67,9 @@
       }),
     )
     .required(),
-}).unknown()
+})
+  .unknown()
+  .required()
 
 /** Key of a change's body; unique per attempt, so that an orphaned body harms nobody. */
 export function changeKey(revision: number, changeId: string): string {
--- a/src/configuration/distributionMessages.ts
+++ b/src/configuration/distributionMessages.ts
@@ -68,37 +68,37 @@
 export const EXCHANGE_SCHEMA = Joi.object({
   revision: REVISION,
   storeAgeMs: Joi.number().min(0).allow(null).required(),
-})
+}).required()
 
 export const ANNOUNCE_SCHEMA = Joi.object({
   address: Joi.string().required(),
   revision: REVISION,
   changes: CHANGES.required(),
-})
+}).required()
 
 export const CHANGES_ANSWER_SCHEMA = Joi.object({
   revision: REVISION,
   changes: CHANGES.allow(null).required(),
-})
+}).required()
 
 export const MANIFEST_SCHEMA = Joi.object({
   revision: REVISION,
   parts: Joi.number().integer().min(1).max(10_000).required(),
-})
+}).required()
 
-export const REVISION_SCHEMA = Joi.object({ revision: REVISION })
+export const REVISION_SCHEMA = Joi.object({ revision: REVISION }).required()
 
 export const PART_REQUEST_SCHEMA = Joi.object({
   revision: REVISION,
   part: Joi.number().integer().min(0).required(),
-})
+}).required()
 
-export const PART_ANSWER_SCHEMA = Joi.object({ text: Joi.string().required() })
+export const PART_ANSWER_SCHEMA = Joi.object({ text: Joi.string().required() }).required()
 
 export const ACKNOWLEDGED_SCHEMA = Joi.object({
   memberId: Joi.string().required(),
   incarnation: Joi.string().required(),
   revision: REVISION,
-})
+}).required()
 
 export const NO_PARAMETERS_SCHEMA = Joi.object({}).unknown()
--- a/src/configuration/recordSchemas.ts
+++ b/src/configuration/recordSchemas.ts
@@ -28,7 +28,7 @@
   region: NAME.required(),
   zone: NAME.required(),
   slots: Joi.number().integer().min(1).required(),
-})
+}).required()
 
 const SERVICE = Joi.object({
   name: NAME.required(),
@@ -47,7 +47,7 @@
   service: NAME.required(),
   clientRegion: NAME.required(),
   shares: Joi.object().pattern(NAME, SHARE).min(1).required(),
-})
+}).required()
 
 const SHIFT = Joi.object({
   shiftId: NAME.required(),
@@ -109,4 +109,4 @@
   createdAtMs: Joi.number().integer().required(),
   summary: Joi.string().allow('').max(1024).required(),
   records: Joi.array().items(Joi.object().unknown()).min(1).required(),
-})
+}).required()
--- a/src/platform/httpBackendStatus.ts
+++ b/src/platform/httpBackendStatus.ts
@@ -16,7 +16,9 @@
   health: Joi.valid(...Object.values(BackendHealth)).required(),
   busySlots: Joi.number().min(0).required(),
   measuredAtMs: Joi.number().required(),
-}).unknown()
+})
+  .unknown()
+  .required()
 const MAX_STATUS_BYTES = 64 * 1024
 
 /** Reads the status endpoint of backend servers, one kept connection for each. */
--- a/src/platform/httpInstanceList.ts
+++ b/src/platform/httpInstanceList.ts
@@ -24,7 +24,9 @@
       }).unknown(),
     )
     .required(),
-}).unknown()
+})
+  .unknown()
+  .required()
 
 /** Instance list behind an HTTP endpoint. */
 export class HttpInstanceList implements InstanceList {
