feat(configuration): change block columns by copying ranges

A change of one block rebuilt all columns through one object per block, which held up the event loop of every daemon. Columns now copy ranges between edits, share prefixes when only sites or weights change, and link parents without a stack. Ruled out: a tree of pages, as a copy is fast enough.

--- a/src/configuration/__tests__/blockTable.spec.ts
+++ b/src/configuration/__tests__/blockTable.spec.ts
@@ -84,6 +84,46 @@
       expect(before.siteAt(before.find('10.1.2.3'))).to.equal('narrowest')
     })
 
+    it('gives the same table by edits as by building it at once, so that copied ranges never shift', () => {
+      const cidr = fastCheck
+        .tuple(fastCheck.integer({ min: 0, max: 63 }), fastCheck.integer({ min: 1, max: 8 }))
+        .map(
+          ([byte, length]) =>
+            `${String((byte * 4) & (0xff << (8 - length)) & 0xff)}.0.0.0/${String(length)}`,
+        )
+      const edit = fastCheck.tuple(cidr, fastCheck.option(fastCheck.integer({ min: 0, max: 9 })))
+      fastCheck.assert(
+        fastCheck.property(
+          fastCheck.array(fastCheck.array(edit, { maxLength: 12 }), { maxLength: 8 }),
+          (rounds) => {
+            const expected = new Map<string, ClientBlock>()
+            let edited = BlockTable.empty()
+            for (const round of rounds) {
+              const last = new Map(round)
+              const put = [...last].flatMap(([name, weight]) =>
+                weight === null ? [] : [{ cidr: name, site: `s${String(weight)}`, weight }],
+              )
+              const removed = [...last.keys()].filter((name) => last.get(name) === null)
+              edited = edited.withChanges(put, removed).unwrap()
+              for (const block of put) expected.set(block.cidr, block)
+              for (const name of removed) expected.delete(name)
+            }
+            const built = tableOf([...expected.values()])
+            expect(edited.size).to.equal(built.size)
+            for (let address = 0; address < 256; address++) {
+              const [left, right] = [edited, built].map((table) => {
+                const index = table.find(`${String(address)}.1.1.1`)
+                const isBlock = index !== NO_BLOCK
+                return isBlock && [table.cidrAt(index), table.siteAt(index), table.hashAt(index)]
+              })
+              expect(left).to.deep.equal(right)
+            }
+          },
+        ),
+        { seed: 12, numRuns: 100 },
+      )
+    })
+
     it('refuses a malformed block and names it', () => {
       const refused = BlockTable.empty().withChanges(
         [{ cidr: '10.1.0.1/16', site: 's', weight: 1 }],
@@ -93,6 +133,32 @@
     })
   })
 
+  describe('spellings of CIDRs', () => {
+    const spellings: readonly [string, boolean][] = [
+      ['10.0.0.0/8', true],
+      ['255.255.255.255/32', true],
+      ['0.0.0.0/0', true],
+      ['10.0.0.0/33', false],
+      ['10.0.0.1/8', false],
+      ['10.0.0.256/32', false],
+      ['10.0.0/8', false],
+      ['10.0.0.0/', false],
+      ['10.0.0.0/08', true],
+      ['10.0.0.0.0/8', false],
+      ['10..0.0/8', false],
+      ['/8', false],
+      ['2001:db8::/32', true],
+      ['2001:DB8:0::/32', true],
+      ['2001:db8::/65', false],
+    ]
+    for (const [cidr, isUsable] of spellings) {
+      it(`${isUsable ? 'accepts' : 'refuses'} ${cidr}`, () => {
+        const result = BlockTable.empty().withChanges([{ cidr, site: 's', weight: 1 }], [])
+        expect(result.ok).to.equal(isUsable)
+      })
+    }
+  })
+
   describe('pack', () => {
     it('survives a round trip in small chunks', () => {
       const packed = tableOf(NESTED).pack(64)
--- a/src/configuration/blockColumns.ts
+++ b/src/configuration/blockColumns.ts
@@ -6,6 +6,8 @@
 /** Bytes of one block in its packed form: high, low, weight (4 each), site (2), length (1). */
 export const PACKED_BLOCK_BYTES = 15
 const NO_PARENT = -1
+/** High and low word, length and family. */
+const HASH_KEY_BYTES = 10
 
 /** Values of one block. */
 export interface BlockRow extends PackedPrefix {
@@ -18,6 +20,29 @@
   return left.high - right.high || left.low - right.low || left.length - right.length
 }
 
+/** A change of a block: a row puts it, a prefix alone removes it. */
+export type BlockEdit = BlockRow | PackedPrefix
+
+/** Tells whether an edit puts a block. */
+export function isRow(edit: BlockEdit): edit is BlockRow {
+  return 'siteIndex' in edit
+}
+
+/** What the prefixes determine; shared by tables that differ in sites and weights only. */
+interface PrefixArrays {
+  readonly high: Uint32Array
+  readonly low: Uint32Array
+  readonly length: Uint8Array
+  readonly hash: Uint32Array
+  /** Index of the narrowest block around each block; leads from a miss to the enclosing blocks. */
+  readonly parent: Int32Array
+}
+
+interface ValueArrays {
+  readonly site: Uint16Array
+  readonly weight: Float32Array
+}
+
 /** Blocks of one family in the order of {@link comparePrefixes}; immutable after construction. */
 export class BlockColumns {
   readonly family: AddressFamily
@@ -27,20 +52,44 @@
   readonly #site: Uint16Array
   readonly #weight: Float32Array
   readonly #hash: Uint32Array
-  /** Index of the narrowest block around each block; leads from a miss to the enclosing blocks. */
   readonly #parent: Int32Array
 
-  /** @param rows sorted rows without duplicates; `count` of them are consumed */
-  constructor(family: AddressFamily, count: number, rows: Iterable<BlockRow>) {
+  private constructor(family: AddressFamily, prefixes: PrefixArrays, values: ValueArrays) {
     this.family = family
-    this.#high = new Uint32Array(count)
-    this.#low = new Uint32Array(count)
-    this.#length = new Uint8Array(count)
-    this.#site = new Uint16Array(count)
-    this.#weight = new Float32Array(count)
-    this.#hash = new Uint32Array(count)
-    this.#parent = new Int32Array(count)
-    this.#fill(rows)
+    this.#high = prefixes.high
+    this.#low = prefixes.low
+    this.#length = prefixes.length
+    this.#hash = prefixes.hash
+    this.#parent = prefixes.parent
+    this.#site = values.site
+    this.#weight = values.weight
+  }
+
+  /** @param rows sorted rows without duplicates, `count` of them */
+  static fromRows(family: AddressFamily, count: number, rows: Iterable<BlockRow>): BlockColumns {
+    const columns = new BlockColumns(family, newPrefixArrays(count), newValueArrays(count))
+    const key = Buffer.alloc(HASH_KEY_BYTES)
+    let index = 0
+    for (const row of rows) columns.#write(index++, row, key)
+    columns.#linkParents()
+    return columns
+  }
+
+  /** Returns the columns after sorted edits of different prefixes; costs a copy, not a row per block. */
+  withEdits(edits: readonly BlockEdit[]): BlockColumns {
+    if (edits.length === 0) return this
+    const places = edits.map((edit) => this.#lowerBound(edit))
+    const isPresent = edits.map((edit, nth) => this.#hasPrefixAt(places[nth] ?? 0, edit))
+    if (edits.every((edit, nth) => isPresent[nth] === true && isRow(edit))) {
+      return this.#withValues(edits as readonly BlockRow[], places)
+    }
+    const added = edits.filter((edit, nth) => isRow(edit) && isPresent[nth] === false).length
+    const removed = edits.filter((edit, nth) => !isRow(edit) && isPresent[nth] === true).length
+    const count = this.size + added - removed
+    const result = new BlockColumns(this.family, newPrefixArrays(count), newValueArrays(count))
+    result.#merge(this, edits, places, isPresent)
+    result.#linkParents()
+    return result
   }
 
   get size(): number {
@@ -94,26 +143,93 @@
     target.writeUInt8(this.#length[index] ?? 0, offset + 14)
   }
 
-  #fill(rows: Iterable<BlockRow>): void {
-    const enclosing: number[] = []
-    const key = Buffer.alloc(10)
-    let index = 0
-    for (const row of rows) {
-      this.#high[index] = row.high
-      this.#low[index] = row.low
-      this.#length[index] = row.length
-      this.#site[index] = row.siteIndex
-      this.#weight[index] = row.weight
-      this.#hash[index] = hashRow(row, key)
-      let parent = enclosing.at(-1)
-      while (parent !== undefined && !this.#contains(parent, row)) {
-        enclosing.pop()
-        parent = enclosing.at(-1)
+  /** Replaces sites and weights of present blocks. */
+  #withValues(rows: readonly BlockRow[], places: readonly number[]): BlockColumns {
+    const values = { site: this.#site.slice(), weight: this.#weight.slice() }
+    for (const [nth, row] of rows.entries()) {
+      const place = places[nth] ?? 0
+      values.site[place] = row.siteIndex
+      values.weight[place] = row.weight
+    }
+    const prefixes = {
+      high: this.#high,
+      low: this.#low,
+      length: this.#length,
+      hash: this.#hash,
+      parent: this.#parent,
+    }
+    return new BlockColumns(this.family, prefixes, values)
+  }
+
+  #merge(
+    base: BlockColumns,
+    edits: readonly BlockEdit[],
+    places: readonly number[],
+    isPresent: readonly boolean[],
+  ): void {
+    const key = Buffer.alloc(HASH_KEY_BYTES)
+    let from = 0
+    let to = 0
+    for (const [nth, edit] of edits.entries()) {
+      const place = places[nth] ?? 0
+      this.#copyRange(base, from, place, to)
+      to += place - from
+      from = place + (isPresent[nth] === true ? 1 : 0)
+      if (isRow(edit)) this.#write(to++, edit, key)
+    }
+    this.#copyRange(base, from, base.size, to)
+  }
+
+  #copyRange(base: BlockColumns, from: number, end: number, to: number): void {
+    this.#high.set(base.#high.subarray(from, end), to)
+    this.#low.set(base.#low.subarray(from, end), to)
+    this.#length.set(base.#length.subarray(from, end), to)
+    this.#site.set(base.#site.subarray(from, end), to)
+    this.#weight.set(base.#weight.subarray(from, end), to)
+    this.#hash.set(base.#hash.subarray(from, end), to)
+  }
+
+  #write(index: number, row: BlockRow, key: Buffer): void {
+    this.#high[index] = row.high
+    this.#low[index] = row.low
+    this.#length[index] = row.length
+    this.#site[index] = row.siteIndex
+    this.#weight[index] = row.weight
+    this.#hash[index] = hashRow(row, key)
+  }
+
+  /** The enclosing block of a block is the one before it or one that encloses that one. */
+  #linkParents(): void {
+    for (let index = 0; index < this.size; index++) {
+      let parent = index - 1
+      while (parent >= 0 && !this.#encloses(parent, index)) {
+        parent = this.#parent[parent] ?? NO_PARENT
       }
-      this.#parent[index] = parent ?? NO_PARENT
-      enclosing.push(index)
-      index++
+      this.#parent[index] = parent
+    }
+  }
+
+  #lowerBound(prefix: PackedPrefix): number {
+    let low = 0
+    let high = this.size
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if (this.#compareAt(middle, prefix) < 0) low = middle + 1
+      else high = middle
     }
+    return low
+  }
+
+  #hasPrefixAt(index: number, prefix: PackedPrefix): boolean {
+    return index < this.size && this.#compareAt(index, prefix) === 0
+  }
+
+  #compareAt(index: number, prefix: PackedPrefix): number {
+    return (
+      (this.#high[index] ?? 0) - prefix.high ||
+      (this.#low[index] ?? 0) - prefix.low ||
+      (this.#length[index] ?? 0) - prefix.length
+    )
   }
 
   #startsAfter(index: number, address: PackedAddress): boolean {
@@ -122,14 +238,36 @@
   }
 
   #contains(index: number, address: PackedAddress): boolean {
+    return this.#covers(index, address.high, address.low)
+  }
+
+  #encloses(outer: number, inner: number): boolean {
+    return this.#covers(outer, this.#high[inner] ?? 0, this.#low[inner] ?? 0)
+  }
+
+  #covers(index: number, high: number, low: number): boolean {
     const length = this.#length[index] ?? 0
     return (
-      (address.high & wordMask(length)) >>> 0 === this.#high[index] &&
-      (address.low & wordMask(length - 32)) >>> 0 === this.#low[index]
+      (high & wordMask(length)) >>> 0 === this.#high[index] &&
+      (low & wordMask(length - 32)) >>> 0 === this.#low[index]
     )
   }
 }
 
+function newPrefixArrays(count: number): PrefixArrays {
+  return {
+    high: new Uint32Array(count),
+    low: new Uint32Array(count),
+    length: new Uint8Array(count),
+    hash: new Uint32Array(count),
+    parent: new Int32Array(count),
+  }
+}
+
+function newValueArrays(count: number): ValueArrays {
+  return { site: new Uint16Array(count), weight: new Float32Array(count) }
+}
+
 function hashRow(row: PackedPrefix, key: Buffer): number {
   key.writeUInt32BE(row.high, 0)
   key.writeUInt32BE(row.low, 4)
--- a/src/configuration/blockTable.ts
+++ b/src/configuration/blockTable.ts
@@ -2,11 +2,17 @@
 import type { SteeringError } from '../common/errors.js'
 import type { Result } from '../common/results.js'
 import { Err, Ok } from '../common/results.js'
-import type { BlockRow } from './blockColumns.js'
+import type { BlockEdit, BlockRow } from './blockColumns.js'
 import { BlockColumns, PACKED_BLOCK_BYTES, comparePrefixes } from './blockColumns.js'
 import type { ClientBlock } from './document.js'
-import type { BlockErrorKind, PackedPrefix } from './packedPrefix.js'
-import { AddressFamily, formatPrefix, parseAddress, parsePrefix } from './packedPrefix.js'
+import type { BlockErrorKind } from './packedPrefix.js'
+import {
+  AddressFamily,
+  formatPrefix,
+  parseAddress,
+  parsePrefix,
+  prefixKey,
+} from './packedPrefix.js'
 
 /** Packed form of a table, for snapshots: texts that each stay below a size limit. */
 export interface PackedBlocks {
@@ -39,8 +45,8 @@
   static empty(): BlockTable {
     return new BlockTable(
       [],
-      new BlockColumns(AddressFamily.Ipv4, 0, []),
-      new BlockColumns(AddressFamily.Ipv6, 0, []),
+      BlockColumns.fromRows(AddressFamily.Ipv4, 0, []),
+      BlockColumns.fromRows(AddressFamily.Ipv6, 0, []),
     )
   }
 
@@ -51,8 +57,8 @@
     const ipv6 = unpackRows(bytes, AddressFamily.Ipv6, packed.ipv4Count, packed.ipv6Count)
     return new BlockTable(
       packed.siteNames,
-      new BlockColumns(AddressFamily.Ipv4, packed.ipv4Count, ipv4),
-      new BlockColumns(AddressFamily.Ipv6, packed.ipv6Count, ipv6),
+      BlockColumns.fromRows(AddressFamily.Ipv4, packed.ipv4Count, ipv4),
+      BlockColumns.fromRows(AddressFamily.Ipv6, packed.ipv6Count, ipv6),
     )
   }
 
@@ -98,7 +104,7 @@
   ): Result<BlockTable, SteeringError<BlockErrorKind>> {
     const siteNames = [...this.#siteNames]
     const siteIndexes = new Map(siteNames.map((name, index) => [name, index]))
-    const changes = new Map<string, BlockRow | PackedPrefix>()
+    const changes = new Map<string, BlockEdit>()
     for (const cidr of remove) {
       const prefix = parsePrefix(cidr)
       if (prefix.err) return Err(prefix.val)
@@ -112,13 +118,13 @@
       changes.set(prefixKey(prefix.val), { ...prefix.val, siteIndex, weight: block.weight })
     }
     const sorted = [...changes.values()].sort(comparePrefixes)
-    const ofFamily = (family: AddressFamily): (BlockRow | PackedPrefix)[] =>
+    const ofFamily = (family: AddressFamily): BlockEdit[] =>
       sorted.filter((change) => change.family === family)
     return Ok(
       new BlockTable(
         siteNames,
-        mergeColumns(this.#ipv4, ofFamily(AddressFamily.Ipv4)),
-        mergeColumns(this.#ipv6, ofFamily(AddressFamily.Ipv6)),
+        this.#ipv4.withEdits(ofFamily(AddressFamily.Ipv4)),
+        this.#ipv6.withEdits(ofFamily(AddressFamily.Ipv6)),
       ),
     )
   }
@@ -152,63 +158,6 @@
   }
 }
 
-function prefixKey(prefix: PackedPrefix): string {
-  return `${String(prefix.family)}/${String(prefix.high)}/${String(prefix.low)}/${String(prefix.length)}`
-}
-
-function isRow(change: BlockRow | PackedPrefix): change is BlockRow {
-  return 'siteIndex' in change
-}
-
-/** Merges sorted changes into sorted columns; a change without a site removes its block. */
-function mergeColumns(
-  columns: BlockColumns,
-  changes: readonly (BlockRow | PackedPrefix)[],
-): BlockColumns {
-  if (changes.length === 0) return columns
-  const present = changes.map((change) => indexOfPrefix(columns, change))
-  const added = changes.filter((change, place) => isRow(change) && present[place] === -1).length
-  const removed = changes.filter((change, place) => !isRow(change) && present[place] !== -1).length
-  return new BlockColumns(
-    columns.family,
-    columns.size + added - removed,
-    mergedRows(columns, changes),
-  )
-}
-
-function* mergedRows(
-  columns: BlockColumns,
-  changes: readonly (BlockRow | PackedPrefix)[],
-): Generator<BlockRow> {
-  let next = 0
-  for (let index = 0; index < columns.size; index++) {
-    const row = columns.rowAt(index)
-    let change = changes[next]
-    while (change !== undefined && comparePrefixes(change, row) < 0) {
-      if (isRow(change)) yield change
-      change = changes[++next]
-    }
-    if (change !== undefined && comparePrefixes(change, row) === 0) {
-      if (isRow(change)) yield change
-      next++
-    } else {
-      yield row
-    }
-  }
-  for (const change of changes.slice(next)) if (isRow(change)) yield change
-}
-
-function indexOfPrefix(columns: BlockColumns, prefix: PackedPrefix): number {
-  let low = 0
-  let high = columns.size
-  while (low < high) {
-    const middle = (low + high) >>> 1
-    if (comparePrefixes(columns.rowAt(middle), prefix) < 0) low = middle + 1
-    else high = middle
-  }
-  return low < columns.size && comparePrefixes(columns.rowAt(low), prefix) === 0 ? low : -1
-}
-
 function* unpackRows(
   bytes: Buffer,
   family: AddressFamily,
--- a/src/configuration/documentBuilder.ts
+++ b/src/configuration/documentBuilder.ts
@@ -57,7 +57,7 @@
       break
     }
     draft = result.val
-    for (const [cidr, block] of draft.blockChanges) blockChanges.set(cidr, block)
+    for (const [key, noted] of draft.blockChanges) blockChanges.set(key, noted)
     revision = next
   }
   if (revision === configuration.revision) return { configuration, error }
@@ -97,7 +97,7 @@
 ): Configuration {
   const put: ClientBlock[] = []
   const remove: string[] = []
-  for (const [cidr, block] of blockChanges) {
+  for (const { cidr, block } of blockChanges.values()) {
     if (block === undefined) remove.push(cidr)
     else put.push(block)
   }
--- a/src/configuration/documentDraft.ts
+++ b/src/configuration/documentDraft.ts
@@ -9,7 +9,7 @@
   SteeringRecord,
   ClientBlock,
 } from './document.js'
-import { formatPrefix, parsePrefix } from './packedPrefix.js'
+import { parsePrefix, prefixKey } from './packedPrefix.js'
 
 /** Returns a document without any content. */
 export function emptyDocument(): ConfigurationDocument {
@@ -24,8 +24,14 @@
   }
 }
 
-/** Blocks to put, or `undefined` to remove, by canonical CIDR; the last one wins. */
-export type BlockChanges = Map<string, ClientBlock | undefined>
+/** A block to put, or the CIDR alone to remove it. */
+export interface BlockChange {
+  readonly cidr: string
+  readonly block: ClientBlock | undefined
+}
+
+/** Changes of blocks by {@link prefixKey}, so that one CIDR in two spellings is one block; the last one wins. */
+export type BlockChanges = Map<string, BlockChange>
 
 /** Tables that can be changed without touching the document they were copied from. */
 export class DocumentDraft implements ConfigurationDocument {
@@ -75,7 +81,7 @@
   noteBlock(cidr: string, block: ClientBlock | undefined): string | undefined {
     const prefix = parsePrefix(cidr)
     if (prefix.err) return prefix.val.message
-    this.blockChanges.set(formatPrefix(prefix.val), block)
+    this.blockChanges.set(prefixKey(prefix.val), { cidr, block })
     return undefined
   }
 }
