feat(lookup): lookup daemon on the shared runtime, with graceful stop

On SIGTERM it announces that it is leaving, answers on for leaveDelayMs with Connection: close, then closes its listener and gives accepted connections a second to send.

Ruled out: hapi's own stop alone, which ends connections whose request has not arrived.

--- a/src/lookup/lookupServer.ts
+++ b/src/lookup/lookupServer.ts
@@ -4,6 +4,7 @@
 import { server as createHapiServer } from '@hapi/hapi'
 import type { Clock } from '../common/clock.js'
 import { OUTCOME_HEADER, Outcome } from '../common/headers.js'
+import { closeListener } from '../common/httpListenerClose.js'
 import type { Logger } from '../common/logger.js'
 import type { Metrics } from '../common/metrics.js'
 import type { ConfigurationView } from '../configuration/view.js'
@@ -59,6 +60,8 @@
 /** New operations are accepted for this long after the answer expired, in milliseconds. */
 const ACCEPT_GRACE_MS = 2000
 const RETRY = { maxAttempts: 3, delayMs: 50 }
+/** Time that accepted connections get to send their request when the server stops. */
+const CONNECTION_GRACE_MS = 1000
 const MAX_NAME_LENGTH = 128
 const MS_PER_SECOND = 1000
 
@@ -108,6 +111,8 @@
 
   /** Stops accepting and waits up to `timeoutMs` for requests in progress. */
   async stop(timeoutMs: number): Promise<void> {
+    this.#isLeaving = true
+    await closeListener(this.#hapi.listener, Math.min(timeoutMs, CONNECTION_GRACE_MS))
     await this.#hapi.stop({ timeout: timeoutMs })
   }
 
--- a/src/membership/membershipExchange.ts
+++ b/src/membership/membershipExchange.ts
@@ -51,6 +51,8 @@
 const JITTER = 0.1
 /** Peers that pass on news; 3 reach about 94% of a region, the exchanges reach the rest. */
 const RELAY_COUNT = 3
+/** Attempts to meet anybody before the start goes on without; listed instances may be dead. */
+const START_ROUNDS = 3
 const SEED_TIMEOUT_MS = 2000
 const SEED_RETRY_MS = 2000
 /** 460 entries are about 70 KB, so that one reading a minute costs 1.2 KB/s. */
@@ -133,8 +135,10 @@
   /** Reads the seeds, meets up to three peers, then goes on in the background. */
   async start(): Promise<void> {
     const isSeeded = await this.#readSeeds()
-    const targets = this.#selection.seedTargets(RELAY_COUNT)
-    await Promise.all(targets.map((target) => this.#exchangeWith(target)))
+    for (let round = 0; round < START_ROUNDS && this.#table.members().length === 1; round++) {
+      const targets = this.#selection.seedTargets(RELAY_COUNT)
+      await Promise.all(targets.map((target) => this.#exchangeWith(target)))
+    }
     this.#tasks = Promise.all([this.#exchangeTask(), this.#seedTask(isSeeded)])
   }
 
