--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,4 +1,5 @@
-/** The gateway daemon: assembly of its parts and its graceful shutdown. */
+/** A gateway: assembly of its parts and its graceful shutdown. */
+import 'reflect-metadata'
 import type { DependencyContainer } from 'tsyringe'
 import { container as rootContainer, instanceCachingFactory } from 'tsyringe'
 import type { Clock } from '../common/clock.js'
@@ -62,7 +63,7 @@
 const REQUEST_ID_PREFIX_LENGTH = 8
 
 /** A running gateway without the parts that all daemons share. */
-export class GatewayDaemon {
+export class Gateway {
   readonly #node: GatewayNode
   readonly #settings: GatewaySettings
   readonly #executor: RequestExecutor
@@ -102,13 +103,19 @@
     return this.#draining
   }
 
+  /** Ends at once, whatever is in flight; for tests of sudden ends. */
+  async kill(): Promise<void> {
+    this.#backend.close()
+    await this.#server.stop(0)
+  }
+
   async #drain(): Promise<void> {
     const { clock, log, metrics } = this.#node
     const startedAtMs = clock()
     log.event('drainStarted', { inFlight: this.#executor.inFlight })
     this.#server.startLeaving()
     await this.#node.announceLeaving()
-    await sleep(this.#settings.lookupCacheMs)
+    await sleep(this.#settings.answerCacheMs)
     this.#executor.refuseNew()
     await this.#untilIdle(clock() + this.#settings.maxTimeoutMs)
     await this.#node.loansReturned()
@@ -126,21 +133,21 @@
 }
 
 /** Assembles a gateway. */
-export function createGateway(node: GatewayNode, settings: GatewaySettings): GatewayDaemon {
+export function createGateway(node: GatewayNode, settings: GatewaySettings): Gateway {
   const parts = rootContainer.createChildContainer()
   parts.register(gatewayTokens.node, { useValue: node })
   parts.register(gatewayTokens.settings, { useValue: settings })
   registerBudgets(parts, node, settings)
   registerRequestPath(parts, node, settings)
-  return new GatewayDaemon(parts)
+  return new Gateway(parts)
 }
 
-function registerOnce<Part>(
+function registerOnce(
   parts: DependencyContainer,
   token: symbol,
-  create: (parts: DependencyContainer) => Part,
+  create: (parts: DependencyContainer) => object,
 ): void {
-  parts.register<Part>(token, { useFactory: instanceCachingFactory(create) })
+  parts.register(token, { useFactory: instanceCachingFactory(create) })
 }
 
 function registerBudgets(
