--- a/src/daemon/nodeRuntime.ts
+++ b/src/daemon/nodeRuntime.ts
@@ -16,6 +16,8 @@
 import { HttpKeyValueStore } from '../platform/httpKeyValueStore.js'
 import type { InstanceList } from '../platform/instanceList.js'
 import type { KeyValueStore } from '../platform/keyValueStore.js'
+import { LoadAggregation } from '../shift/loadAggregation.js'
+import type { ServiceSummary } from '../shift/regionLoadTable.js'
 import { RegionLoadTable } from '../shift/regionLoadTable.js'
 import { ConfigurationParts } from './configurationParts.js'
 import type { NodeSettings } from './nodeSettings.js'
@@ -27,6 +29,8 @@
   readonly clock?: Clock
   /** Members that this daemon relies on and therefore probes in turn. */
   readonly watchedMembers?: () => readonly string[]
+  /** Load of this gateway, with the slots that it owns; absent in other daemons. */
+  readonly ownLoad?: (nowMs: number) => readonly ServiceSummary[]
 }
 
 /** Time for peers' calls in progress when a daemon stops, in milliseconds. */
@@ -49,6 +53,7 @@
   readonly configuration: ConfigurationParts
   readonly #server: HttpRpcServer
   readonly #caller: HttpRpcCaller
+  readonly #loadAggregation: LoadAggregation
   readonly #logger = createLogger('daemon')
   #stopped: Promise<void> | undefined
 
@@ -78,9 +83,14 @@
     })
     this.loads = new RegionLoadTable()
     this.exchange.addPayloadProvider(this.loads)
+    this.#loadAggregation = new LoadAggregation(this.loads, this.members, this.#caller, {
+      clock: this.clock,
+      ...(options.ownLoad === undefined ? {} : { ownLoad: options.ownLoad }),
+    })
     this.configuration = new ConfigurationParts(this.store, this.members, this.#caller, this.clock)
     this.exchange.registerMethods(this.#server)
     this.configuration.registerMethods(this.#server)
+    this.#loadAggregation.registerMethods(this.#server)
   }
 
   /** Accepts the methods that a daemon serves to its peers, before the start. */
@@ -105,6 +115,7 @@
     const callerAddress = await startCallersServer()
     this.members.announceAddresses({ callerAddress, internalAddress }, this.clock())
     await this.exchange.start()
+    this.#loadAggregation.start()
     await this.configuration.start()
     this.#logger.event('started', {
       memberId: this.settings.memberId,
@@ -130,6 +141,7 @@
   async #stop(drain: () => Promise<void>): Promise<void> {
     await this.exchange.announceLeaving()
     await drain()
+    await this.#loadAggregation.stop()
     await this.exchange.stop()
     await this.configuration.stop()
     await this.#server.stop(RPC_STOP_TIMEOUT_MS)
--- a/src/lookup/lookupDaemon.ts
+++ b/src/lookup/lookupDaemon.ts
@@ -8,12 +8,12 @@
 import { NodeRuntime } from '../daemon/nodeRuntime.js'
 import { MemberRole } from '../membership/memberRecord.js'
 import { OperationPrefixCodec } from '../operations/operationPrefix.js'
+import { SpillOver } from '../shift/spillOver.js'
 import { GatewayDirectory } from './gatewayDirectory.js'
 import { LookupServer } from './lookupServer.js'
 import type { LookupSettings } from './lookupSettings.js'
 import { LOOKUP_SETTINGS } from './lookupSettings.js'
 import { Placer } from './placement.js'
-import type { SpillOverSource } from './placement.js'
 
 /** Tokens of the lookup daemon's container. */
 export const LOOKUP_TOKENS = {
@@ -37,9 +37,7 @@
   container.register(LOOKUP_TOKENS.settings, { useValue: settings })
   single(LOOKUP_TOKENS.runtime, () => createRuntime(container, settings))
   single(LOOKUP_TOKENS.directory, () => new GatewayDirectory(resolveRuntime(container).members))
-  single(LOOKUP_TOKENS.spillOver, (): SpillOverSource => ({
-    regionFor: (_service, homeRegion) => homeRegion,
-  }))
+  single(LOOKUP_TOKENS.spillOver, () => createSpillOver(container))
   single(LOOKUP_TOKENS.placer, () => createPlacer(container))
   single(LOOKUP_TOKENS.server, () => createServer(container, settings))
   return container
@@ -83,13 +81,25 @@
   })
 }
 
+function createSpillOver(container: DependencyContainer): SpillOver {
+  const { configuration, loads, members, clock } = resolveRuntime(container)
+  const directory = container.resolve<GatewayDirectory>(LOOKUP_TOKENS.directory)
+  const spillOver = new SpillOver(configuration.view, loads, (region) =>
+    directory.hasGateway(region),
+  )
+  members.subscribe(() => {
+    spillOver.refresh(clock())
+  })
+  return spillOver
+}
+
 function createPlacer(container: DependencyContainer): Placer {
   const runtime = resolveRuntime(container)
   return new Placer(
     runtime.configuration.view,
     runtime.members,
     container.resolve<GatewayDirectory>(LOOKUP_TOKENS.directory),
-    container.resolve<SpillOverSource>(LOOKUP_TOKENS.spillOver),
+    container.resolve<SpillOver>(LOOKUP_TOKENS.spillOver),
   )
 }
 
--- /dev/null
+++ b/src/shift/__tests__/spillOver.spec.ts
@@ -0,0 +1,236 @@
+import { expect } from 'chai'
+import {
+  FakeConfigurationView,
+  SERVICE,
+  configurationOf,
+} from '../../lookup/__tests__/lookupFixtures.js'
+import type { LinkRecord } from '../../configuration/document.js'
+import { linkKey } from '../../configuration/document.js'
+import type { Configuration } from '../../configuration/view.js'
+import { RegionLoadTable } from '../regionLoadTable.js'
+import { SpillOver } from '../spillOver.js'
+
+const ANSWERS_PER_ROUND = 2000
+
+/** Regions of 100 requests per second capacity each; `east` fails. */
+class Scenario {
+  readonly loads = new RegionLoadTable()
+  readonly gone = new Set<string>()
+  readonly #spillOver: SpillOver
+  readonly #service: string
+
+  constructor(configuration: Configuration, service = SERVICE.name) {
+    this.#service = service
+    this.#spillOver = new SpillOver(
+      new FakeConfigurationView(configuration),
+      this.loads,
+      (region) => !this.gone.has(region),
+    )
+  }
+
+  /** Reports rates by region; `moved` is what `east`'s callers already cause elsewhere. */
+  report(
+    rates: Readonly<Record<string, number>>,
+    nowMs: number,
+    moved: Record<string, number> = {},
+  ): void {
+    const summaries = Object.entries(rates).map(([region, rate]) => ({
+      region,
+      measuredAtMs: nowMs,
+      services: [
+        {
+          service: this.#service,
+          requestsPerSecond: rate + (moved[region] ?? 0),
+          homeRates: {
+            [region]: rate,
+            ...(moved[region] === undefined ? {} : { east: moved[region] }),
+          },
+          inFlight: 1,
+          slots: 10,
+          meanServiceMs: 100,
+        },
+      ],
+    }))
+    this.loads.mergeSummaries(summaries, nowMs)
+  }
+
+  /** Shares of `east`'s answers by region; refused ones under `none`. */
+  shares(nowMs: number): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {}
+    for (let index = 0; index < ANSWERS_PER_ROUND; index++) {
+      const position = (((index * 7919) % ANSWERS_PER_ROUND) + 1) / ANSWERS_PER_ROUND
+      const region =
+        this.#spillOver.regionFor(this.#service, 'east', position, index, nowMs) ?? 'none'
+      counts[region] = (counts[region] ?? 0) + 1 / ANSWERS_PER_ROUND
+    }
+    return counts
+  }
+
+  refresh(nowMs: number): void {
+    this.#spillOver.refresh(nowMs)
+  }
+}
+
+function withLinks(links: readonly LinkRecord[]): Configuration {
+  const base = configurationOf(1)
+  const map = new Map(links.map((link) => [linkKey(link.from, link.to), link]))
+  return { ...base, document: { ...base.document, links: map } }
+}
+
+describe('SpillOver', () => {
+  it('serves at home while the region is well', () => {
+    const scenario = new Scenario(configurationOf(1))
+    scenario.report({ east: 60, north: 60, west: 60 }, 1000)
+    expect(scenario.shares(1000)).to.have.all.keys('east')
+  })
+
+  describe('when the region fails', () => {
+    const cases: readonly {
+      failure: string
+      rates: Readonly<Record<string, number>>
+      north: number
+      west: number
+    }[] = [
+      // 0.8 of the headroom of 40 is 32 requests per second in each region.
+      {
+        failure: 'fills 80% of the headroom',
+        rates: { east: 80, north: 60, west: 60 },
+        north: 0.4,
+        west: 0.4,
+      },
+      {
+        failure: 'divides by headroom',
+        rates: { east: 20, north: 90, west: 60 },
+        north: 0.2,
+        west: 0.8,
+      },
+      {
+        failure: 'spares a full region',
+        rates: { east: 64, north: 100, west: 60 },
+        north: 0,
+        west: 0.5,
+      },
+      {
+        failure: 'refuses all if none has room',
+        rates: { east: 60, north: 100, west: 120 },
+        north: 0,
+        west: 0,
+      },
+    ]
+    for (const { failure, rates, north, west } of cases) {
+      it(failure, () => {
+        const scenario = new Scenario(configurationOf(1))
+        scenario.report(rates, 1000)
+        scenario.gone.add('east')
+        const shares = scenario.shares(2000)
+        expect(shares.north ?? 0).to.be.within(Math.max(0, north - 0.05), north + 1e-9)
+        expect(shares.west ?? 0).to.be.within(Math.max(0, west - 0.05), west + 1e-9)
+        expect(shares.east).to.equal(undefined)
+      })
+    }
+
+    it('counts what it has assigned once, whether or not the measurements show it yet', () => {
+      const scenario = new Scenario(configurationOf(1))
+      scenario.report({ east: 64, north: 60, west: 60 }, 1000)
+      scenario.gone.add('east')
+      const first = scenario.shares(1500)
+      scenario.report({ north: 60, west: 60 }, 5000)
+      const unseen = scenario.shares(5000)
+      scenario.report({ north: 60, west: 60 }, 9000, { north: 32, west: 32 })
+      const seen = scenario.shares(9000)
+      for (const shares of [unseen, seen]) {
+        expect(shares.north).to.be.within((first.north ?? 0) - 0.03, 0.51)
+        expect(shares.west).to.be.within((first.west ?? 0) - 0.03, 0.51)
+      }
+    })
+
+    it('moves nobody to a region whose load is unknown or too old', () => {
+      const scenario = new Scenario(configurationOf(1))
+      scenario.report({ east: 50, north: 10 }, 1000)
+      scenario.gone.add('east')
+      expect(scenario.shares(4500)).to.have.all.keys('none')
+    })
+
+    it('takes back at once what a region has no room for any more', () => {
+      const scenario = new Scenario(configurationOf(1))
+      scenario.report({ east: 64, north: 60, west: 60 }, 1000)
+      scenario.gone.add('east')
+      scenario.shares(1500)
+      scenario.report({ north: 95, west: 60 }, 3000, { west: 32 })
+      expect(scenario.shares(3000).north ?? 0).to.be.at.most(0.0626)
+    })
+
+    it('keeps within the links, for the most important service first', () => {
+      const links = ['north', 'west'].flatMap((region) => [
+        { from: 'east', to: region, bitsPerSecond: 1e9 },
+        // 0.8 of it carries 10 answers of 1000 bytes per second.
+        { from: region, to: 'east', bitsPerSecond: 100_000 },
+      ])
+      const base = withLinks(links)
+      const minor = { ...SERVICE, name: 'minor', priority: 2 }
+      const services = new Map([
+        ['minor', minor],
+        [SERVICE.name, SERVICE],
+      ])
+      const configuration = { ...base, document: { ...base.document, services } }
+      const loadsOf = (service: string, region: string): object => ({
+        region,
+        service,
+        requestsPerSecond: 60,
+        homeRequestsPerSecond: 40,
+        inFlight: 1,
+        slots: 10,
+        meanServiceMs: 100,
+        measuredAtMs: 1000,
+      })
+      const loads = {
+        load: (region: string, service: string) => loadsOf(service, region) as never,
+        all: () => [],
+      }
+      const spillOver = new SpillOver(
+        new FakeConfigurationView(configuration),
+        loads,
+        (region) => region !== 'east',
+      )
+      spillOver.refresh(1500)
+      const rates = (service: string): number[] =>
+        (spillOver.plan.get(`${service}@east`) ?? []).map(({ rate }) => Math.round(rate))
+      expect(rates(SERVICE.name)).to.deep.equal([10, 10])
+      expect(rates('minor')).to.deep.equal([0, 0])
+    })
+  })
+
+  describe('when the region returns', () => {
+    const fail = (scenario: Scenario, fromMs: number, untilMs: number): void => {
+      scenario.report({ east: 60, north: 60, west: 60 }, fromMs)
+      scenario.gone.add('east')
+      scenario.refresh(fromMs)
+      scenario.gone.delete('east')
+      scenario.refresh(untilMs)
+    }
+
+    it('gives a cold region its callers back in steps of 10% per 2 s', () => {
+      const scenario = new Scenario(configurationOf(1))
+      fail(scenario, 1000, 60_000)
+      const home = [0, 2000, 10_000, 17_900].map((ms) => scenario.shares(60_000 + ms).east ?? 0)
+      expect(home.map((share) => Math.round(share * 10) / 10)).to.deep.equal([0.1, 0.2, 0.6, 0.9])
+      expect(scenario.shares(78_000)).to.have.all.keys('east')
+    })
+
+    it('gives them back at once after a short absence, such as a wrong suspicion', () => {
+      const scenario = new Scenario(configurationOf(1))
+      fail(scenario, 1000, 4000)
+      expect(scenario.shares(4000)).to.have.all.keys('east')
+    })
+
+    it('starts over when the region fails again while it returns', () => {
+      const scenario = new Scenario(configurationOf(1))
+      fail(scenario, 1000, 60_000)
+      scenario.refresh(70_000)
+      scenario.gone.add('east')
+      scenario.refresh(70_500)
+      scenario.gone.delete('east')
+      expect(scenario.shares(71_000).east).to.be.within(0.08, 0.101)
+    })
+  })
+})
--- a/src/shift/cappedShift.ts
+++ b/src/shift/cappedShift.ts
@@ -121,9 +121,9 @@
     const { state, currentShare } = this.record
     const isHome = state === ShiftState.Finished && currentShare === 0
     if (state === ShiftState.Reversing || isHome) return Err(this.#wrongState('reversed'))
-    return Ok(
-      this.#withRecord({ ...withoutReason(this.record), state: ShiftState.Reversing }, nowMs),
-    )
+    // With nothing moved there is nothing to step back.
+    const next = currentShare === 0 ? ShiftState.Finished : ShiftState.Reversing
+    return Ok(this.#withRecord({ ...withoutReason(this.record), state: next }, nowMs))
   }
 
   #isMoving(): boolean {
--- /dev/null
+++ b/src/shift/index.ts
@@ -0,0 +1,13 @@
+/** Capped shifts, load of regions and spill-over. */
+export * from './blockOrder.js'
+export * from './cappedShift.js'
+export * from './expectedRate.js'
+export * from './loadAggregation.js'
+export { LoadMethod } from './loadMessages.js'
+export * from './movedShareLimiter.js'
+export * from './regionAvailability.js'
+export * from './regionLoad.js'
+export * from './regionLoadTable.js'
+export * from './shiftPause.js'
+export * from './spillOver.js'
+export * from './spillPlan.js'
--- /dev/null
+++ b/src/shift/loadAggregation.ts
@@ -0,0 +1,264 @@
+/** Collects the load: gateways report to their zone's aggregator, zones to two of the region. */
+import type { Clock } from '../common/clock.js'
+import { sleep, systemClock } from '../common/clock.js'
+import { rendezvousOrder } from '../common/hashing.js'
+import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
+import type { Member, MembershipView } from '../membership/memberRecord.js'
+import { MemberHealth, MemberRole, MemberState } from '../membership/memberRecord.js'
+import type { LoadReport, SpreadRequest } from './loadMessages.js'
+import {
+  LOAD_REPORT_SCHEMA,
+  LoadMethod,
+  SPREAD_SCHEMA,
+  mergeServices,
+  packService,
+  packSummary,
+  unpackService,
+  unpackSummary,
+} from './loadMessages.js'
+import { LOAD_MAX_AGE_MS } from './regionLoad.js'
+import type { RegionLoadTable, RegionSummary, ServiceSummary } from './regionLoadTable.js'
+
+/** Options of {@link LoadAggregation}. */
+export interface LoadAggregationOptions {
+  readonly clock?: Clock
+  readonly intervalMs?: number
+  /**
+   * Load of this gateway, with the slots that it owns; absent in other daemons. Slots are
+   * summed over the gateways, so each slot must be reported by its owner alone.
+   */
+  readonly ownLoad?: (nowMs: number) => readonly ServiceSummary[]
+}
+
+const INTERVAL_MS = 1000
+const CALL_TIMEOUT_MS = 500
+const REGION_AGGREGATORS = 2
+/** Members that each member passes a summary on to: 115 members are reached in 5 hops. */
+const FAN_OUT = 3
+/** The second aggregator spreads only what the first one left older than this, in milliseconds. */
+const TAKE_OVER_AGE_MS = 2000
+
+/** One process's part in the aggregation. */
+export class LoadAggregation {
+  readonly #table: RegionLoadTable
+  readonly #members: MembershipView
+  readonly #rpc: RpcCaller
+  readonly #clock: Clock
+  readonly #options: LoadAggregationOptions
+  readonly #gatewayReports = new Map<string, LoadReport>()
+  readonly #zoneReports = new Map<string, LoadReport>()
+  /** Last round of each region's summary that was passed on. */
+  readonly #passedRounds = new Map<string, number>()
+  readonly #stopping = new AbortController()
+  #task: Promise<void> = Promise.resolve()
+
+  constructor(
+    table: RegionLoadTable,
+    members: MembershipView,
+    rpc: RpcCaller,
+    options: LoadAggregationOptions = {},
+  ) {
+    this.#table = table
+    this.#members = members
+    this.#rpc = rpc
+    this.#clock = options.clock ?? systemClock
+    this.#options = options
+  }
+
+  /** Adds the methods that peers call. */
+  registerMethods(registry: RpcMethodRegistry): void {
+    registry.addMethod(LoadMethod.ReportGateway, LOAD_REPORT_SCHEMA, (report: LoadReport) =>
+      Promise.resolve(keepNewer(this.#gatewayReports, report)),
+    )
+    registry.addMethod(LoadMethod.ReportZone, LOAD_REPORT_SCHEMA, (report: LoadReport) =>
+      Promise.resolve(keepNewer(this.#zoneReports, report)),
+    )
+    registry.addMethod(LoadMethod.Spread, SPREAD_SCHEMA, (request: SpreadRequest) => {
+      this.#table.mergeSummaries([unpackSummary(request.summary)], this.#clock())
+      void (request.isEntry ? this.#enterTree(request) : this.#passOn(request))
+      return Promise.resolve({})
+    })
+  }
+
+  /** Starts reporting once a second. */
+  start(): void {
+    this.#task = this.#run()
+  }
+
+  async stop(): Promise<void> {
+    this.#stopping.abort()
+    await this.#task
+  }
+
+  async #run(): Promise<void> {
+    const signal = this.#stopping.signal
+    for (;;) {
+      await sleep(this.#options.intervalMs ?? INTERVAL_MS, signal)
+      if (signal.aborted) return
+      await this.#reportOwn()
+      await this.#reportZone()
+      await this.#spreadRegion()
+    }
+  }
+
+  async #reportOwn(): Promise<void> {
+    const nowMs = this.#clock()
+    const load = this.#options.ownLoad?.(nowMs)
+    const self = this.#members.self()
+    if (load === undefined) return
+    const report = {
+      source: self.memberId,
+      measuredAtMs: nowMs,
+      services: load.map(packService),
+    }
+    const gateways = this.#gateways().filter(({ zone }) => zone === self.zone)
+    const [aggregator] = rendezvousOrder(`load/${self.zone}`, gateways, ({ memberId }) => memberId)
+    await this.#send(aggregator, LoadMethod.ReportGateway, report, this.#gatewayReports)
+  }
+
+  /** A report without some gateway would show headroom that is not there, so it is not sent. */
+  async #reportZone(): Promise<void> {
+    const { zone } = this.#members.self()
+    const gateways = this.#gateways().filter((member) => member.zone === zone)
+    const report = this.#mergeReports(
+      this.#gatewayReports,
+      zone,
+      gateways.map(({ memberId }) => memberId),
+    )
+    if (report === undefined) return
+    await Promise.all(
+      this.#regionAggregators(this.#members.self().region).map((aggregator) =>
+        this.#send(aggregator, LoadMethod.ReportZone, report, this.#zoneReports),
+      ),
+    )
+  }
+
+  async #spreadRegion(): Promise<void> {
+    const { region, memberId } = this.#members.self()
+    const zones = [...new Set(this.#gateways().map(({ zone }) => zone))]
+    const report = this.#mergeReports(this.#zoneReports, region, zones)
+    if (report === undefined) return
+    const nowMs = this.#clock()
+    const isFirst = this.#regionAggregators(region)[0]?.memberId === memberId
+    const knownMs = this.#table.measuredAtMs(region) ?? Number.NEGATIVE_INFINITY
+    if (!isFirst && nowMs - knownMs < TAKE_OVER_AGE_MS) return
+    const summary: RegionSummary = {
+      region,
+      measuredAtMs: report.measuredAtMs,
+      services: report.services.map(unpackService),
+    }
+    if (!this.#table.mergeSummaries([summary], nowMs)) return
+    const round = Math.floor(nowMs / INTERVAL_MS)
+    const request = { summary: packSummary(summary), isEntry: true, round }
+    const entries = this.#otherRegions().flatMap((other) => this.#regionAggregators(other))
+    await Promise.all([
+      this.#enterTree(request),
+      ...entries.map((member) => this.#call(member, LoadMethod.Spread, request)),
+    ])
+  }
+
+  /** Hands a summary to the root of this region's tree for the round. */
+  async #enterTree(request: SpreadRequest): Promise<void> {
+    const inner = { ...request, isEntry: false }
+    const [root] = this.#treeOrder(inner)
+    if (root?.memberId === this.#members.self().memberId) await this.#passOn(inner)
+    else await this.#call(root, LoadMethod.Spread, inner)
+  }
+
+  /** Passes a summary on to the own children in the tree, once per round. */
+  async #passOn(request: SpreadRequest): Promise<void> {
+    const [region] = request.summary
+    const latest = Math.floor((this.#clock() + LOAD_MAX_AGE_MS) / INTERVAL_MS)
+    // A round of the future comes from a wrong clock and would hide all later ones.
+    if (request.round > latest) return
+    if (request.round <= (this.#passedRounds.get(region) ?? 0)) return
+    this.#passedRounds.set(region, request.round)
+    const order = this.#treeOrder(request)
+    const place = order.findIndex(({ memberId }) => memberId === this.#members.self().memberId)
+    const children = order.slice(place * FAN_OUT + 1, place * FAN_OUT + 1 + FAN_OUT)
+    await Promise.all(children.map((member) => this.#call(member, LoadMethod.Spread, request)))
+  }
+
+  #treeOrder(request: SpreadRequest): readonly Member[] {
+    const { region } = this.#members.self()
+    const peers = this.#members
+      .members()
+      .filter((member) => member.region === region && member.health === MemberHealth.Alive)
+    const key = `spread/${String(request.round)}/${request.summary[0]}`
+    return rendezvousOrder(key, peers, ({ memberId }) => memberId)
+  }
+
+  #mergeReports(
+    reports: Map<string, LoadReport>,
+    source: string,
+    required: readonly string[],
+  ): LoadReport | undefined {
+    const nowMs = this.#clock()
+    for (const [key, report] of reports) {
+      if (nowMs - report.measuredAtMs > LOAD_MAX_AGE_MS) reports.delete(key)
+    }
+    if (reports.size === 0 || !required.every((key) => reports.has(key))) return undefined
+    const all = [...reports.values()]
+    const services = mergeServices(all.flatMap((report) => report.services.map(unpackService)))
+    return {
+      source,
+      measuredAtMs: Math.min(...all.map(({ measuredAtMs }) => measuredAtMs)),
+      services: services.map(packService),
+    }
+  }
+
+  /** Gateways of the own region that are expected to report. */
+  #gateways(): readonly Member[] {
+    return this.#gatewaysOf(this.#members.self().region)
+  }
+
+  #gatewaysOf(region: string): readonly Member[] {
+    return this.#members
+      .members()
+      .filter(
+        (member) =>
+          member.role === MemberRole.Gateway &&
+          member.region === region &&
+          member.state === MemberState.Live &&
+          member.health === MemberHealth.Alive,
+      )
+  }
+
+  #regionAggregators(region: string): readonly Member[] {
+    const gateways = this.#gatewaysOf(region)
+    return rendezvousOrder(`load/${region}`, gateways, ({ memberId }) => memberId).slice(
+      0,
+      REGION_AGGREGATORS,
+    )
+  }
+
+  #otherRegions(): readonly string[] {
+    const regions = new Set(this.#members.members().map(({ region }) => region))
+    regions.delete(this.#members.self().region)
+    return [...regions]
+  }
+
+  async #send(
+    target: Member | undefined,
+    method: LoadMethod,
+    report: LoadReport,
+    own: Map<string, LoadReport>,
+  ): Promise<void> {
+    if (target?.memberId === this.#members.self().memberId) keepNewer(own, report)
+    else await this.#call(target, method, report)
+  }
+
+  /** Reports are sent anew every second, so a failure needs no repetition. */
+  async #call(target: Member | undefined, method: LoadMethod, params: unknown): Promise<void> {
+    if (target === undefined) return
+    await this.#rpc.call(target.internalAddress, method, params, { timeoutMs: CALL_TIMEOUT_MS })
+  }
+}
+
+function keepNewer(reports: Map<string, LoadReport>, report: LoadReport): object {
+  const known = reports.get(report.source)
+  if (known === undefined || report.measuredAtMs > known.measuredAtMs) {
+    reports.set(report.source, report)
+  }
+  return {}
+}
--- a/src/shift/regionLoadTable.ts
+++ b/src/shift/regionLoadTable.ts
@@ -2,6 +2,8 @@
 import Joi from 'joi'
 import type { RegionLoadView, ServiceLoad } from './regionLoad.js'
 import { LOAD_MAX_AGE_MS } from './regionLoad.js'
+import type { PackedSummary } from './loadMessages.js'
+import { SUMMARIES_SCHEMA, packSummary, unpackSummary } from './loadMessages.js'
 
 /** Load of one service within a {@link RegionSummary}. */
 export interface ServiceSummary {
@@ -23,29 +25,6 @@
   readonly services: readonly ServiceSummary[]
 }
 
-const RATE = Joi.number().min(0).required()
-const SUMMARIES = Joi.array().items(
-  Joi.object({
-    region: Joi.string().required(),
-    measuredAtMs: Joi.number().required(),
-    services: Joi.array()
-      .items(
-        Joi.object({
-          service: Joi.string().required(),
-          requestsPerSecond: RATE,
-          homeRates: Joi.object().pattern(Joi.string(), Joi.number().min(0)).required(),
-          inFlight: RATE,
-          slots: RATE,
-          meanServiceMs: RATE,
-        }),
-      )
-      .required(),
-  }),
-)
-
-/** Schema of a list of {@link RegionSummary}. */
-export const REGION_SUMMARIES_SCHEMA = SUMMARIES.required()
-
 /** Summaries are passed on for this long, so that processes that start late learn the last values. */
 const SHARE_MAX_AGE_MS = 60_000
 
@@ -79,13 +58,19 @@
     )
   }
 
+  /** Time of the newest summary of a region, milliseconds since the epoch. */
+  measuredAtMs(region: string): number | undefined {
+    return this.#summaries.get(region)?.measuredAtMs
+  }
+
   collect(nowMs: number): unknown {
     const summaries = this.summaries(nowMs)
-    return summaries.length === 0 ? undefined : summaries
+    return summaries.length === 0 ? undefined : summaries.map(packSummary)
   }
 
   merge(payload: unknown, nowMs: number): void {
-    this.mergeSummaries(Joi.attempt(payload, REGION_SUMMARIES_SCHEMA) as RegionSummary[], nowMs)
+    const summaries = Joi.attempt(payload, SUMMARIES_SCHEMA) as unknown as PackedSummary[]
+    this.mergeSummaries(summaries.map(unpackSummary), nowMs)
   }
 
   load(region: string, service: string): ServiceLoad | undefined {
