feat(slots): reuse a borrowed slot for the next waiter; bound the borrowers

A lent slot is idle while its grant and return travel, so throughput fell under overload. Now a borrower keeps a slot for up to 100 ms while it has waiters and tells the lender with one message that nothing waits for. Only the four oldest waiters of a service borrow.

--- a/src/slots/dispatchOptions.ts
+++ b/src/slots/dispatchOptions.ts
@@ -15,6 +15,8 @@
   readonly pace: PaceOptions
   /** Owners that a request waits at. */
   readonly ownersAsked: number
+  /** Only this many of the oldest waiting requests ask other owners; bounds calls under overload. */
+  readonly maxBorrowers: number
   /** Bound on the owners that one request asks. */
   readonly maxOwnersAsked: number
   /**
@@ -24,6 +26,8 @@
   readonly remoteHandicapMs: number
   /** A hint of free slots counts for this long. */
   readonly hintMaxAgeMs: number
+  /** A borrowed slot may serve further waiting requests for this long after the grant. */
+  readonly maxLoanReuseMs: number
   /** An owner that refused a connection is not asked again for this long. */
   readonly ownerDownMs: number
   /** Wait until a request takes a slot of a slow worker. */
@@ -49,9 +53,11 @@
   ownershipUnit: OwnershipUnit.Slot,
   pace: DEFAULT_PACE_OPTIONS,
   ownersAsked: 2,
+  maxBorrowers: 4,
   maxOwnersAsked: 8,
   remoteHandicapMs: 30,
   hintMaxAgeMs: 500,
+  maxLoanReuseMs: 100,
   ownerDownMs: 500,
   slowSlotWaitMs: 20,
   beyondSlotWaitMs: 30,
--- a/src/slots/localDispatch.ts
+++ b/src/slots/localDispatch.ts
@@ -8,15 +8,13 @@
 import { LocalWaiter } from './localWaiter.js'
 import { expectedWaitMs, isDeadlineUnreachable } from './requestQueue.js'
 import type { ServiceSlots } from './serviceSlots.js'
-import type { SlotBorrowing } from './slotBorrowing.js'
+import type { Loan, SlotBorrowing } from './slotBorrowing.js'
 import { slotErrors } from './slotErrors.js'
 import { makeGrant } from './slotGrants.js'
-import type { SendMessage } from './slotLending.js'
-import type { MailboxPeer } from './slotMailbox.js'
-import type { GrantMessage } from './slotMessages.js'
-import { SlotMessageKind } from './slotMessages.js'
 import type { PoolSlot, SlotHold } from './slotPool.js'
-import type { SlotError, SlotGrant, SlotRequest, SlotUse } from './slotSource.js'
+import type { SlotError, SlotGrant, SlotRequest } from './slotSource.js'
+import { SlotUse } from './slotSource.js'
+import { WorkerPace } from './workerPreference.js'
 
 /** Priority of requests; the callers' contract has no way yet to state another. */
 const DEFAULT_PRIORITY = 1
@@ -26,7 +24,6 @@
   readonly options: DispatchOptions
   readonly counters: MutableCounters
   readonly borrowing: () => SlotBorrowing
-  readonly send: SendMessage
   readonly newId: () => string
 }
 
@@ -82,39 +79,45 @@
   }
 
   /** Grants a borrowed slot to its waiter. */
-  acceptLoan(
-    waiter: LocalWaiter,
-    service: ServiceSlots,
-    peer: MailboxPeer,
-    message: GrantMessage,
-    nowMs: number,
-  ): void {
+  acceptLoan(waiter: LocalWaiter, loan: Loan, nowMs: number): void {
+    const { service, loanId, workerId, address } = loan
     service.queue.remove(waiter)
-    const { loanId, workerId, address } = message
     this.#parts.counters.borrowedGrants += 1
     service.preference.started(workerId, loanId, waiter.requestClass, nowMs)
-    const grant = this.#track(
-      service,
-      { workerId, address, reason: `borrowed from ${peer.memberId}` },
-      (use, durationMs, endMs) => {
-        service.observeEnd(workerId, loanId, use, durationMs, endMs)
-        this.#parts.borrowing().loanEnded(loanId)
-        const name = service.assignment.record.name
-        this.#parts.send(peer, {
-          kind: SlotMessageKind.Return,
-          service: name,
-          loanId,
-          use,
-          durationMs,
-        })
-      },
-    )
+    const reason = `borrowed from ${loan.lender.memberId}`
+    const grant = this.#track(service, { workerId, address, reason }, (use, durationMs, endMs) => {
+      service.observeEnd(workerId, loanId, use, durationMs, endMs)
+      const next = use === SlotUse.Completed ? this.#nextFor(loan, endMs) : undefined
+      if (next === undefined) this.#parts.borrowing().giveBack(loan, use, durationMs)
+      else {
+        this.#parts.borrowing().renew(loan, durationMs, next.requestClass)
+        this.acceptLoan(next, loan, endMs)
+      }
+    })
     this.#settled(waiter, service, nowMs)
     waiter.accept(grant)
   }
 
+  /**
+   * The waiter that may reuse a borrowed slot. A slot that is returned and lent
+   * again is idle for two trips, which under overload costs more than it can
+   * carry; the time is bounded, so that waiters of the lender get their turn.
+   */
+  #nextFor(loan: Loan, nowMs: number): LocalWaiter | undefined {
+    const { service, workerId } = loan
+    if (nowMs - loan.sinceMs > this.#parts.options.maxLoanReuseMs) return undefined
+    if (!service.assignment.workers.some((worker) => worker.workerId === workerId)) return undefined
+    if (service.preference.paceOf(workerId, nowMs) !== WorkerPace.Normal) return undefined
+    for (const waiter of this.#waiting.get(service) ?? []) {
+      const suits = waiter.deadlineMs <= loan.untilMs && !waiter.excludedWorkers.has(workerId)
+      if (suits) return waiter
+    }
+    return undefined
+  }
+
   /** Periodic work for the waits of a service. */
   review(service: ServiceSlots, nowMs: number): void {
+    let position = 0
     for (const waiter of [...(this.#waiting.get(service) ?? [])]) {
       const name = service.assignment.record.name
       const usualMs = service.estimates.usualMs(waiter.requestClass)
@@ -122,7 +125,10 @@
         this.#refuse(waiter, service, slotErrors.deadlineUnreachable(name, 0), nowMs)
         continue
       }
-      if (waiter.unansweredCalls === 0 && !this.#tryBeyond(waiter, service, nowMs)) {
+      position += 1
+      const mayBorrow = position <= this.#parts.options.maxBorrowers
+      if (!mayBorrow || waiter.unansweredCalls > 0) continue
+      if (!this.#tryBeyond(waiter, service, nowMs)) {
         this.#parts.borrowing().ask(waiter, service, nowMs)
       }
     }
@@ -176,7 +182,8 @@
     )
     service.queue.add(waiter)
     service.pump(nowMs)
-    if (waiter.isWaiting) this.#parts.borrowing().ask(waiter, service, nowMs)
+    const mayBorrow = waiting.size <= this.#parts.options.maxBorrowers
+    if (waiter.isWaiting && mayBorrow) this.#parts.borrowing().ask(waiter, service, nowMs)
   }
 
   #tryBeyond(waiter: LocalWaiter, service: ServiceSlots, nowMs: number): boolean {
--- a/src/slots/serviceSlots.ts
+++ b/src/slots/serviceSlots.ts
@@ -114,6 +114,14 @@
     return true
   }
 
+  /** Accounts for a completed use of a lent slot that the borrower keeps for another request. */
+  renew(holdId: string, durationMs: number, requestClass: string, nowMs: number): void {
+    const worker = this.pool.workerOf(holdId)
+    if (worker === undefined) return
+    this.preference.completed(worker.workerId, holdId, durationMs, nowMs)
+    this.preference.started(worker.workerId, holdId, requestClass, nowMs)
+  }
+
   /** Updates the statistics of a worker after a use, of an own or a borrowed slot. */
   observeEnd(
     workerId: string,
--- a/src/slots/slotBorrowing.ts
+++ b/src/slots/slotBorrowing.ts
@@ -24,14 +24,23 @@
   isAnswered: boolean
 }
 
+/** Covers the time that the borrow request travelled, in milliseconds. */
+const LOAN_MARGIN_MS = 600
+
+/** A slot that this gateway borrowed. */
+export interface Loan {
+  readonly service: ServiceSlots
+  readonly lender: MailboxPeer
+  readonly loanId: string
+  readonly workerId: string
+  readonly address: string
+  readonly sinceMs: number
+  /** The lender keeps the slot for this gateway at least until then. */
+  readonly untilMs: number
+}
+
 /** Turns an accepted loan into the grant of the waiting request. */
-export type AcceptLoan = (
-  waiter: LocalWaiter,
-  service: ServiceSlots,
-  peer: MailboxPeer,
-  message: GrantMessage,
-  nowMs: number,
-) => void
+export type AcceptLoan = (waiter: LocalWaiter, loan: Loan, nowMs: number) => void
 
 /** Borrow requests of this gateway. A grant that nobody waits for goes back at once. */
 export class SlotBorrowing {
@@ -92,12 +101,27 @@
     }
     this.#drop(message.borrowId)
     this.#loans.add(message.loanId)
-    this.#accept(borrow.waiter, borrow.service, peer, message, nowMs)
+    const { loanId, workerId, address } = message
+    const { waiter, service } = borrow
+    const untilMs = waiter.deadlineMs + this.#options.holdGraceMs - LOAN_MARGIN_MS
+    const loan = { service, lender: peer, loanId, workerId, address, sinceMs: nowMs, untilMs }
+    this.#accept(waiter, loan, nowMs)
   }
 
-  /** Forgets a loan after its return was posted. */
-  loanEnded(loanId: string): void {
+  /** Gives a borrowed slot back. */
+  giveBack(loan: Loan, use: SlotUse, durationMs: number): void {
+    const { loanId, lender } = loan
     this.#loans.delete(loanId)
+    const service = loan.service.assignment.record.name
+    this.#send(lender, { kind: SlotMessageKind.Return, service, loanId, use, durationMs })
+  }
+
+  /** Tells the lender that the slot serves another request of this gateway now. */
+  renew(loan: Loan, durationMs: number, requestClass: string): void {
+    const { loanId, lender } = loan
+    const service = loan.service.assignment.record.name
+    const kind = SlotMessageKind.Renew
+    this.#send(lender, { kind, service, loanId, durationMs, requestClass })
   }
 
   /** Withdraws the outstanding borrow requests of a waiter that was settled. */
--- a/src/slots/slotDispatcher.ts
+++ b/src/slots/slotDispatcher.ts
@@ -63,7 +63,6 @@
       options: this.#options,
       counters: this.#counters,
       borrowing: () => this.#borrowing,
-      send,
       newId,
     })
     this.#lending = new SlotLending(
--- a/src/slots/slotExchange.ts
+++ b/src/slots/slotExchange.ts
@@ -86,7 +86,7 @@
     for (const message of sent) {
       if (message.kind === SlotMessageKind.Grant) {
         this.#sides?.lending.grantFailed(peer, message, kind, nowMs)
-      } else if (message.kind !== SlotMessageKind.Borrow) {
+      } else if (REDELIVERED.has(message.kind)) {
         this.#redeliver(peer, message)
       }
     }
@@ -128,7 +128,14 @@
   }
 }
 
+/** Kinds whose loss would keep a slot from its owner until the deadline of the loan. */
+const REDELIVERED: ReadonlySet<SlotMessageKind> = new Set([
+  SlotMessageKind.Return,
+  SlotMessageKind.Cancel,
+])
+
 const ORDER: Readonly<Record<SlotMessageKind, number>> = {
+  [SlotMessageKind.Renew]: 0,
   [SlotMessageKind.Return]: 0,
   [SlotMessageKind.Cancel]: 1,
   [SlotMessageKind.Grant]: 2,
@@ -154,6 +161,9 @@
   [SlotMessageKind.Return]: (sides, _from, message, nowMs) => {
     sides.lending.giveBack(message, nowMs)
   },
+  [SlotMessageKind.Renew]: (sides, _from, message, nowMs) => {
+    sides.lending.renew(message, nowMs)
+  },
   [SlotMessageKind.Cancel]: (sides, _from, message, nowMs) => {
     sides.lending.cancel(message, nowMs)
   },
--- a/src/slots/slotLending.ts
+++ b/src/slots/slotLending.ts
@@ -4,16 +4,20 @@
 import { MemberHealth, MemberState } from '../membership/memberRecord.js'
 import type { ServiceSlots, SlotWaiter } from './serviceSlots.js'
 import type { MailboxPeer } from './slotMailbox.js'
-import type { BorrowMessage, CancelMessage, GrantMessage, ReturnMessage } from './slotMessages.js'
+import type {
+  BorrowMessage,
+  CancelMessage,
+  GrantMessage,
+  RenewMessage,
+  ReturnMessage,
+  SlotMessage,
+} from './slotMessages.js'
 import { SlotMessageKind } from './slotMessages.js'
 import type { PoolSlot, SlotHold, SlotPeer } from './slotPool.js'
 import { SlotUse } from './slotSource.js'
 
 /** Sends a message, in the answer to the peer's present call if there is one. */
-export type SendMessage = (
-  peer: MailboxPeer,
-  message: BorrowMessage | GrantMessage | ReturnMessage | CancelMessage,
-) => void
+export type SendMessage = (peer: MailboxPeer, message: SlotMessage) => void
 
 interface RemoteWaiter extends SlotWaiter {
   readonly service: ServiceSlots
@@ -93,6 +97,15 @@
     }
   }
 
+  /** Notes that the borrower uses the slot for a further request. */
+  renew(message: RenewMessage, nowMs: number): void {
+    for (const loan of this.#loans.values()) {
+      if (loan.loanId !== message.loanId) continue
+      loan.service.renew(message.loanId, message.durationMs, message.requestClass, nowMs)
+      return
+    }
+  }
+
   /** Forgets a borrow request and takes back what was granted for it. */
   cancel(message: CancelMessage, nowMs: number): void {
     const waiter = this.#waiters.get(message.borrowId)
--- a/src/slots/slotMessages.ts
+++ b/src/slots/slotMessages.ts
@@ -14,6 +14,8 @@
   Grant = 'grant',
   /** Gives a lent slot back. */
   Return = 'return',
+  /** Keeps a lent slot for the next request of the borrower. */
+  Renew = 'renew',
   /** Withdraws a borrow request and gives back what was granted for it. */
   Cancel = 'cancel',
 }
@@ -54,6 +56,17 @@
   readonly durationMs: number
 }
 
+/** States that a lent slot was used and serves another request of the borrower now. */
+export interface RenewMessage {
+  readonly kind: SlotMessageKind.Renew
+  readonly service: string
+  readonly loanId: string
+  /** Time of the use that ended, in milliseconds. */
+  readonly durationMs: number
+  /** Class of the request that follows. */
+  readonly requestClass: string
+}
+
 /** Withdraws a borrow request. */
 export interface CancelMessage {
   readonly kind: SlotMessageKind.Cancel
@@ -61,7 +74,8 @@
   readonly borrowId: string
 }
 
-export type SlotMessage = BorrowMessage | GrantMessage | ReturnMessage | CancelMessage
+export type SlotMessage =
+  BorrowMessage | GrantMessage | ReturnMessage | RenewMessage | CancelMessage
 
 /** What one call carries in each direction. */
 export interface SlotEnvelope {
@@ -96,6 +110,12 @@
     address: TEXT,
   },
   [SlotMessageKind.Return]: { service: TEXT, loanId: TEXT, use: TEXT, durationMs: NUMBER },
+  [SlotMessageKind.Renew]: {
+    service: TEXT,
+    loanId: TEXT,
+    durationMs: NUMBER,
+    requestClass: TEXT,
+  },
   [SlotMessageKind.Cancel]: { service: TEXT, borrowId: TEXT },
 }
 
--- a/src/slots/slotPool.ts
+++ b/src/slots/slotPool.ts
@@ -129,6 +129,11 @@
     return { worker: slot.worker, slotId: slot.slotId, hold }
   }
 
+  /** Worker of the slot that a hold is on. */
+  workerOf(holdId: string): WorkerRecord | undefined {
+    return this.#held.get(holdId)?.worker
+  }
+
   /** Keeps a slot from being granted until `untilMs`. */
   block(slotId: string, untilMs: number): void {
     const slot = this.#slots.get(slotId)
