--- /dev/null
+++ b/playground/callerLoad.ts
@@ -0,0 +1,96 @@
+/** Concurrent callers that record their calls for a history. */
+import { createHash } from 'node:crypto'
+import { setImmediate } from 'node:timers/promises'
+import type { CallReport } from '../src/client/callerClient.js'
+import { CallerClient } from '../src/client/callerClient.js'
+import type { LookupSource } from '../src/client/lookupSource.js'
+import { sleep, systemClock } from '../src/common/clock.js'
+import { HttpExchangeClient } from '../src/common/httpExchange.js'
+import type { HistoryAnswer, HistoryCall } from '../src/history/historyChecker.js'
+import type { EchoedRequest } from './backendServer.js'
+import { SeededNumbers } from './backendFaults.js'
+
+/** What the callers do. */
+export interface CallerLoadOptions {
+  readonly service: string
+  readonly callers: number
+  /** Calls of each caller. */
+  readonly calls: number
+  /** Share of operations that must not be repeated, 0 to 1. */
+  readonly operationShare: number
+  /** Service time of each call is chosen up to this, ms. */
+  readonly maxServiceMs: number
+  readonly timeoutMs: number
+  /** Longest pause of a caller between two calls, ms. */
+  readonly maxPauseMs: number
+  readonly seed: number
+}
+
+/** Runs callers until all their calls have ended. */
+export async function runCallers(
+  lookups: LookupSource,
+  options: CallerLoadOptions,
+): Promise<HistoryCall[]> {
+  const http = new HttpExchangeClient({ maxConnections: 64, idleMs: 4000, clock: systemClock })
+  const callers = Array.from({ length: options.callers }, (_, index) =>
+    runCaller(index, lookups, http, options),
+  )
+  const calls = (await Promise.all(callers)).flat()
+  http.close()
+  return calls
+}
+
+async function runCaller(
+  index: number,
+  lookups: LookupSource,
+  http: HttpExchangeClient,
+  options: CallerLoadOptions,
+): Promise<HistoryCall[]> {
+  const numbers = new SeededNumbers(options.seed * 1000 + index)
+  const clientAddress = `10.0.${String(index >>> 8)}.${String(index & 255)}`
+  const client = new CallerClient(lookups, http, systemClock, { clientAddress })
+  const calls: HistoryCall[] = []
+  await setImmediate()
+  for (let number = 0; number < options.calls; number++) {
+    const repeatable = numbers.next() >= options.operationShare
+    const serviceMs = Math.floor(numbers.next() * options.maxServiceMs)
+    const target = `/call?caller=${String(index)}&number=${String(number)}&serviceMs=${String(serviceMs)}`
+    const body = Buffer.from(repeatable ? '' : `body ${target}`)
+    const report = await client.call({
+      service: options.service,
+      method: repeatable ? 'GET' : 'POST',
+      target,
+      headers: [],
+      body,
+      timeoutMs: options.timeoutMs,
+      idempotent: repeatable,
+    })
+    calls.push(toHistory(report, target, body, repeatable))
+    await sleep(numbers.next() * options.maxPauseMs)
+  }
+  return calls
+}
+
+function toHistory(
+  report: CallReport,
+  target: string,
+  body: Buffer,
+  repeatable: boolean,
+): HistoryCall {
+  return {
+    target,
+    bodySha256: createHash('sha256').update(body).digest('hex'),
+    repeatable,
+    outcome: report.outcome,
+    tries: report.tries,
+    answer: readAnswer(report),
+  }
+}
+
+function readAnswer(report: CallReport): HistoryAnswer | undefined {
+  try {
+    return JSON.parse(report.answer?.body.toString('utf8') ?? '') as EchoedRequest
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/history/__tests__/historyChecker.spec.ts
@@ -0,0 +1,130 @@
+import { expect } from 'chai'
+import { Outcome } from '../../common/headers.js'
+import type { History, HistoryCall, HistoryExecution, HistoryTry } from '../historyChecker.js'
+import { checkHistory, Promised } from '../historyChecker.js'
+
+const TRY: HistoryTry = {
+  address: 'g1',
+  identifier: 'p.1',
+  outcome: Outcome.Ran,
+  sent: true,
+  status: 200,
+  reason: '',
+  startMs: 100,
+  endMs: 200,
+}
+const CALL: HistoryCall = {
+  target: '/spend?n=1',
+  bodySha256: 'aa',
+  repeatable: false,
+  outcome: Outcome.Ran,
+  tries: [TRY],
+  answer: { request: 'r.1', target: '/spend?n=1', bodySha256: 'aa' },
+}
+const RUN: HistoryExecution = {
+  workerId: 'w1',
+  operation: 'p.1',
+  request: 'r.1',
+  target: '/spend?n=1',
+  startMs: 120,
+}
+
+function history(given: Partial<History>): History {
+  const base = { calls: [CALL], executions: [RUN], shutdowns: [], drains: [], drainBoundMs: 1000 }
+  return { ...base, ...given }
+}
+
+function brokenPromises(given: Partial<History>): Promised[] {
+  return checkHistory(history(given)).map((violation) => violation.promise)
+}
+
+describe('checkHistory', () => {
+  it('accepts a correct history', () => {
+    const unknown: HistoryCall = {
+      ...CALL,
+      target: '/spend?n=2',
+      outcome: Outcome.Unknown,
+      tries: [{ ...TRY, identifier: 'p.2', outcome: Outcome.Unknown, status: 502 }],
+      answer: undefined,
+    }
+    const read: HistoryCall = {
+      ...CALL,
+      target: '/list',
+      repeatable: true,
+      outcome: Outcome.NotRun,
+    }
+    const runs = [RUN, { ...RUN, request: 'r.2', operation: 'p.2', target: '/spend?n=2' }]
+    expect(brokenPromises({ calls: [CALL, unknown, read], executions: runs })).to.deep.equal([])
+  })
+
+  describe('rejects for P3', () => {
+    it('an answer to another request', () => {
+      const answer = { request: 'r.1', target: '/spend?n=9', bodySha256: 'aa' }
+      expect(brokenPromises({ calls: [{ ...CALL, answer }] })).to.deep.equal([Promised.OwnAnswer])
+    })
+
+    it('an answer to another body under the same target', () => {
+      const answer = { request: 'r.1', target: CALL.target, bodySha256: 'bb' }
+      expect(brokenPromises({ calls: [{ ...CALL, answer }] })).to.deep.equal([Promised.OwnAnswer])
+    })
+
+    it('an incomplete answer', () => {
+      const calls = [{ ...CALL, answer: undefined }]
+      expect(brokenPromises({ calls })).to.deep.equal([Promised.OwnAnswer])
+    })
+
+    it('an answer that no execution stands behind', () => {
+      expect(brokenPromises({ executions: [] })).to.deep.equal([Promised.OwnAnswer])
+    })
+  })
+
+  it('rejects for P4 a refused operation that ran, even long after its refusal', () => {
+    const refused = { ...TRY, outcome: Outcome.NotRun, status: 503 }
+    const calls = [{ ...CALL, outcome: Outcome.NotRun, tries: [refused], answer: undefined }]
+    const executions = [{ ...RUN, startMs: 90_000 }]
+    expect(brokenPromises({ calls, executions })).to.deep.equal([Promised.NotRunIsFinal])
+  })
+
+  it('does not hold a gateway to a connection that never came about', () => {
+    const tries = [{ ...TRY, outcome: Outcome.NotRun, sent: false, status: undefined }, TRY]
+    expect(brokenPromises({ calls: [{ ...CALL, tries }] })).to.deep.equal([])
+  })
+
+  it('rejects for P5 a second run, also under another identifier', () => {
+    const executions = [RUN, { ...RUN, request: 'r.2', operation: 'q.1', workerId: 'w2' }]
+    expect(brokenPromises({ executions })).to.deep.equal([Promised.AtMostOnce])
+    const calls = [{ ...CALL, repeatable: true }]
+    expect(brokenPromises({ calls, executions })).to.deep.equal([])
+  })
+
+  it('rejects for P6 a start at a backend server that left longer ago than the bound', () => {
+    const drains = [{ workerId: 'w1', atMs: 100 }]
+    expect(brokenPromises({ drains, drainBoundMs: 19 })).to.deep.equal([Promised.LeavingGetsNoWork])
+    expect(brokenPromises({ drains, drainBoundMs: 20 })).to.deep.equal([])
+  })
+
+  describe('for P7', () => {
+    const shutdown = { address: 'g1', startMs: 150, endMs: 300 }
+    const cut = { ...TRY, outcome: Outcome.Unknown, status: undefined, reason: 'reset' }
+    const calls = [{ ...CALL, outcome: Outcome.Unknown, tries: [cut], answer: undefined }]
+
+    it('rejects a connection that broke during a shutdown', () => {
+      expect(brokenPromises({ calls, shutdowns: [shutdown] })).to.deep.equal([
+        Promised.ShutdownCutsNothing,
+      ])
+    })
+
+    it('accepts breaks at other instances, at other times and by the caller itself', () => {
+      const others = [
+        { ...shutdown, address: 'g2' },
+        { ...shutdown, startMs: 201 },
+        { ...shutdown, startMs: 0, endMs: 99 },
+      ]
+      for (const other of others) {
+        expect(brokenPromises({ calls, shutdowns: [other] })).to.deep.equal([])
+      }
+      const late = [{ ...CALL, outcome: Outcome.Unknown, tries: [{ ...cut, reason: 'timedOut' }] }]
+      expect(brokenPromises({ calls: late, shutdowns: [shutdown] })).to.deep.equal([])
+    })
+  })
+})
--- /dev/null
+++ b/src/history/historyChecker.ts
@@ -0,0 +1,173 @@
+/**
+ * Checks what callers saw against what backend servers executed. Each rule
+ * stands for a promise of the design page and returns the violations it finds.
+ */
+import { Outcome } from '../common/headers.js'
+
+/** Promises that are checked. */
+export enum Promised {
+  /** Every caller gets the complete answer to its own request. */
+  OwnAnswer = 'P3',
+  /** What was refused as "not run" did not run and never will. */
+  NotRunIsFinal = 'P4',
+  /** An operation that must not be repeated runs at most once. */
+  AtMostOnce = 'P5',
+  /** A leaving backend server gets no new work after the bound. */
+  LeavingGetsNoWork = 'P6',
+  /** A graceful shutdown cuts no request in flight. */
+  ShutdownCutsNothing = 'P7',
+}
+
+/** One try of a call. */
+export interface HistoryTry {
+  /** `host:port` of the entry instance. */
+  readonly address: string
+  readonly identifier: string
+  readonly outcome: Outcome
+  /** False if no connection was established. */
+  readonly sent: boolean
+  /** Status of the answer, or `undefined` if there was none. */
+  readonly status: number | undefined
+  /** Why there was no answer. */
+  readonly reason: string
+  readonly startMs: number
+  readonly endMs: number
+}
+
+/** What the body of an answer says of the request that it belongs to. */
+export interface HistoryAnswer {
+  readonly request: string
+  readonly target: string
+  readonly bodySha256: string
+}
+
+/** A finished call. Its target is unique in the history. */
+export interface HistoryCall {
+  readonly target: string
+  readonly bodySha256: string
+  /** True if running it more than once is harmless. */
+  readonly repeatable: boolean
+  readonly outcome: Outcome
+  readonly tries: readonly HistoryTry[]
+  /** For outcome `ran`; `undefined` if the body could not be read. */
+  readonly answer: HistoryAnswer | undefined
+}
+
+/** An execution that a backend server recorded. */
+export interface HistoryExecution {
+  readonly workerId: string
+  readonly operation: string
+  readonly request: string
+  readonly target: string
+  readonly startMs: number
+}
+
+/** A graceful shutdown of an entry instance. */
+export interface HistoryShutdown {
+  readonly address: string
+  readonly startMs: number
+  /** When the process had ended. */
+  readonly endMs: number
+}
+
+/** A backend server that was told to leave. */
+export interface HistoryDrain {
+  readonly workerId: string
+  readonly atMs: number
+}
+
+/** A concurrent run. Times are in milliseconds since the epoch. */
+export interface History {
+  readonly calls: readonly HistoryCall[]
+  readonly executions: readonly HistoryExecution[]
+  readonly shutdowns: readonly HistoryShutdown[]
+  readonly drains: readonly HistoryDrain[]
+  /** Time after a drain within which new work may still arrive. */
+  readonly drainBoundMs: number
+}
+
+/** A broken promise. */
+export interface Violation {
+  readonly promise: Promised
+  readonly message: string
+}
+
+/** Reasons for a missing answer that the caller itself brought about. */
+const OWN_REASONS = new Set(['timedOut', 'cancelled'])
+
+const RULES: Readonly<Record<Promised, (history: History) => string[]>> = {
+  [Promised.OwnAnswer]: checkOwnAnswers,
+  [Promised.NotRunIsFinal]: checkRefusals,
+  [Promised.AtMostOnce]: checkAtMostOnce,
+  [Promised.LeavingGetsNoWork]: checkDrains,
+  [Promised.ShutdownCutsNothing]: checkShutdowns,
+}
+
+/** Returns all violations in a history. */
+export function checkHistory(history: History): Violation[] {
+  return Object.values(Promised).flatMap((promise) =>
+    RULES[promise](history).map((message) => ({ promise, message })),
+  )
+}
+
+function checkOwnAnswers(history: History): string[] {
+  const executed = new Map(history.executions.map((run) => [run.request, run]))
+  return history.calls.flatMap((call) => {
+    if (call.outcome !== Outcome.Ran) return []
+    const { answer } = call
+    if (answer === undefined) return [`${call.target}: the answer is incomplete`]
+    if (answer.target !== call.target || answer.bodySha256 !== call.bodySha256) {
+      return [`${call.target}: got the answer to ${answer.target}`]
+    }
+    return executed.get(answer.request)?.target === call.target
+      ? []
+      : [`${call.target}: answered by ${answer.request}, which no backend server executed`]
+  })
+}
+
+function checkRefusals(history: History): string[] {
+  const executed = new Set(history.executions.map((run) => run.operation))
+  const refused = history.calls.flatMap((call) =>
+    call.tries.filter((tried) => tried.sent && tried.outcome === Outcome.NotRun),
+  )
+  return refused
+    .filter((tried) => executed.has(tried.identifier))
+    .map((tried) => `${tried.identifier}: refused as not run by ${tried.address}, but it ran`)
+}
+
+/** Counts by target as well, so that a call that was wrongly renumbered is found. */
+function checkAtMostOnce(history: History): string[] {
+  const runs = new Map<string, number>()
+  for (const run of history.executions) runs.set(run.target, (runs.get(run.target) ?? 0) + 1)
+  return history.calls
+    .filter((call) => !call.repeatable && (runs.get(call.target) ?? 0) > 1)
+    .map((call) => `${call.target}: ran ${String(runs.get(call.target))} times`)
+}
+
+function checkDrains(history: History): string[] {
+  const drainedAt = new Map(history.drains.map((drain) => [drain.workerId, drain.atMs]))
+  return history.executions.flatMap((run) => {
+    const atMs = drainedAt.get(run.workerId)
+    if (atMs === undefined || run.startMs <= atMs + history.drainBoundMs) return []
+    return [
+      `${run.target}: started at ${run.workerId} ${String(run.startMs - atMs)} ms after it left`,
+    ]
+  })
+}
+
+function checkShutdowns(history: History): string[] {
+  const tries = history.calls.flatMap((call) => call.tries)
+  return history.shutdowns.flatMap((shutdown) =>
+    tries
+      .filter(
+        (tried) =>
+          tried.address === shutdown.address &&
+          tried.sent &&
+          tried.status === undefined &&
+          !OWN_REASONS.has(tried.reason) &&
+          tried.startMs <= shutdown.endMs &&
+          tried.endMs >= shutdown.startMs,
+      )
+      .map((tried) => `${tried.identifier}: cut by ${shutdown.address} (${tried.reason})`),
+  )
+}
