--- a/playground/callerLoad.ts
+++ b/playground/callerLoad.ts
@@ -54,7 +54,7 @@
   for (let number = 0; number < options.calls; number++) {
     const repeatable = numbers.next() >= options.operationShare
     const serviceMs = Math.floor(numbers.next() * options.maxServiceMs)
-    const target = `/call?caller=${String(index)}&number=${String(number)}&serviceMs=${String(serviceMs)}`
+    const target = `/call?seed=${String(options.seed)}&caller=${String(index)}&number=${String(number)}&serviceMs=${String(serviceMs)}`
     const body = Buffer.from(repeatable ? '' : `body ${target}`)
     const report = await client.call({
       service: options.service,
--- /dev/null
+++ b/playground/gatewayProcesses.ts
@@ -0,0 +1,176 @@
+/**
+ * One region with real processes: a lookup daemon and several gateways. The
+ * platform's stand-ins and the backend servers run in this process. For
+ * histories with kills, pauses and restarts.
+ */
+import { MemberRole } from '../src/membership/memberRecord.js'
+import { ConfigurationRepository } from '../src/configuration/configurationRepository.js'
+import type { ConfigurationRecord } from '../src/configuration/document.js'
+import { RecordKind } from '../src/configuration/document.js'
+import { InstanceKind, InstanceState } from '../src/platform/instanceList.js'
+import { HttpKeyValueStore } from '../src/platform/httpKeyValueStore.js'
+import { sleep } from '../src/common/clock.js'
+import { BackendServer } from './backendServer.js'
+import { createService } from './gatewayCluster.js'
+import { InstanceListServer } from './instanceListServer.js'
+import { LocalDaemon } from './localDeployment.js'
+import { findFreePorts } from './managedProcess.js'
+import { StoreServer } from './storeServer.js'
+
+/** Name of the only service. */
+export const PROCESS_SERVICE = 'coin-wallet'
+/** Time that look-up answers may be cached, ms. */
+export const PROCESS_CACHE_MS = 300
+
+const REGION = 'sicilia'
+const ZONE = 'sicilia-a'
+const SLOTS = 4
+const WORKER_IDS = ['w1', 'w2', 'w3', 'w4']
+const STOP_TIMEOUT_MS = 10_000
+const READY_TIMEOUT_MS = 15_000
+
+/** Options of {@link GatewayProcesses.start}. */
+export interface GatewayProcessesOptions {
+  readonly gatewayCount: number
+  /** Seed of the backend servers' random faults. */
+  readonly seed: number
+  /** Longest timeout of a caller, ms; bounds a gateway's shutdown. */
+  readonly maxTimeoutMs: number
+}
+
+/** Running processes with their stand-ins. */
+export class GatewayProcesses {
+  readonly gateways: readonly LocalDaemon[]
+  readonly lookup: LocalDaemon
+  readonly workers: readonly BackendServer[]
+  readonly #store: StoreServer
+  readonly #instances: InstanceListServer
+
+  private constructor(
+    daemons: { readonly gateways: readonly LocalDaemon[]; readonly lookup: LocalDaemon },
+    workers: readonly BackendServer[],
+    store: StoreServer,
+    instances: InstanceListServer,
+  ) {
+    this.gateways = daemons.gateways
+    this.lookup = daemons.lookup
+    this.workers = workers
+    this.#store = store
+    this.#instances = instances
+  }
+
+  /** Starts everything and waits until a request runs. */
+  static async start(options: GatewayProcessesOptions): Promise<GatewayProcesses> {
+    const workers = WORKER_IDS.map(
+      (workerId, index) =>
+        new BackendServer({ workerId, slots: SLOTS, seed: options.seed + index }),
+    )
+    const store = new StoreServer(0)
+    const instances = new InstanceListServer(0)
+    await Promise.all([store.start(), instances.start(), ...workers.map((one) => one.start())])
+    await commitRecords(store.url, recordsFor(workers))
+    const daemons = await createDaemons(options, store.url, instances.url)
+    const all = [daemons.lookup, ...daemons.gateways]
+    for (const daemon of all) listDaemon(instances, daemon)
+    for (const daemon of all) daemon.start()
+    const started = new GatewayProcesses(daemons, workers, store, instances)
+    await Promise.all(all.map((daemon) => daemon.ready()))
+    await started.#untilSteering(options.gatewayCount)
+    return started
+  }
+
+  /** Ends all processes and stand-ins. */
+  async stop(): Promise<void> {
+    const all = [this.lookup, ...this.gateways]
+    await Promise.all(all.map((daemon) => daemon.program.stop(STOP_TIMEOUT_MS)))
+    await Promise.all(this.workers.map((worker) => worker.stop()))
+    await Promise.all([this.#store.stop(), this.#instances.stop()])
+  }
+
+  /** Waits until look-ups name as many gateways as there are. */
+  async #untilSteering(count: number): Promise<void> {
+    const url = `http://${this.lookup.serviceAddress}/lookup?service=${PROCESS_SERVICE}&client=10.0.0.1`
+    const giveUpAt = Date.now() + READY_TIMEOUT_MS
+    while (Date.now() < giveUpAt) {
+      const answer = await fetch(url)
+      const content = (await answer.json()) as { readonly entries?: readonly unknown[] }
+      if ((content.entries ?? []).length >= Math.min(3, count)) return
+      await sleep(50)
+    }
+    throw new Error(`The lookup daemon does not name ${String(count)} gateways`)
+  }
+}
+
+function recordsFor(workers: readonly BackendServer[]): ConfigurationRecord[] {
+  const records = workers.map((worker) => ({
+    workerId: worker.workerId,
+    generation: 1,
+    address: worker.address,
+    region: REGION,
+    zone: ZONE,
+    slots: SLOTS,
+  }))
+  return [
+    { kind: RecordKind.PutRegion, region: { name: REGION, zones: [ZONE] } },
+    { kind: RecordKind.PutSite, site: { name: ZONE, region: REGION, zone: ZONE } },
+    { kind: RecordKind.PutBlocks, blocks: [{ cidr: '10.0.0.0/16', site: ZONE, weight: 1 }] },
+    {
+      kind: RecordKind.PutService,
+      service: createService(PROCESS_SERVICE, { workers: records }),
+    },
+  ]
+}
+
+async function commitRecords(
+  storeUrl: string,
+  records: readonly ConfigurationRecord[],
+): Promise<void> {
+  const repository = new ConfigurationRepository(new HttpKeyValueStore(storeUrl))
+  const head = await repository.readHead()
+  const change = {
+    changeId: 'first-configuration',
+    operator: 'test',
+    createdAtMs: Date.now(),
+    summary: 'first configuration',
+    records,
+  }
+  const committed = await repository.commit(change, head.unwrap().revision)
+  committed.unwrap()
+}
+
+async function createDaemons(
+  options: GatewayProcessesOptions,
+  storeUrl: string,
+  instanceListUrl: string,
+): Promise<{ gateways: LocalDaemon[]; lookup: LocalDaemon }> {
+  const ports = await findFreePorts(2 * (options.gatewayCount + 1))
+  const environment = {
+    TAMARACKDRIFT_STORE_URL: storeUrl,
+    TAMARACKDRIFT_INSTANCE_LIST_URL: instanceListUrl,
+    TAMARACKDRIFT_PEER_TOKEN: 'peer-token-of-the-processes',
+    TAMARACKDRIFT_ANSWER_CACHE_MS: String(PROCESS_CACHE_MS),
+    TAMARACKDRIFT_MAX_TIMEOUT_MS: String(options.maxTimeoutMs),
+    TAMARACKDRIFT_LOGS: 'tamarackdrift:daemon',
+  }
+  const create = (instanceId: string, role: MemberRole): LocalDaemon => {
+    const instance = { instanceId, region: REGION, zone: ZONE, site: ZONE }
+    const pair = [ports.shift() ?? 0, ports.shift() ?? 0] as const
+    return new LocalDaemon(instance, role, pair, environment)
+  }
+  const gateways = Array.from({ length: options.gatewayCount }, (_, index) =>
+    create(`entry-${String(index + 1)}`, MemberRole.Gateway),
+  )
+  return { gateways, lookup: create('entry-1', MemberRole.Lookup) }
+}
+
+function listDaemon(instances: InstanceListServer, daemon: LocalDaemon): void {
+  instances.put({
+    instanceId: daemon.memberId,
+    kind: InstanceKind.Entry,
+    state: InstanceState.Live,
+    generation: 1,
+    region: REGION,
+    zone: ZONE,
+    address: daemon.internalAddress,
+  })
+}
--- /dev/null
+++ b/src/history/__tests__/processHistories.spec.ts
@@ -0,0 +1,125 @@
+import { expect } from 'chai'
+import { RequestFault } from '../../../playground/backendFaults.js'
+import type { CallerLoadOptions } from '../../../playground/callerLoad.js'
+import { runCallers } from '../../../playground/callerLoad.js'
+import { GatewayProcesses, PROCESS_SERVICE } from '../../../playground/gatewayProcesses.js'
+import type { LocalDaemon } from '../../../playground/localDeployment.js'
+import { HttpLookupSource } from '../../client/lookupSource.js'
+import { sleep, systemClock } from '../../common/clock.js'
+import { Outcome } from '../../common/headers.js'
+import { HttpExchangeClient } from '../../common/httpExchange.js'
+import type { History, HistoryShutdown } from '../historyChecker.js'
+import { checkHistory } from '../historyChecker.js'
+
+const CALL_TIMEOUT_MS = 1500
+
+describe('histories of gateway processes', function () {
+  this.timeout(40_000)
+  let processes: GatewayProcesses
+  let shutdowns: HistoryShutdown[]
+
+  before(async () => {
+    const options = { gatewayCount: 3, seed: 61, maxTimeoutMs: 2000 }
+    processes = await GatewayProcesses.start(options)
+  })
+
+  after(() => processes.stop())
+
+  beforeEach(() => {
+    shutdowns = []
+  })
+
+  /** Runs callers while `disturb` runs, then checks everything recorded so far. */
+  async function record(
+    seed: number,
+    load: Partial<CallerLoadOptions>,
+    disturb: (gateways: readonly LocalDaemon[]) => Promise<void>,
+  ): Promise<History> {
+    const http = new HttpExchangeClient({ maxConnections: 32, idleMs: 2000, clock: systemClock })
+    const lookups = new HttpLookupSource(http, [processes.lookup.serviceAddress])
+    const calling = runCallers(lookups, {
+      service: PROCESS_SERVICE,
+      callers: 16,
+      calls: 40,
+      operationShare: 0.7,
+      maxServiceMs: 30,
+      timeoutMs: CALL_TIMEOUT_MS,
+      maxPauseMs: 60,
+      seed,
+      ...load,
+    })
+    const [calls] = await Promise.all([calling, disturb(processes.gateways)])
+    http.close()
+    const targets = new Set(calls.map((call) => call.target))
+    const executions = processes.workers
+      .flatMap((worker) => worker.records)
+      .filter((run) => targets.has(run.target))
+    const history = { calls, executions, shutdowns, drains: [], drainBoundMs: 3000 }
+    expect(checkHistory(history), `seed ${String(seed)}`).to.deep.equal([])
+    return history
+  }
+
+  const ran = (history: History): number =>
+    history.calls.filter((call) => call.outcome === Outcome.Ran).length / history.calls.length
+
+  it('holds while a gateway is killed and started again', async () => {
+    const history = await record(71, { calls: 30 }, async ([gateway]) => {
+      await sleep(500)
+      gateway?.program.signal('SIGKILL')
+      await gateway?.program.exited()
+      await sleep(300)
+      gateway?.start()
+      await gateway?.ready()
+    })
+    expect(ran(history)).to.be.above(0.8)
+  })
+
+  it('holds while a gateway is frozen past the deadlines and resumes', async () => {
+    const history = await record(72, { calls: 35 }, async ([, gateway]) => {
+      await sleep(300)
+      gateway?.program.signal('SIGSTOP')
+      await sleep(CALL_TIMEOUT_MS + 500)
+      gateway?.program.signal('SIGCONT')
+      await sleep(500)
+    })
+    expect(ran(history)).to.be.above(0.5)
+  })
+
+  it('holds while gateways end gracefully, with a second signal, and start again', async () => {
+    const history = await record(73, { calls: 45 }, async (gateways) => {
+      for (const gateway of gateways.slice(0, 2)) {
+        await sleep(200)
+        const startMs = Date.now()
+        gateway.program.signal('SIGTERM')
+        await sleep(50)
+        gateway.program.signal('SIGTERM')
+        const exit = await gateway.program.exited()
+        expect(exit.code).to.equal(0)
+        shutdowns.push({ address: gateway.serviceAddress, startMs, endMs: Date.now() })
+        gateway.start()
+        await gateway.ready()
+      }
+    })
+    expect(history.shutdowns).to.have.length(2)
+    expect(ran(history)).to.equal(1)
+  })
+
+  it('holds while backend servers break answers and a gateway is killed', async () => {
+    const random = {
+      [RequestFault.ResetAfter]: 0.03,
+      [RequestFault.Truncate]: 0.03,
+      [RequestFault.Cross]: 0.03,
+      [RequestFault.Shed]: 0.1,
+    }
+    for (const worker of processes.workers) worker.setFaults({ random })
+    const history = await record(74, { calls: 25 }, async (gateways) => {
+      await sleep(400)
+      gateways[2]?.program.signal('SIGKILL')
+      await gateways[2]?.program.exited()
+      gateways[2]?.start()
+      await gateways[2]?.ready()
+    })
+    for (const worker of processes.workers) worker.setFaults({ random: {} })
+    expect(ran(history)).to.be.above(0.6)
+  })
+})
