--- /dev/null
+++ b/bench/drainBench.ts
@@ -0,0 +1,258 @@
+/**
+ * Bench `drain`: backend servers leave by each of the sources that can say so, and
+ * gateways end gracefully, under load with long requests. Gateways and the lookup
+ * daemon are processes of their own.
+ */
+import type { ExecutionRecord, BackendServer } from '../playground/backendServer.js'
+import { runCallers } from '../playground/callerLoad.js'
+import {
+  GatewayProcesses,
+  PROCESS_CACHE_MS,
+  PROCESS_SERVICE,
+} from '../playground/gatewayProcesses.js'
+import type { LocalDaemon } from '../playground/localDeployment.js'
+import { HttpLookupSource } from '../src/client/lookupSource.js'
+import { sleep, systemClock } from '../src/common/clock.js'
+import { Outcome } from '../src/common/headers.js'
+import { HttpExchangeClient } from '../src/common/httpExchange.js'
+import type { HistoryCall, HistoryShutdown } from '../src/history/historyChecker.js'
+import { checkHistory, Promised } from '../src/history/historyChecker.js'
+import type { BenchOptions, BenchReport, Goal } from './report.js'
+
+const CALLERS = 24
+const LONG_MS = 2500
+const LONG_SHARE = 0.05
+const MAX_SHORT_MS = 20
+const CALL_TIMEOUT_MS = 8000
+const WORKER_COUNT = 8
+const GATEWAY_COUNT = 3
+const WARM_UP_MS = 3000
+/** Time between two drains: the longest request and the bound of 3 s on new work. */
+const SETTLE_MS = 3500
+const NEW_WORK_TARGET_MS = 1000
+const DRAIN_RATIO_TARGET = 1.1
+
+/** Who says that a backend server leaves. */
+enum Source {
+  Answer = 'own answer and status',
+  Platform = 'platform list',
+  Operator = "operator's intent",
+}
+
+interface WorkerRound {
+  readonly kind: 'backendServer'
+  readonly source: Source
+  /** Time from the mark to the last start of new work, ms; 0 if none started after it. */
+  readonly newWorkEndedMs: number
+  /** Longest request in flight at the mark, ms. */
+  readonly longestMs: number
+  /** Time from the mark until nothing ran any more, ms. */
+  readonly drainMs: number
+}
+
+interface GatewayRound {
+  readonly kind: 'gateway'
+  readonly exitCode: number | null
+  /** Service time of the longest request that was in flight at the signal, ms. */
+  readonly longestMs: number
+  readonly drainMs: number
+}
+
+/** Runs the bench. */
+export async function runDrainBench(options: BenchOptions): Promise<BenchReport> {
+  const processes = await GatewayProcesses.start({
+    gatewayCount: GATEWAY_COUNT,
+    seed: options.seed,
+    maxTimeoutMs: CALL_TIMEOUT_MS,
+    workerCount: WORKER_COUNT,
+  })
+  try {
+    return await measure(processes, options)
+  } finally {
+    await processes.stop()
+  }
+}
+
+async function measure(processes: GatewayProcesses, options: BenchOptions): Promise<BenchReport> {
+  const ended = new AbortController()
+  const calling = startCallers(processes, options.seed, ended.signal)
+  await sleep(WARM_UP_MS)
+  const workerRounds = await drainWorkers(processes, options.quick)
+  const shutdowns: HistoryShutdown[] = []
+  const gatewayRounds: GatewayRound[] = []
+  for (const gateway of processes.gateways.slice(0, options.quick ? 1 : GATEWAY_COUNT)) {
+    gatewayRounds.push(await drainGateway(processes, gateway, shutdowns))
+  }
+  ended.abort()
+  return report(options.seed, workerRounds, gatewayRounds, await calling, shutdowns, processes)
+}
+
+function startCallers(
+  processes: GatewayProcesses,
+  seed: number,
+  signal: AbortSignal,
+): Promise<HistoryCall[]> {
+  const http = new HttpExchangeClient({ maxConnections: 64, idleMs: 2000, clock: systemClock })
+  const lookups = new HttpLookupSource(http, [processes.lookup.serviceAddress])
+  const calling = runCallers(lookups, {
+    service: PROCESS_SERVICE,
+    callers: CALLERS,
+    calls: Number.POSITIVE_INFINITY,
+    operationShare: 0.5,
+    maxServiceMs: MAX_SHORT_MS,
+    timeoutMs: CALL_TIMEOUT_MS,
+    maxPauseMs: 40,
+    longShare: LONG_SHARE,
+    longServiceMs: LONG_MS,
+    seed,
+    signal,
+  })
+  return calling.finally(() => {
+    http.close()
+  })
+}
+
+const MARKS: Readonly<
+  Record<Source, (processes: GatewayProcesses, worker: BackendServer) => void | Promise<void>>
+> = {
+  [Source.Answer]: (_processes, worker) => {
+    worker.drain()
+  },
+  [Source.Platform]: (processes, worker) => {
+    processes.listAsLeaving(worker)
+  },
+  [Source.Operator]: (processes, worker) => processes.commitLeaving(worker),
+}
+
+async function drainWorkers(processes: GatewayProcesses, quick: boolean): Promise<WorkerRound[]> {
+  const rounds: WorkerRound[] = []
+  const sources = Object.values(Source)
+  const order = quick ? sources : [...sources, ...sources]
+  for (const [index, source] of order.entries()) {
+    const worker = processes.workers[index]
+    if (worker !== undefined) rounds.push(await drainWorker(processes, source, worker))
+  }
+  return rounds
+}
+
+async function drainWorker(
+  processes: GatewayProcesses,
+  source: Source,
+  worker: BackendServer,
+): Promise<WorkerRound> {
+  await MARKS[source](processes, worker)
+  const atMs = Date.now()
+  const inFlight = runningAt(worker.records, atMs)
+  await sleep(SETTLE_MS)
+  while (worker.busy > 0) await sleep(20)
+  const later = worker.records.filter((run) => run.startMs > atMs)
+  return {
+    kind: 'backendServer',
+    source,
+    newWorkEndedMs: Math.max(0, ...later.map((run) => run.startMs - atMs)),
+    longestMs: Math.max(0, ...inFlight.map(durationOf)),
+    drainMs: Math.max(0, ...[...inFlight, ...later].map((run) => (run.endMs ?? atMs) - atMs)),
+  }
+}
+
+async function drainGateway(
+  processes: GatewayProcesses,
+  gateway: LocalDaemon,
+  shutdowns: HistoryShutdown[],
+): Promise<GatewayRound> {
+  const records = processes.workers.flatMap((worker) => worker.records)
+  const inFlight = runningAt(records, Date.now())
+  const startMs = Date.now()
+  gateway.program.signal('SIGTERM')
+  const exit = await gateway.program.exited()
+  const endMs = Date.now()
+  shutdowns.push({ address: gateway.serviceAddress, startMs, endMs })
+  gateway.start()
+  await gateway.ready()
+  await sleep(SETTLE_MS)
+  const longestMs = Math.max(0, ...inFlight.map(durationOf))
+  return { kind: 'gateway', exitCode: exit.code, longestMs, drainMs: endMs - startMs }
+}
+
+function runningAt(records: readonly ExecutionRecord[], atMs: number): ExecutionRecord[] {
+  return records.filter((run) => run.startMs <= atMs && (run.endMs ?? atMs + 1) > atMs)
+}
+
+function durationOf(run: ExecutionRecord): number {
+  return (run.endMs ?? run.startMs) - run.startMs
+}
+
+function report(
+  seed: number,
+  workerRounds: readonly WorkerRound[],
+  gatewayRounds: readonly GatewayRound[],
+  calls: readonly HistoryCall[],
+  shutdowns: readonly HistoryShutdown[],
+  processes: GatewayProcesses,
+): BenchReport {
+  const executions = processes.workers.flatMap((worker) => worker.records)
+  const violations = checkHistory({ calls, executions, shutdowns, drains: [], drainBoundMs: 0 })
+  const cut = violations.filter((violation) => violation.promise === Promised.ShutdownCutsNothing)
+  const other = violations.length - cut.length
+  const count = (outcome: Outcome): number =>
+    calls.filter((call) => call.outcome === outcome).length
+  const summary = {
+    calls: calls.length,
+    ran: count(Outcome.Ran),
+    notRun: count(Outcome.NotRun),
+    unknown: count(Outcome.Unknown),
+    cut: cut.length,
+    otherViolations: other,
+  }
+  return {
+    bench: 'drain',
+    seed,
+    rounds: [...workerRounds, ...gatewayRounds, summary],
+    goals: [
+      newWorkGoal(workerRounds),
+      ratioGoal('drain time of backend servers', workerRounds),
+      ratioGoal('drain time of gateways', gatewayRounds),
+      goal('requests cut', 0, cut.length, 'requests', cut.length === 0),
+    ],
+    lines: lines(workerRounds, gatewayRounds, summary),
+  }
+}
+
+function newWorkGoal(rounds: readonly WorkerRound[]): Goal {
+  const worst = Math.max(...rounds.map((round) => round.newWorkEndedMs))
+  const met = worst <= NEW_WORK_TARGET_MS
+  return goal('new work ends', NEW_WORK_TARGET_MS, worst, 'ms', met)
+}
+
+/** Drain time over the longest request in flight; the worst round counts. */
+function ratioGoal(name: string, rounds: readonly (WorkerRound | GatewayRound)[]): Goal {
+  const ratios = rounds.map((round) => round.drainMs / Math.max(1, round.longestMs))
+  const worst = Math.round(Math.max(...ratios) * 1000) / 1000
+  return goal(name, DRAIN_RATIO_TARGET, worst, '× longest request', worst <= DRAIN_RATIO_TARGET)
+}
+
+function goal(name: string, target: number, measured: number, unit: string, met: boolean): Goal {
+  return { name, target, measured, unit, met }
+}
+
+function lines(
+  workerRounds: readonly WorkerRound[],
+  gatewayRounds: readonly GatewayRound[],
+  summary: Readonly<Record<string, number>>,
+): string[] {
+  const setup = `${String(GATEWAY_COUNT)} gateway processes, ${String(WORKER_COUNT)} backend servers, ${String(CALLERS)} callers, ${String(LONG_SHARE * 100)}% of requests take ${String(LONG_MS)} ms, answers are cached ${String(PROCESS_CACHE_MS)} ms`
+  return [
+    setup,
+    ...workerRounds.map(
+      (round) =>
+        `backend server by ${round.source}: last new work after ${String(round.newWorkEndedMs)} ms, longest in flight ${String(round.longestMs)} ms, drained after ${String(round.drainMs)} ms`,
+    ),
+    ...gatewayRounds.map(
+      (round) =>
+        `gateway: longest in flight ${String(round.longestMs)} ms, exited with ${String(round.exitCode)} after ${String(round.drainMs)} ms`,
+    ),
+    Object.entries(summary)
+      .map(([name, value]) => `${name} ${String(value)}`)
+      .join(', '),
+  ]
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,7 +5,9 @@
 import { printReport } from './report.js'
 
 /** Loads a bench only when it is asked for, so that one bench's start-up cost is not part of another. */
-const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {}
+const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  drain: async () => (await import('./drainBench.js')).runDrainBench,
+}
 
 const DEFAULT_SEED = 20261204
 
--- a/playground/callerLoad.ts
+++ b/playground/callerLoad.ts
@@ -24,6 +24,11 @@
   /** Longest pause of a caller between two calls, ms. */
   readonly maxPauseMs: number
   readonly seed: number
+  /** Share of calls that take `longServiceMs`; none by default. */
+  readonly longShare?: number
+  readonly longServiceMs?: number
+  /** Aborted to end the callers after their present call. */
+  readonly signal?: AbortSignal
 }
 
 /** Runs callers until all their calls have ended. */
@@ -52,8 +57,9 @@
   const calls: HistoryCall[] = []
   await setImmediate()
   for (let number = 0; number < options.calls; number++) {
+    if (options.signal?.aborted === true) break
     const repeatable = numbers.next() >= options.operationShare
-    const serviceMs = Math.floor(numbers.next() * options.maxServiceMs)
+    const serviceMs = chooseServiceMs(options, numbers)
     const target = `/call?seed=${String(options.seed)}&caller=${String(index)}&number=${String(number)}&serviceMs=${String(serviceMs)}`
     const body = Buffer.from(repeatable ? '' : `body ${target}`)
     const report = await client.call({
@@ -71,6 +77,12 @@
   return calls
 }
 
+function chooseServiceMs(options: CallerLoadOptions, numbers: SeededNumbers): number {
+  const isLong = numbers.next() < (options.longShare ?? 0)
+  const shortMs = Math.floor(numbers.next() * options.maxServiceMs)
+  return isLong ? (options.longServiceMs ?? 0) : shortMs
+}
+
 function toHistory(
   report: CallReport,
   target: string,
--- a/playground/gatewayProcesses.ts
+++ b/playground/gatewayProcesses.ts
@@ -3,6 +3,7 @@
  * platform's stand-ins and the backend servers run in this process. For
  * histories with kills, pauses and restarts.
  */
+import { randomUUID } from 'node:crypto'
 import { MemberRole } from '../src/membership/memberRecord.js'
 import { ConfigurationRepository } from '../src/configuration/configurationRepository.js'
 import type { ConfigurationRecord } from '../src/configuration/document.js'
@@ -25,7 +26,7 @@
 const REGION = 'sicilia'
 const ZONE = 'sicilia-a'
 const SLOTS = 4
-const WORKER_IDS = ['w1', 'w2', 'w3', 'w4']
+const DEFAULT_WORKER_COUNT = 4
 const STOP_TIMEOUT_MS = 10_000
 const READY_TIMEOUT_MS = 15_000
 
@@ -36,6 +37,8 @@
   readonly seed: number
   /** Longest timeout of a caller, ms; bounds a gateway's shutdown. */
   readonly maxTimeoutMs: number
+  /** Backend servers; 4 by default. */
+  readonly workerCount?: number
 }
 
 /** Running processes with their stand-ins. */
@@ -61,9 +64,14 @@
 
   /** Starts everything and waits until a request runs. */
   static async start(options: GatewayProcessesOptions): Promise<GatewayProcesses> {
-    const workers = WORKER_IDS.map(
-      (workerId, index) =>
-        new BackendServer({ workerId, slots: SLOTS, seed: options.seed + index }),
+    const workers = Array.from(
+      { length: options.workerCount ?? DEFAULT_WORKER_COUNT },
+      (_, index) =>
+        new BackendServer({
+          workerId: `w${String(index + 1)}`,
+          slots: SLOTS,
+          seed: options.seed + index,
+        }),
     )
     const store = new StoreServer(0)
     const instances = new InstanceListServer(0)
@@ -79,6 +87,25 @@
     return started
   }
 
+  /** Lists a backend server as leaving; the backend server itself does not say so. */
+  listAsLeaving(worker: BackendServer): void {
+    this.#instances.put({
+      instanceId: worker.workerId,
+      kind: InstanceKind.Backend,
+      state: InstanceState.Leaving,
+      generation: 1,
+      region: REGION,
+      zone: ZONE,
+      address: worker.address,
+    })
+  }
+
+  /** Commits an operator's intent that a backend server leaves. */
+  async commitLeaving(worker: BackendServer): Promise<void> {
+    const leaving = { workerId: worker.workerId, generation: 1 }
+    await commitRecords(this.#store.url, [{ kind: RecordKind.MarkLeaving, leaving }])
+  }
+
   /** Ends all processes and stand-ins. */
   async stop(): Promise<void> {
     const all = [this.lookup, ...this.gateways]
@@ -128,10 +155,10 @@
   const repository = new ConfigurationRepository(new HttpKeyValueStore(storeUrl))
   const head = await repository.readHead()
   const change = {
-    changeId: 'first-configuration',
+    changeId: randomUUID(),
     operator: 'test',
     createdAtMs: Date.now(),
-    summary: 'first configuration',
+    summary: 'change of a test',
     records,
   }
   const committed = await repository.commit(change, head.unwrap().revision)
