--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -6,6 +6,7 @@
 import type { HistoryLine } from '../control/changeLog.js'
 import type { StatusReport } from '../control/operatorStatus.js'
 import type { PlanDocument } from '../control/plan.js'
+import { createCommandId } from '../control/shiftCommands.js'
 import type { ControlAnswer, ControlClient, ControlFailure } from './controlClient.js'
 import { CallEffect } from './controlClient.js'
 import { ExitCode, exitCodeOf } from './exitCodes.js'
@@ -65,7 +66,7 @@
 
   async commandShift(method: string, shiftId: string, changeId?: string): Promise<ExitCode> {
     const { operator } = this.#parts
-    const id = changeId ?? `command-${randomBytes(6).toString('hex')}`
+    const id = changeId ?? createCommandId(this.#parts.clock(), randomBytes(6).toString('hex'))
     const params = { shiftId, operator, changeId: id }
     const answer = await this.#call(method, params, CallEffect.Changes)
     if (answer.err) {
--- /dev/null
+++ b/src/control/__tests__/controlDuties.spec.ts
@@ -0,0 +1,236 @@
+import { expect } from 'chai'
+import { Err, Ok } from '../../common/results.js'
+import type { Result } from '../../common/results.js'
+import type { ConfigurationRecord } from '../../configuration/document.js'
+import { RecordKind, ShiftState } from '../../configuration/document.js'
+import type { ListedInstance } from '../../platform/instanceList.js'
+import { InstanceKind, InstanceState } from '../../platform/instanceList.js'
+import { CommitError, CommitErrorKind } from '../changeLog.js'
+import { DutyLease, DutyState } from '../dutyLease.js'
+import { LeavingRetirement } from '../leavingRetirement.js'
+import {
+  ShiftAction,
+  ShiftCommandErrorKind,
+  ShiftCommands,
+  createCommandId,
+} from '../shiftCommands.js'
+import { OPERATOR_PAUSE_REASON } from '../shiftStates.js'
+import { REVISIONS_PER_SNAPSHOT, SnapshotKeeper } from '../snapshotKeeper.js'
+import { AdvancerBench, SHIFT_ID, SILENT } from './advancerBench.js'
+import {
+  CallFault,
+  FakeChangeLog,
+  FakeStore,
+  changeOf,
+  serviceOf,
+  smallDeployment,
+} from './fakes.js'
+
+const LEASE_MS = 3000
+
+describe('duty lease', () => {
+  const leaseOf = (store: FakeStore, ownerId: string): DutyLease =>
+    new DutyLease(store, { key: 'control/duty', ownerId, timeToLiveMs: LEASE_MS, timeoutMs: 100 })
+
+  it('is held by one, and taken over once it has expired', async () => {
+    const store = new FakeStore()
+    const [first, second] = [leaseOf(store, 'first'), leaseOf(store, 'second')]
+    expect(await first.hold(0)).to.equal(DutyState.Held)
+    expect(await second.hold(0)).to.equal(DutyState.HeldByOther)
+    store.expireLeases()
+    expect(await second.hold(LEASE_MS)).to.equal(DutyState.Held)
+    expect(await first.hold(LEASE_MS)).to.equal(DutyState.HeldByOther)
+  })
+
+  it('costs no call before a third of its life has passed', async () => {
+    const store = new FakeStore()
+    const lease = leaseOf(store, 'first')
+    await lease.hold(0)
+    const calls = store.calls.length
+    await lease.hold(LEASE_MS / 3 - 1)
+    expect(store.calls).to.have.length(calls)
+  })
+
+  for (const call of [0, 1, 2]) {
+    for (const fault of [CallFault.Fail, CallFault.LoseAnswer, CallFault.LoseRequest]) {
+      // Guards against two holders, and against a lease that nobody can take, after a failed call.
+      it(`is held by at most one and again by one after ${fault} of call ${String(call)}`, async () => {
+        const store = new FakeStore()
+        const [first, second] = [leaseOf(store, 'first'), leaseOf(store, 'second')]
+        store.faults = [...Array<CallFault>(call).fill(CallFault.None), fault]
+        let states = [await first.hold(0), await second.hold(0)]
+        expect(states.filter((state) => state === DutyState.Held).length).to.be.at.most(1)
+        states = [await first.hold(LEASE_MS), await second.hold(LEASE_MS)]
+        expect(states.filter((state) => state === DutyState.Held)).to.have.length(1)
+      })
+    }
+  }
+
+  it('tells an outage of the store from another holder', async () => {
+    const store = new FakeStore()
+    const lease = leaseOf(store, 'first')
+    store.standingFault = CallFault.Fail
+    expect(await lease.hold(0)).to.equal(DutyState.StoreUnavailable)
+  })
+})
+
+describe('shift commands', () => {
+  const command = (action: ShiftAction, changeId = createCommandId(1_000_000, 'abcdef')) => ({
+    action,
+    shiftId: SHIFT_ID,
+    operator: 'wanjiru',
+    changeId,
+  })
+
+  it('turns an automatic pause into one that only an operator ends', async () => {
+    const bench = new AdvancerBench({ state: ShiftState.Paused, pauseReason: 'something else' })
+    const commands = new ShiftCommands(bench.changeLog, bench.changeLog)
+    ;(await commands.run(command(ShiftAction.Pause), 0)).unwrap()
+    expect(bench.shift.pauseReason).to.equal(OPERATOR_PAUSE_REASON)
+  })
+
+  it('wins against a step that is committed at the same time', async () => {
+    const bench = new AdvancerBench()
+    bench.changeLog.beforeCommit = () => {
+      const shift = { ...bench.shift, step: 1, currentShare: 0.1 }
+      bench.changeLog.append(changeOf('step', [{ kind: RecordKind.PutShift, shift }]))
+    }
+    const commands = new ShiftCommands(bench.changeLog, bench.changeLog)
+    ;(await commands.run(command(ShiftAction.Pause), 0)).unwrap()
+    expect(bench.shift).to.include({ state: ShiftState.Paused, step: 1, currentShare: 0.1 })
+  })
+
+  // Guards against a second effect of a command whose answer was lost.
+  it('is carried out once under one change id', async () => {
+    const bench = new AdvancerBench({ state: ShiftState.Paused, pauseReason: 'x' })
+    const commands = new ShiftCommands(bench.changeLog, bench.changeLog)
+    const first = await commands.run(command(ShiftAction.Resume), 0)
+    const again = await commands.run(command(ShiftAction.Resume), 5)
+    expect(again.unwrap().revision).to.equal(first.unwrap().revision)
+    expect(bench.states).to.have.length(2)
+  })
+
+  it('reports each failure by its kind', async () => {
+    const kindOf = async (arrange: (bench: AdvancerBench) => void): Promise<string> => {
+      const bench = new AdvancerBench()
+      arrange(bench)
+      const commands = new ShiftCommands(bench.changeLog, bench.changeLog)
+      const result = await commands.run(command(ShiftAction.Resume), 0)
+      return result.ok ? 'ok' : result.val.kind
+    }
+    const kinds = ShiftCommandErrorKind
+    expect(await kindOf(() => undefined)).to.equal(kinds.NotPossible)
+    expect(await kindOf((bench) => (bench.changeLog.isDown = true))).to.equal(
+      kinds.StoreUnavailable,
+    )
+    const pauseAnd = (fault: CommitErrorKind) => (bench: AdvancerBench) => {
+      const shift = { ...bench.shift, state: ShiftState.Paused }
+      bench.changeLog.append(changeOf('pause', [{ kind: RecordKind.PutShift, shift }]))
+      bench.changeLog.commitFaults = Array<CommitErrorKind>(5).fill(fault)
+    }
+    expect(await kindOf(pauseAnd(CommitErrorKind.Unknown))).to.equal(kinds.OutcomeUnknown)
+    expect(await kindOf(pauseAnd(CommitErrorKind.Conflict))).to.equal(kinds.Conflict)
+  })
+})
+
+describe('retirement of drains', () => {
+  const WORKER = 'shelf-stock-nyeri-1'
+  const mark: ConfigurationRecord = {
+    kind: RecordKind.MarkLeaving,
+    leaving: { workerId: WORKER, generation: 1 },
+  }
+  const listed = (instanceId: string, generation = 1): ListedInstance => ({
+    instanceId,
+    kind: InstanceKind.Backend,
+    state: InstanceState.Live,
+    generation,
+    region: 'nyeri',
+    zone: 'nyeri-a',
+    address: '',
+  })
+
+  /** Observes the list every 10 s. @returns the log after `seconds` */
+  async function retireFor(
+    seconds: number,
+    list: () => readonly ListedInstance[],
+    records: readonly ConfigurationRecord[] = [mark],
+  ): Promise<FakeChangeLog> {
+    const changeLog = new FakeChangeLog()
+    changeLog.append(changeOf('first', [...smallDeployment(), ...records]))
+    const retirement = new LeavingRetirement({
+      changeLog,
+      configuration: changeLog,
+      instanceList: { read: () => Promise.resolve(Ok(list())) },
+      logger: SILENT,
+      memberId: 'c1',
+      incarnation: '1',
+      listTimeoutMs: 100,
+    })
+    for (let nowMs = 0; nowMs <= seconds * 1000; nowMs += 10_000) await retirement.retire(nowMs)
+    return changeLog
+  }
+
+  it('removes a backend server that is gone for 30 s and its longest request', async () => {
+    expect((await retireFor(30, () => [listed('other')])).committed).to.have.length(1)
+    const changeLog = await retireFor(40, () => [listed('other')])
+    const document = changeLog.current()?.document
+    expect(document?.leaving.size).to.equal(0)
+    const workers = document?.services.get('shelf-stock')?.workers ?? []
+    expect(workers.map(({ workerId }) => workerId)).to.not.include(WORKER)
+    expect(workers).to.have.length(5)
+  })
+
+  const KEEPS: readonly [string, () => readonly ListedInstance[]][] = [
+    ['is still listed', () => [listed(WORKER)]],
+    ['can not be judged by an empty list', () => []],
+  ]
+  for (const [name, list] of KEEPS) {
+    it(`keeps a mark whose backend server ${name}`, async () => {
+      expect((await retireFor(100, list)).committed).to.have.length(1)
+    })
+  }
+
+  it('clears the mark of a generation that was replaced', async () => {
+    const service = serviceOf('shelf-stock')
+    const workers = service.workers.map((worker) =>
+      worker.workerId === WORKER ? { ...worker, generation: 2 } : worker,
+    )
+    const replaced: ConfigurationRecord = {
+      kind: RecordKind.PutService,
+      service: { ...service, workers },
+    }
+    const changeLog = await retireFor(0, () => [listed(WORKER, 2)], [mark, replaced])
+    expect(changeLog.committed[1]?.change.records).to.deep.equal([
+      { kind: RecordKind.ClearLeaving, workerId: WORKER },
+    ])
+  })
+})
+
+describe('snapshot keeper', () => {
+  // Guards against more than 128 revisions without a snapshot, and against needless calls.
+  it('writes at least every 128 revisions, also after failed attempts', async () => {
+    const changeLog = new FakeChangeLog()
+    const written: number[] = []
+    let failures = 3
+    const keeper = new SnapshotKeeper({
+      changeLog,
+      configuration: changeLog,
+      logger: SILENT,
+      write: (configuration): Promise<Result<boolean, CommitError>> => {
+        if (failures-- > 0) {
+          return Promise.resolve(Err(new CommitError(CommitErrorKind.Unavailable, 'away', 'wait')))
+        }
+        written.push(configuration.revision)
+        return Promise.resolve(Ok(true))
+      },
+    })
+    for (let revision = 1; revision <= 400; revision++) {
+      changeLog.append(changeOf(String(revision), []))
+      await keeper.keep()
+    }
+    expect(written[0]).to.be.within(REVISIONS_PER_SNAPSHOT, 128)
+    for (const [index, revision] of written.slice(1).entries()) {
+      expect(revision - (written[index] ?? 0)).to.be.at.most(128)
+    }
+  })
+})
--- /dev/null
+++ b/src/control/confirmErrors.ts
@@ -0,0 +1,160 @@
+/** Errors of confirmations, each with its remedy. */
+import { SteeringError } from '../common/errors.js'
+import type { CommittedChange } from './changeLog.js'
+import type { Plan } from './plan.js'
+import { keysOfRecords, sharedKeys } from './recordKeys.js'
+
+/** Why a plan was not confirmed, or not certainly. */
+export enum ConfirmErrorKind {
+  /** Something that the plan changes was changed since, or the plan would now be refused. */
+  PlanStale = 'planStale',
+  PlanExpired = 'planExpired',
+  PlanAlreadyConfirmed = 'planAlreadyConfirmed',
+  PlanDigestMismatch = 'planDigestMismatch',
+  /** The plan has refusals. */
+  PlanRefused = 'planRefused',
+  StoreUnavailable = 'storeUnavailable',
+  /** The commit may have taken effect. */
+  OutcomeUnknown = 'outcomeUnknown',
+}
+
+/** Failure of a confirmation. */
+export class ConfirmError extends SteeringError<ConfirmErrorKind> {}
+
+/** The plan is a revision already. */
+export function alreadyConfirmed(planId: string, revision: number): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanAlreadyConfirmed,
+    `Plan ${planId} was confirmed as revision ${String(revision)}`,
+    'nothing needs to be done; plan the intent again for a second change',
+    { planId, revision },
+  )
+}
+
+/** The plan can no longer be confirmed. */
+export function expired(planId: string, problem: string): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanExpired,
+    `Plan ${planId} ${problem}; it was not confirmed`,
+    'plan the intent again and confirm the new plan in time',
+    { planId },
+  )
+}
+
+/** The operator read another plan. */
+export function digestMismatch(plan: Plan, given: string): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanDigestMismatch,
+    `Plan ${plan.planId} has the digest ${plan.digest}, not ${given}`,
+    `read the plan with: tamarackdrift show ${plan.planId}, then confirm it with its digest`,
+    { planId: plan.planId },
+  )
+}
+
+/** The plan has refusals. */
+export function refused(plan: Plan): ConfirmError {
+  const { refusals } = plan.content
+  return new ConfirmError(
+    ConfirmErrorKind.PlanRefused,
+    `Plan ${plan.planId} is refused: ${refusals.map(({ message }) => message).join('; ')}`,
+    refusals.map(({ remedy }) => remedy).join('; '),
+    { planId: plan.planId, refusals },
+  )
+}
+
+/** The planner would refuse the intent now. */
+export function refusedToday(
+  plan: Plan,
+  refusal: { message: string; remedy: string },
+): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanStale,
+    `Plan ${plan.planId} held when it was made and would now be refused: ${refusal.message}`,
+    refusal.remedy,
+    { planId: plan.planId, refusal },
+  )
+}
+
+/** Something that the plan changes was changed since; names what, by whom and in which revision. */
+export function stale(
+  plan: Plan,
+  since: readonly CommittedChange[],
+  conflicts: readonly CommittedChange[],
+): ConfirmError {
+  const named = conflicts.map(({ revision, change }) => ({
+    revision,
+    operator: change.operator,
+    summary: change.summary,
+    changed: sharedKeys(plan.content.changes, change.records),
+  }))
+  const [first] = named
+  const text =
+    first === undefined
+      ? ''
+      : `: revision ${String(first.revision)} by ${first.operator} changed ` +
+        `${first.changed.join(', ')} (${first.summary})`
+  return new ConfirmError(
+    ConfirmErrorKind.PlanStale,
+    `Plan ${plan.planId} was made on revision ${String(plan.content.baseRevision)}${text}`,
+    'read what changed, then plan the intent again',
+    { planId: plan.planId, conflicts: named, revisionsSince: since.length },
+  )
+}
+
+/** Too many revisions were committed since the plan was made. */
+export function farBehind(plan: Plan, headRevision: number): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanStale,
+    `Plan ${plan.planId} was made on revision ${String(plan.content.baseRevision)}; the head is at ${String(headRevision)}`,
+    'plan the intent again',
+    { planId: plan.planId, headRevision, keys: keysOfRecords(plan.content.changes) },
+  )
+}
+
+/** The head moved in each try. */
+export function busy(planId: string, tries: number): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.PlanStale,
+    `Plan ${planId} was not confirmed: other changes were committed during each of ${String(tries)} tries`,
+    'confirm it again',
+    { planId },
+  )
+}
+
+/** This process does not hold the head yet. */
+export function replicaBehind(revision: number): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.StoreUnavailable,
+    `This control daemon does not hold revision ${String(revision)} yet; nothing was committed`,
+    'try again, or use another control daemon',
+    { revision },
+  )
+}
+
+/** The store did not answer or refused; nothing was committed. */
+export function storeUnavailable(error: Error): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.StoreUnavailable,
+    `Nothing was committed: ${error.message}`,
+    'try again when the key-value service answers; the configuration stays in force',
+  )
+}
+
+/** The stored plan could not be read. */
+export function planUnreadable(error: SteeringError): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.StoreUnavailable,
+    `The plan can't be read: ${error.message}`,
+    error.remedy,
+  )
+}
+
+/** The commit may have taken effect. */
+export function outcomeUnknown(planId: string, error: Error): ConfirmError {
+  return new ConfirmError(
+    ConfirmErrorKind.OutcomeUnknown,
+    `Plan ${planId} may have been confirmed: ${error.message}`,
+    `ask again with: tamarackdrift confirm ${planId}; it commits at most once`,
+    { planId },
+  )
+}
--- a/src/control/controlDaemon.ts
+++ b/src/control/controlDaemon.ts
@@ -11,16 +11,21 @@
 import { runDaemonProgram } from '../daemon/daemonProgram.js'
 import { NodeRuntime } from '../daemon/nodeRuntime.js'
 import { MemberRole } from '../membership/memberRecord.js'
+import { ControlDuties } from './controlDuties.js'
 import { ControlMethods } from './controlMethods.js'
 import { createControlServer } from './controlServer.js'
 import type { ControlSettings } from './controlSettings.js'
 import { CONTROL_SETTINGS } from './controlSettings.js'
+import { DutyLease } from './dutyLease.js'
+import { LeavingRetirement } from './leavingRetirement.js'
 import { OperatorStatus } from './operatorStatus.js'
 import { PlanConfirmation } from './planConfirmation.js'
 import { DEFAULT_PLAN_LIMITS } from './planContext.js'
 import { PlanStore } from './planStore.js'
 import { RepositoryChangeLog } from './repositoryChangeLog.js'
+import { ShiftAdvancer } from './shiftAdvancer.js'
 import { ShiftCommands } from './shiftCommands.js'
+import { SnapshotKeeper } from './snapshotKeeper.js'
 
 /** Tokens of the control daemon's container. */
 export const CONTROL_TOKENS = {
@@ -31,11 +36,14 @@
   methods: Symbol('methods'),
   status: Symbol('status'),
   server: Symbol('server'),
+  duties: Symbol('duties'),
 } as const
 
 /** Time for operators' calls in progress when the daemon stops, in milliseconds. */
 const SERVER_STOP_TIMEOUT_MS = 10_000
 const PLAN_ID_BYTES = 6
+/** Key of the lease for periodic work. */
+const DUTY_KEY = 'control/duty'
 
 /** Registers the parts of the control daemon; each is created on first use. */
 export function registerControlDaemon(settings: ControlSettings): DependencyContainer {
@@ -60,6 +68,7 @@
       operatorToken: settings.operatorToken,
     }),
   )
+  single(CONTROL_TOKENS.duties, createDuties)
   return container
 }
 
@@ -72,20 +81,25 @@
 /** A daemon over the parts of a container. */
 export function createControlDaemon(settings: ControlSettings): ControlDaemon {
   const parts = new ControlContainer(registerControlDaemon(settings), settings)
-  const { runtime, server } = parts
+  const { runtime, server, duties } = parts
   const operatorAddress = (): string => `${settings.host}:${String(server.port)}`
   return {
     get operatorAddress() {
       return operatorAddress()
     },
-    start: () =>
-      runtime.start(async () => {
+    start: async () => {
+      await runtime.start(async () => {
         await server.start()
         createLogger('control').event('listening', { operatorAddress: operatorAddress() })
         // Callers never reach a control daemon.
         return ''
+      })
+      duties.start()
+    },
+    stop: () =>
+      runtime.stop(async () => {
+        await Promise.all([duties.stop(), server.stop(SERVER_STOP_TIMEOUT_MS)])
       }),
-    stop: () => runtime.stop(() => server.stop(SERVER_STOP_TIMEOUT_MS)),
   }
 }
 
@@ -128,6 +142,10 @@
     return this.#container.resolve(CONTROL_TOKENS.status)
   }
 
+  get duties(): ControlDuties {
+    return this.#container.resolve(CONTROL_TOKENS.duties)
+  }
+
   get server(): HttpRpcServer {
     return this.#container.resolve(CONTROL_TOKENS.server)
   }
@@ -179,3 +197,35 @@
     clock: runtime.clock,
   })
 }
+
+function createDuties(parts: ControlContainer): ControlDuties {
+  const { runtime, changeLog, plans, repository, settings } = parts
+  const { store, members, loads, clock, instanceList } = runtime
+  const { memberId, incarnation } = members.self()
+  const configuration = runtime.configuration.view
+  const logger = createLogger('control')
+  const common = { changeLog, configuration, logger, memberId, incarnation }
+  return new ControlDuties({
+    lease: new DutyLease(store, {
+      key: DUTY_KEY,
+      ownerId: `${memberId} ${incarnation}`,
+      timeToLiveMs: settings.dutyLeaseMs,
+      timeoutMs: settings.storeTimeoutMs,
+    }),
+    advancer: new ShiftAdvancer({ ...common, loads, members }),
+    retirement: new LeavingRetirement({
+      ...common,
+      instanceList,
+      listTimeoutMs: settings.storeTimeoutMs,
+    }),
+    snapshots: new SnapshotKeeper({
+      ...common,
+      write: (current) => repository.writeSnapshot(current),
+    }),
+    plans,
+    members,
+    logger,
+    intervalMs: settings.dutyIntervalMs,
+    clock,
+  })
+}
--- /dev/null
+++ b/src/control/leavingRetirement.ts
@@ -0,0 +1,125 @@
+/** Removes completed drains from the configuration, so that it does not grow with every drain. */
+import { hashText64 } from '../common/hashing.js'
+import type { Logger } from '../common/logger.js'
+import type {
+  ConfigurationDocument,
+  ConfigurationRecord,
+  LeavingRecord,
+  ServiceRecord,
+} from '../configuration/document.js'
+import { RecordKind } from '../configuration/document.js'
+import type { ConfigurationView } from '../configuration/view.js'
+import type { InstanceList, ListedInstance } from '../platform/instanceList.js'
+import { InstanceKind } from '../platform/instanceList.js'
+import type { ChangeLog } from './changeLog.js'
+
+/** What the retirement needs. */
+export interface RetirementParts {
+  readonly changeLog: ChangeLog
+  readonly configuration: ConfigurationView
+  readonly instanceList: InstanceList
+  readonly logger: Logger
+  /** Name in the history. */
+  readonly memberId: string
+  /** Incarnation of this process. */
+  readonly incarnation: string
+  /** Bound of one read of the list. */
+  readonly listTimeoutMs: number
+}
+
+/** A backend server counts as gone when the lagging list has not named it for this long. */
+const ABSENT_MS = 30_000
+
+/** Retires drains. Any control daemon may do it; changes are bound to their base revision. */
+export class LeavingRetirement {
+  readonly #parts: RetirementParts
+  /** First time that a marked generation was absent from the list, by worker and generation. */
+  readonly #absentSinceMs = new Map<string, number>()
+
+  constructor(parts: RetirementParts) {
+    this.#parts = parts
+  }
+
+  /** Looks at all marks and commits the removal of completed ones. @returns their number */
+  async retire(nowMs: number): Promise<number> {
+    const configuration = this.#parts.configuration.current()
+    if (configuration === undefined || configuration.document.leaving.size === 0) return 0
+    const listed = await this.#parts.instanceList.read(this.#parts.listTimeoutMs)
+    const { document, revision } = configuration
+    if (listed.ok) this.#observe(document, listed.val, nowMs)
+    const records = retiredRecords(document, this.#absentSinceMs, nowMs)
+    if (records.length === 0) return 0
+    const { changeLog, memberId, incarnation, logger } = this.#parts
+    const cleared = records.filter(({ kind }) => kind === RecordKind.ClearLeaving).length
+    const changeId = `retire-${hashText64(`${incarnation} ${String(revision)} ${String(nowMs)}`)}`
+    const summary = `retire ${String(cleared)} completed drains`
+    const change = { changeId, operator: memberId, createdAtMs: nowMs, summary, records }
+    const committed = await changeLog.commit(change, revision)
+    logger.decision('retired', {
+      drains: cleared,
+      revision: committed.ok ? committed.val : revision,
+      outcome: committed.ok ? 'committed' : committed.val.kind,
+    })
+    return committed.ok ? cleared : 0
+  }
+
+  #observe(
+    document: ConfigurationDocument,
+    listed: readonly ListedInstance[],
+    nowMs: number,
+  ): void {
+    const backends = listed.filter(({ kind }) => kind === InstanceKind.Backend)
+    // A list without any backend server says nothing about a single one.
+    if (backends.length === 0) return
+    const present = new Map(backends.map(({ instanceId, generation }) => [instanceId, generation]))
+    const keys = new Set<string>()
+    for (const leaving of document.leaving.values()) {
+      const key = keyOf(leaving)
+      keys.add(key)
+      const isListed = present.get(leaving.workerId) === leaving.generation
+      if (isListed) this.#absentSinceMs.delete(key)
+      else if (!this.#absentSinceMs.has(key)) this.#absentSinceMs.set(key, nowMs)
+    }
+    for (const key of [...this.#absentSinceMs.keys()]) {
+      if (!keys.has(key)) this.#absentSinceMs.delete(key)
+    }
+  }
+}
+
+/**
+ * Records that retire the completed drains: marks of generations that were
+ * replaced or belong to no service, and backend servers that are gone and whose
+ * longest request must have ended.
+ */
+export function retiredRecords(
+  document: ConfigurationDocument,
+  absentSinceMs: ReadonlyMap<string, number>,
+  nowMs: number,
+): ConfigurationRecord[] {
+  const changedServices = new Map<string, ServiceRecord>()
+  const cleared: ConfigurationRecord[] = []
+  for (const leaving of document.leaving.values()) {
+    const service = [...document.services.values()].find(({ workers }) =>
+      workers.some(({ workerId }) => workerId === leaving.workerId),
+    )
+    const worker = service?.workers.find(({ workerId }) => workerId === leaving.workerId)
+    const isMarked = worker !== undefined && worker.generation <= leaving.generation
+    if (service !== undefined && isMarked) {
+      const absentMs = nowMs - (absentSinceMs.get(keyOf(leaving)) ?? nowMs)
+      if (absentMs < ABSENT_MS + service.defaultTimeoutMs) continue
+      const latest = changedServices.get(service.name) ?? service
+      const workers = latest.workers.filter(({ workerId }) => workerId !== leaving.workerId)
+      changedServices.set(service.name, { ...service, workers })
+    }
+    cleared.push({ kind: RecordKind.ClearLeaving, workerId: leaving.workerId })
+  }
+  const services = [...changedServices.values()].map((service) => ({
+    kind: RecordKind.PutService as const,
+    service,
+  }))
+  return [...services, ...cleared]
+}
+
+function keyOf(leaving: LeavingRecord): string {
+  return `${leaving.workerId} ${String(leaving.generation)}`
+}
--- a/src/control/planConfirmation.ts
+++ b/src/control/planConfirmation.ts
@@ -1,34 +1,32 @@
 /** Confirms exactly the plan that an operator read, or says why not. */
 import { sleep } from '../common/clock.js'
-import { SteeringError } from '../common/errors.js'
 import type { Result } from '../common/results.js'
 import { Err, Ok } from '../common/results.js'
 import type { Configuration, ConfigurationView } from '../configuration/view.js'
 import type { RegionLoadView } from '../shift/regionLoad.js'
-import type { ChangeLog, CommitError, CommittedChange, HeadState } from './changeLog.js'
+import type { ChangeLog, CommitError, HeadState } from './changeLog.js'
 import { CommitErrorKind } from './changeLog.js'
+import {
+  ConfirmError,
+  ConfirmErrorKind,
+  alreadyConfirmed,
+  expired,
+  digestMismatch,
+  refused,
+  refusedToday,
+  stale,
+  farBehind,
+  busy,
+  replicaBehind,
+  storeUnavailable,
+  planUnreadable,
+  outcomeUnknown,
+} from './confirmErrors.js'
 import type { Plan } from './plan.js'
 import type { PlanLimits } from './planContext.js'
 import type { PlanStore } from './planStore.js'
 import { planIntent } from './planner.js'
-import { keysOfRecords, sharedKeys } from './recordKeys.js'
-
-/** Why a plan was not confirmed, or not certainly. */
-export enum ConfirmErrorKind {
-  /** Something that the plan changes was changed since, or the plan would now be refused. */
-  PlanStale = 'planStale',
-  PlanExpired = 'planExpired',
-  PlanAlreadyConfirmed = 'planAlreadyConfirmed',
-  PlanDigestMismatch = 'planDigestMismatch',
-  /** The plan has refusals. */
-  PlanRefused = 'planRefused',
-  StoreUnavailable = 'storeUnavailable',
-  /** The commit may have taken effect. */
-  OutcomeUnknown = 'outcomeUnknown',
-}
-
-/** Failure of a confirmation. */
-export class ConfirmError extends SteeringError<ConfirmErrorKind> {}
+import { sharedKeys } from './recordKeys.js'
 
 /** A confirmation by an operator. */
 export interface Confirmation {
@@ -86,7 +84,7 @@
       const committed = await this.#commit(plan.val, confirmation.operator, head.val.revision)
       if (committed !== undefined) return committed
     }
-    return Err(busy(planId))
+    return Err(busy(planId, MAX_COMMIT_TRIES))
   }
 
   async #readPlan(confirmation: Confirmation): Promise<Result<Plan, ConfirmError>> {
@@ -177,126 +175,3 @@
       ),
     ),
 }
-
-function alreadyConfirmed(planId: string, revision: number): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.PlanAlreadyConfirmed,
-    `Plan ${planId} was confirmed as revision ${String(revision)}`,
-    'nothing needs to be done; plan the intent again for a second change',
-    { planId, revision },
-  )
-}
-
-function expired(planId: string, problem: string): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.PlanExpired,
-    `Plan ${planId} ${problem}; it was not confirmed`,
-    'plan the intent again and confirm the new plan in time',
-    { planId },
-  )
-}
-
-function digestMismatch(plan: Plan, given: string): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.PlanDigestMismatch,
-    `Plan ${plan.planId} has the digest ${plan.digest}, not ${given}`,
-    `read the plan with: tamarackdrift show ${plan.planId}, then confirm it with its digest`,
-    { planId: plan.planId },
-  )
-}
-
-function refused(plan: Plan): ConfirmError {
-  const { refusals } = plan.content
-  return new ConfirmError(
-    ConfirmErrorKind.PlanRefused,
-    `Plan ${plan.planId} is refused: ${refusals.map(({ message }) => message).join('; ')}`,
-    refusals.map(({ remedy }) => remedy).join('; '),
-    { planId: plan.planId, refusals },
-  )
-}
-
-function refusedToday(plan: Plan, refusal: { message: string; remedy: string }): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.PlanStale,
-    `Plan ${plan.planId} held when it was made and would now be refused: ${refusal.message}`,
-    refusal.remedy,
-    { planId: plan.planId, refusal },
-  )
-}
-
-function stale(
-  plan: Plan,
-  since: readonly CommittedChange[],
-  conflicts: readonly CommittedChange[],
-): ConfirmError {
-  const named = conflicts.map(({ revision, change }) => ({
-    revision,
-    operator: change.operator,
-    summary: change.summary,
-    changed: sharedKeys(plan.content.changes, change.records),
-  }))
-  const [first] = named
-  const text =
-    first === undefined
-      ? ''
-      : `: revision ${String(first.revision)} by ${first.operator} changed ` +
-        `${first.changed.join(', ')} (${first.summary})`
-  return new ConfirmError(
-    ConfirmErrorKind.PlanStale,
-    `Plan ${plan.planId} was made on revision ${String(plan.content.baseRevision)}${text}`,
-    'read what changed, then plan the intent again',
-    { planId: plan.planId, conflicts: named, revisionsSince: since.length },
-  )
-}
-
-function farBehind(plan: Plan, headRevision: number): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.PlanStale,
-    `Plan ${plan.planId} was made on revision ${String(plan.content.baseRevision)}; the head is at ${String(headRevision)}`,
-    'plan the intent again',
-    { planId: plan.planId, headRevision, keys: keysOfRecords(plan.content.changes) },
-  )
-}
-
-function busy(planId: string): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.PlanStale,
-    `Plan ${planId} was not confirmed: other changes were committed during each of ${String(MAX_COMMIT_TRIES)} tries`,
-    'confirm it again',
-    { planId },
-  )
-}
-
-function replicaBehind(revision: number): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.StoreUnavailable,
-    `This control daemon does not hold revision ${String(revision)} yet; nothing was committed`,
-    'try again, or use another control daemon',
-    { revision },
-  )
-}
-
-function storeUnavailable(error: Error): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.StoreUnavailable,
-    `Nothing was committed: ${error.message}`,
-    'try again when the key-value service answers; the configuration stays in force',
-  )
-}
-
-function planUnreadable(error: SteeringError): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.StoreUnavailable,
-    `The plan can't be read: ${error.message}`,
-    error.remedy,
-  )
-}
-
-function outcomeUnknown(planId: string, error: Error): ConfirmError {
-  return new ConfirmError(
-    ConfirmErrorKind.OutcomeUnknown,
-    `Plan ${planId} may have been confirmed: ${error.message}`,
-    `ask again with: tamarackdrift confirm ${planId}; it commits at most once`,
-    { planId },
-  )
-}
--- /dev/null
+++ b/src/control/shiftAdvancer.ts
@@ -0,0 +1,210 @@
+/** Advances, pauses and resumes shifts. Any control daemon may do it at any time. */
+import { hashText64 } from '../common/hashing.js'
+import type { Logger } from '../common/logger.js'
+import type { ShiftRecord } from '../configuration/document.js'
+import { RecordKind, ShiftState } from '../configuration/document.js'
+import type { Configuration, ConfigurationView } from '../configuration/view.js'
+import type { MembershipView } from '../membership/memberRecord.js'
+import type { RegionLoadView } from '../shift/regionLoad.js'
+import type { ChangeLog } from './changeLog.js'
+import { CommitErrorKind } from './changeLog.js'
+import { RegionLosses } from './regionLosses.js'
+import type { ShiftDecision, ShiftSight } from './shiftDecision.js'
+import {
+  ShiftVerdict,
+  decideShift,
+  nextStepRate,
+  obstacleOf,
+  targetOf,
+  unseenRate,
+} from './shiftDecision.js'
+
+/** What the advancer needs. */
+export interface AdvancerParts {
+  readonly changeLog: ChangeLog
+  readonly configuration: ConfigurationView
+  readonly loads: RegionLoadView
+  readonly members: MembershipView
+  readonly logger: Logger
+  /** Name in the history. */
+  readonly memberId: string
+  /** Incarnation of this process. */
+  readonly incarnation: string
+}
+
+interface Sighting extends ShiftSight {
+  readonly step: number
+  readonly state: ShiftState
+  readonly share: number
+}
+
+type CommittableDecision = Required<ShiftDecision>
+
+const GOOD_INTERVALS = 2
+/** Bound of summaries in the configuration. */
+const MAX_SUMMARY_LENGTH = 1024
+
+/**
+ * Observes all shifts in each round and, when on duty, commits at most one
+ * change for all of them. A change is bound to the revision that it was decided on,
+ * so a paused process that resumes on an old revision commits nothing.
+ */
+export class ShiftAdvancer {
+  readonly #parts: AdvancerParts
+  readonly #losses = new RegionLosses()
+  readonly #sightings = new Map<string, Sighting>()
+  #storeGoodSinceMs: number | undefined
+  #storeFailed = false
+  #committedRevision = 0
+
+  constructor(parts: AdvancerParts) {
+    this.#parts = parts
+  }
+
+  /** Notes whether the store answered; after an outage shifts wait for two step intervals. */
+  noteStore(isAvailable: boolean, nowMs: number): void {
+    if (!isAvailable) {
+      this.#storeFailed = true
+      this.#storeGoodSinceMs = undefined
+    } else if (this.#storeFailed) {
+      this.#storeGoodSinceMs ??= nowMs
+    }
+  }
+
+  /** Keeps what the decisions need up to date; also while another daemon is on duty. */
+  observe(nowMs: number): void {
+    const { loads, members, configuration } = this.#parts
+    this.#losses.observe(members.members(), loads.all(), nowMs)
+    const shifts = configuration.current()?.document.shifts ?? new Map<string, ShiftRecord>()
+    for (const shiftId of [...this.#sightings.keys()]) {
+      if (!shifts.has(shiftId)) this.#sightings.delete(shiftId)
+    }
+    const added = this.#addedRates(shifts.values(), nowMs)
+    for (const shift of shifts.values()) this.#see(shift, added, nowMs)
+  }
+
+  /** Decides on each shift and commits all decisions as one change. @returns the number of decisions */
+  async advance(nowMs: number): Promise<number> {
+    const configuration = this.#parts.configuration.current()
+    // The replica may not have the own last commit yet; deciding on it again would only conflict.
+    if (configuration === undefined || configuration.revision < this.#committedRevision) return 0
+    const decisions = this.#decide(configuration, nowMs)
+    if (decisions.length > 0) await this.#commit(decisions, configuration.revision, nowMs)
+    return decisions.length
+  }
+
+  #decide(configuration: Configuration, nowMs: number): CommittableDecision[] {
+    const shifts = [...configuration.document.shifts.values()]
+    const added = this.#addedRates(shifts, nowMs)
+    const decisions: CommittableDecision[] = []
+    for (const shift of shifts) {
+      const sight = this.#sightings.get(shift.shiftId)
+      if (sight === undefined || shift.state === ShiftState.Finished) continue
+      const key = targetKey(shift)
+      const obstacle = this.#obstacle(shift, added.get(key) ?? 0, nowMs)
+      const { verdict, reason, record } = decideShift(shift, sight, obstacle, nowMs)
+      if (record === undefined) continue
+      decisions.push({ verdict, reason, record })
+      if (verdict === ShiftVerdict.Step) {
+        added.set(key, (added.get(key) ?? 0) + nextStepRate(shift, this.#parts.loads))
+      }
+    }
+    return decisions
+  }
+
+  /** Moved callers that measurements may not show yet, by service and target region. */
+  #addedRates(shifts: Iterable<ShiftRecord>, nowMs: number): Map<string, number> {
+    const added = new Map<string, number>()
+    for (const shift of shifts) {
+      const sight = this.#sightings.get(shift.shiftId)
+      if (sight === undefined) continue
+      const rate = unseenRate(shift, sight, this.#parts.loads, nowMs)
+      added.set(targetKey(shift), (added.get(targetKey(shift)) ?? 0) + rate)
+    }
+    return added
+  }
+
+  #see(shift: ShiftRecord, added: ReadonlyMap<string, number>, nowMs: number): void {
+    const last = this.#sightings.get(shift.shiftId)
+    const { step, state, currentShare: share } = shift
+    const isSame = last?.step === step && last.state === state
+    const moved = last === undefined || last.share === share ? last?.previousShare : last.share
+    const obstacle = this.#obstacle(shift, added.get(targetKey(shift)) ?? 0, nowMs)
+    this.#sightings.set(shift.shiftId, {
+      step,
+      state,
+      share,
+      seenAtMs: isSame ? last.seenAtMs : nowMs,
+      // A process that did not see the last step assumes that it is not visible yet.
+      previousShare: moved ?? Math.max(0, share - shift.stepShare),
+      goodSinceMs: obstacle === undefined ? (last?.goodSinceMs ?? nowMs) : undefined,
+    })
+  }
+
+  #obstacle(shift: ShiftRecord, addedRate: number, nowMs: number): ReturnType<typeof obstacleOf> {
+    const conditions = {
+      isStoreAvailable: this.#isStoreGood(shift, nowMs),
+      targetLostAtMs: this.#losses.lastLossMs(targetOf(shift), shift.service),
+    }
+    return obstacleOf(shift, addedRate, this.#parts.loads, conditions, nowMs)
+  }
+
+  #isStoreGood(shift: ShiftRecord, nowMs: number): boolean {
+    if (!this.#storeFailed) return true
+    if (this.#storeGoodSinceMs === undefined) return false
+    return nowMs - this.#storeGoodSinceMs >= GOOD_INTERVALS * shift.stepIntervalMs
+  }
+
+  async #commit(
+    decisions: readonly CommittableDecision[],
+    revision: number,
+    nowMs: number,
+  ): Promise<void> {
+    const { changeLog, memberId, incarnation, logger } = this.#parts
+    const change = {
+      // Unique per attempt: a body left behind by a failed attempt must not block the next one.
+      changeId: `advance-${hashText64(`${incarnation} ${String(revision)} ${String(nowMs)}`)}`,
+      operator: memberId,
+      createdAtMs: nowMs,
+      summary: decisions.map(summaryOf).join('; ').slice(0, MAX_SUMMARY_LENGTH),
+      records: decisions.map(({ record }) => ({
+        kind: RecordKind.PutShift as const,
+        shift: record,
+      })),
+    }
+    const committed = await changeLog.commit(change, revision)
+    this.noteStore(committed.ok || isAnswered(committed.val.kind), nowMs)
+    if (committed.ok) this.#committedRevision = committed.val
+    for (const { verdict, reason, record } of decisions) {
+      logger.decision('shift', {
+        shiftId: record.shiftId,
+        verdict,
+        reason,
+        share: record.currentShare,
+        step: record.step,
+        revision: committed.ok ? committed.val : revision,
+        outcome: committed.ok ? 'committed' : committed.val.kind,
+      })
+    }
+  }
+}
+
+function targetKey(shift: ShiftRecord): string {
+  return `${shift.service}@${targetOf(shift)}`
+}
+
+function isAnswered(kind: CommitErrorKind): boolean {
+  return kind === CommitErrorKind.Conflict || kind === CommitErrorKind.Invalid
+}
+
+const SUMMARIES: Readonly<Record<ShiftVerdict, string>> = {
+  [ShiftVerdict.Step]: 'step of',
+  [ShiftVerdict.Pause]: 'pause',
+  [ShiftVerdict.Resume]: 'resume',
+  [ShiftVerdict.Wait]: 'keep',
+}
+
+function summaryOf({ record, verdict, reason }: CommittableDecision): string {
+  const share = String(Math.round(record.currentShare * 1000) / 10)
+  return `${SUMMARIES[verdict]} ${record.shiftId} at ${share}%: ${reason}`
+}
--- a/src/control/shiftCommands.ts
+++ b/src/control/shiftCommands.ts
@@ -49,6 +49,20 @@
   [ShiftAction.Reverse]: reversedShift,
 }
 
+/**
+ * Returns the time in a change id of the form `command-<base 36 milliseconds>-<random>`.
+ * With the present time instead, a repeated command would be another change under the same id.
+ */
+function issuedAtMs(changeId: string): number | undefined {
+  const text = /^command-([0-9a-z]{8,9})-/.exec(changeId)?.[1]
+  return text === undefined ? undefined : Number.parseInt(text, 36)
+}
+
+/** Returns a change id for a command. */
+export function createCommandId(nowMs: number, random: string): string {
+  return `command-${nowMs.toString(36)}-${random}`
+}
+
 /** The advancer may take a step between reading and committing. */
 const MAX_TRIES = 5
 
@@ -71,13 +85,13 @@
       if (earlier !== undefined) return Ok({ shiftId: command.shiftId, revision: earlier })
       const shift = await this.#latestShift(command.shiftId, head.val.revision)
       if (shift.err) return shift
-      const changed = ACTIONS[command.action](shift.val)
+      const changed = ACTIONS[command.action](shift.val, nowMs)
       if (changed.err) return Err(failure(ShiftCommandErrorKind.NotPossible, changed.val.message))
       const committed = await this.#changeLog.commit(
         {
           changeId: command.changeId,
           operator: command.operator,
-          createdAtMs: nowMs,
+          createdAtMs: issuedAtMs(command.changeId) ?? nowMs,
           summary: `${command.action} shift ${command.shiftId}`,
           records: [{ kind: RecordKind.PutShift, shift: changed.val }],
         },
--- /dev/null
+++ b/src/control/shiftDecision.ts
@@ -0,0 +1,153 @@
+/** What a control daemon does with one shift in one round. */
+import type { Result } from '../common/results.js'
+import type { ShiftRecord } from '../configuration/document.js'
+import { ShiftState } from '../configuration/document.js'
+import type { ShiftError } from '../shift/cappedShift.js'
+import { CappedShift } from '../shift/cappedShift.js'
+import type { RegionLoadView } from '../shift/regionLoad.js'
+import { LOAD_MAX_AGE_MS, capacityOf } from '../shift/regionLoad.js'
+import type { ShiftConditions } from '../shift/shiftPause.js'
+import { ShiftPauseReason, shiftPauseReason } from '../shift/shiftPause.js'
+
+/** What this process saw of a shift. Times are milliseconds since the epoch. */
+export interface ShiftSight {
+  /** First time at its present step and state. */
+  readonly seenAtMs: number
+  /** Since when nothing has spoken against a step; `undefined` while something does. */
+  readonly goodSinceMs: number | undefined
+  /** Share before the present step, while this process saw it. */
+  readonly previousShare: number
+}
+
+/** Kinds of decisions. */
+export enum ShiftVerdict {
+  Step = 'step',
+  Pause = 'pause',
+  Resume = 'resume',
+  /** Nothing to commit now. */
+  Wait = 'wait',
+}
+
+/** A decision with its reason for the log, and the record to commit. */
+export interface ShiftDecision {
+  readonly verdict: ShiftVerdict
+  readonly reason: string
+  readonly record?: ShiftRecord
+}
+
+/** After a pause, headroom has to be good for as many step intervals. */
+const GOOD_INTERVALS = 2
+const MIN_HEADROOM_SHARE = 0.2
+const AUTOMATIC_REASONS: ReadonlySet<string> = new Set(Object.values(ShiftPauseReason))
+
+/** Returns the region that the next step moves callers to. */
+export function targetOf(record: ShiftRecord): string {
+  return record.state === ShiftState.Reversing ? record.from : record.to
+}
+
+/**
+ * Returns what speaks against moving callers on now; for a reversal the home region is the target.
+ *
+ * @param addedRate requests/s that are moved to the target and not yet visible in its measurements
+ */
+export function obstacleOf(
+  record: ShiftRecord,
+  addedRate: number,
+  loads: RegionLoadView,
+  conditions: ShiftConditions,
+  nowMs: number,
+): ShiftPauseReason | undefined {
+  const to = targetOf(record)
+  const from = to === record.to ? record.from : record.to
+  const { service } = record
+  const reason = shiftPauseReason({ service, from, to }, loads, conditions, nowMs)
+  if (reason !== undefined) return reason
+  return stepFits(record, addedRate, loads) ? undefined : ShiftPauseReason.HeadroomLow
+}
+
+/** Requests/s that the next step moves. */
+export function nextStepRate(record: ShiftRecord, loads: RegionLoadView): number {
+  const isBack = record.state === ShiftState.Reversing
+  const distance = isBack ? record.currentShare : record.capShare - record.currentShare
+  return Math.min(record.stepShare, distance) * callersRate(record, loads)
+}
+
+/** Requests/s of the present step while they may not be visible in the measurements. */
+export function unseenRate(
+  record: ShiftRecord,
+  sight: Pick<ShiftSight, 'seenAtMs' | 'previousShare'>,
+  loads: RegionLoadView,
+  nowMs: number,
+): number {
+  if (nowMs - sight.seenAtMs > LOAD_MAX_AGE_MS) return 0
+  return Math.abs(record.currentShare - sight.previousShare) * callersRate(record, loads)
+}
+
+/** Decides on a shift whose obstacle is known. */
+export function decideShift(
+  record: ShiftRecord,
+  sight: ShiftSight,
+  obstacle: ShiftPauseReason | undefined,
+  nowMs: number,
+): ShiftDecision {
+  const shift = CappedShift.of(record, sight.seenAtMs)
+  switch (record.state) {
+    case ShiftState.Finished:
+      return { verdict: ShiftVerdict.Wait, reason: 'finished' }
+    case ShiftState.Paused:
+      return decidePaused(shift, sight, obstacle, nowMs)
+    case ShiftState.Reversing:
+      return obstacle === undefined ? step(shift, nowMs) : wait(obstacle)
+    case ShiftState.Running:
+      // Nothing can be committed without the store; the shift stands still anyway.
+      if (obstacle === ShiftPauseReason.StoreUnavailable) return wait(obstacle)
+      return obstacle === undefined
+        ? step(shift, nowMs)
+        : committed(ShiftVerdict.Pause, obstacle, shift.pause(obstacle, nowMs))
+  }
+}
+
+function decidePaused(
+  shift: CappedShift,
+  sight: ShiftSight,
+  obstacle: ShiftPauseReason | undefined,
+  nowMs: number,
+): ShiftDecision {
+  if (!AUTOMATIC_REASONS.has(shift.record.pauseReason ?? '')) return wait('paused by an operator')
+  if (obstacle !== undefined || sight.goodSinceMs === undefined) return wait(obstacle ?? 'paused')
+  const goodForMs = nowMs - sight.goodSinceMs
+  if (goodForMs < GOOD_INTERVALS * shift.record.stepIntervalMs)
+    return wait('headroom is good again')
+  return committed(ShiftVerdict.Resume, 'headroom was good for two steps', shift.resume(nowMs))
+}
+
+/** Tells whether the next step leaves the target its headroom. */
+function stepFits(record: ShiftRecord, addedRate: number, loads: RegionLoadView): boolean {
+  const load = loads.load(targetOf(record), record.service)
+  if (load === undefined) return false
+  const expected = load.requestsPerSecond + addedRate + nextStepRate(record, loads)
+  return expected <= capacityOf(load) * (1 - MIN_HEADROOM_SHARE)
+}
+
+function callersRate(record: ShiftRecord, loads: RegionLoadView): number {
+  const home = loads.load(record.from, record.service)?.homeRequestsPerSecond ?? 0
+  return Math.max(home, record.plannedRate)
+}
+
+function step(shift: CappedShift, nowMs: number): ShiftDecision {
+  const next = shift.advance(nowMs)
+  if (next.err) return wait(next.val.kind)
+  return committed(ShiftVerdict.Step, 'no obstacle', next)
+}
+
+function committed(
+  verdict: ShiftVerdict,
+  reason: string,
+  next: Result<CappedShift, ShiftError>,
+): ShiftDecision {
+  return next.ok ? { verdict, reason, record: next.val.record } : wait(next.val.message)
+}
+
+function wait(reason: string): ShiftDecision {
+  return { verdict: ShiftVerdict.Wait, reason }
+}
--- /dev/null
+++ b/src/control/snapshotKeeper.ts
@@ -0,0 +1,58 @@
+/** Writes snapshots of the configuration often enough that a new daemon starts from few changes. */
+import type { Logger } from '../common/logger.js'
+import type { Result } from '../common/results.js'
+import type { SteeringError } from '../common/errors.js'
+import type { Configuration, ConfigurationView } from '../configuration/view.js'
+import type { ChangeLog } from './changeLog.js'
+
+/** Writes a snapshot unless the head names a newer one; tells whether it did. */
+export type SnapshotWriter = (
+  configuration: Configuration,
+) => Promise<Result<boolean, SteeringError>>
+
+/** What the keeper needs. */
+export interface SnapshotParts {
+  readonly changeLog: ChangeLog
+  readonly configuration: ConfigurationView
+  readonly write: SnapshotWriter
+  readonly logger: Logger
+}
+
+/**
+ * Revisions after which a snapshot is written. Below the bound of 128, so that
+ * a failed attempt can be repeated in time.
+ */
+export const REVISIONS_PER_SNAPSHOT = 96
+
+/** Keeps the snapshot recent. Writing it twice does no harm, so no lease is needed for correctness. */
+export class SnapshotKeeper {
+  readonly #parts: SnapshotParts
+  #snapshotRevision: number | undefined
+
+  constructor(parts: SnapshotParts) {
+    this.#parts = parts
+  }
+
+  /** Writes a snapshot if one is due. Costs no call to the store while none is due. */
+  async keep(): Promise<boolean> {
+    const { configuration, changeLog, write, logger } = this.#parts
+    const current = configuration.current()
+    if (current === undefined || !this.#isDue(current.revision)) return false
+    const head = await changeLog.head()
+    if (head.err) return false
+    // Another daemon may have written one since.
+    this.#snapshotRevision = head.val.snapshotRevision
+    if (!this.#isDue(current.revision)) return false
+    const written = await write(current)
+    if (written.ok) this.#snapshotRevision = current.revision
+    logger.event('snapshot', {
+      revision: current.revision,
+      outcome: written.ok ? 'written' : written.val.kind,
+    })
+    return written.ok
+  }
+
+  #isDue(revision: number): boolean {
+    return revision - (this.#snapshotRevision ?? 0) >= REVISIONS_PER_SNAPSHOT
+  }
+}
--- a/src/control/steeringPlans.ts
+++ b/src/control/steeringPlans.ts
@@ -8,6 +8,7 @@
 import { RefusalKind } from './plan.js'
 import type { PlanContext, PlanDecision } from './planContext.js'
 import { refuse, refuseUnknown } from './planContext.js'
+import { CappedShift } from '../shift/cappedShift.js'
 import { pausedShift, resumedShift, reversedShift } from './shiftStates.js'
 
 const COLD_CACHE_WARNING = 'caches of the target are cold for the callers that move'
@@ -23,20 +24,15 @@
   )
   const blocking = present.find((shift) => !isReversed(shift))
   if (blocking !== undefined) return refuseSecondShift(blocking)
-  const shiftId = `shift-${context.planId}`
-  const shift: ShiftRecord = {
-    shiftId,
-    service: intent.service,
-    from: intent.from,
-    to: intent.to,
-    capShare: intent.capShare,
-    currentShare: 0,
-    stepShare: Math.min(intent.stepShare, intent.capShare),
-    stepIntervalMs: intent.stepIntervalMs,
-    state: ShiftState.Running,
-    step: 0,
-    plannedRate: context.projection.homeRate(intent.from, intent.service),
+  const { service, from, to, capShare, stepIntervalMs } = intent
+  const stepShare = Math.min(intent.stepShare, capShare)
+  const plannedRate = context.projection.homeRate(from, service)
+  const wanted = { service, from, to, capShare, stepShare, stepIntervalMs, plannedRate }
+  const planned = CappedShift.plan({ shiftId: `shift-${context.planId}`, ...wanted }, context.nowMs)
+  if (planned.err) {
+    return refuse(RefusalKind.Contradiction, planned.val.message, planned.val.remedy)
   }
+  const shift = planned.val.record
   const before = context.projection.presentShares(intent.service, intent.from)
   context.projection.setShares(
     intent.service,
@@ -105,7 +101,7 @@
   if (shift === undefined) {
     return refuseUnknown('shift', intent.shiftId, context.document.shifts.keys())
   }
-  const changed = STATE_CHANGES[intent.kind](shift)
+  const changed = STATE_CHANGES[intent.kind](shift, context.nowMs)
   if (changed.err) {
     return refuse(RefusalKind.Contradiction, changed.val.message, changed.val.remedy)
   }
