--- /dev/null
+++ b/src/cli/__tests__/settingsPage.spec.ts
@@ -0,0 +1,11 @@
+import { readFileSync } from 'node:fs'
+import { expect } from 'chai'
+import { settingsPage } from '../settingsPage.js'
+
+describe('settings page', () => {
+  // Guards against a reference page that no longer agrees with the programs.
+  it('agrees with the definitions; renew it with: npm run docs:settings', () => {
+    const page = new URL('../../../../docs/settings.md', import.meta.url)
+    expect(readFileSync(page, 'utf8')).to.equal(settingsPage())
+  })
+})
