--- a/src/control/__tests__/fakes.ts
+++ b/src/control/__tests__/fakes.ts
@@ -1,14 +1,13 @@
 /** Small fakes at the interfaces of control, with faults per call. */
 import type { Result } from '../../common/results.js'
 import { Err, Ok } from '../../common/results.js'
-import { BlockTable } from '../../configuration/blockTable.js'
 import type {
   ConfigurationChange,
-  ConfigurationDocument,
   ConfigurationRecord,
   ServiceRecord,
 } from '../../configuration/document.js'
-import { RecordKind, linkKey, steeringKey } from '../../configuration/document.js'
+import { RecordKind } from '../../configuration/document.js'
+import { applyChange, emptyConfiguration } from '../../configuration/documentBuilder.js'
 import type { Configuration, ConfigurationView } from '../../configuration/view.js'
 import type {
   KeyValueStore,
@@ -137,6 +136,7 @@
   /** Errors of the next commits in order; `undefined` lets one pass. */
   commitFaults: (CommitErrorKind | undefined)[] = []
   isDown = false
+  #configuration = emptyConfiguration()
   /** Runs before each commit, for races. */
   beforeCommit: () => void = () => undefined
 
@@ -177,18 +177,24 @@
 
   /** Adds a change as another writer would. */
   append(change: ConfigurationChange): number {
-    this.committed.push({ revision: this.committed.length + 1, change })
-    return this.committed.length
+    const revision = this.committed.push({ revision: this.committed.length + 1, change })
+    // Tests that only count revisions use changes without records.
+    const applied = change.records.length === 0 ? Ok(this.#configuration) : this.#apply(change)
+    this.#configuration = { ...applied.unwrap(), revision }
+    return revision
   }
 
   current(): Configuration | undefined {
-    const records = this.committed.flatMap(({ change }) => change.records)
-    return { ...configurationOf(records), revision: this.committed.length }
+    return this.#configuration
   }
 
   subscribe(): () => void {
     return () => undefined
   }
+
+  #apply(change: ConfigurationChange): ReturnType<typeof applyChange> {
+    return applyChange(this.#configuration, change)
+  }
 }
 
 function commitError(kind: CommitErrorKind): Err<CommitError> {
@@ -295,64 +301,7 @@
   return loads
 }
 
-type Draft = { -readonly [Name in keyof ConfigurationDocument]: Map<string, unknown> }
-
-/** Applies records without checks; enough for tests of control. */
+/** Applies records as one change. */
 export function configurationOf(records: readonly ConfigurationRecord[]): Configuration {
-  const draft: Draft = {
-    regions: new Map(),
-    links: new Map(),
-    sites: new Map(),
-    services: new Map(),
-    steering: new Map(),
-    shifts: new Map(),
-    leaving: new Map(),
-  }
-  let blocks = BlockTable.empty()
-  for (const record of records) {
-    if (record.kind === RecordKind.PutBlocks)
-      blocks = blocks.withChanges(record.blocks, []).unwrap()
-    else applyTo(draft, record)
-  }
-  return { revision: 1, document: draft as unknown as ConfigurationDocument, blocks }
-}
-
-function applyTo(draft: Draft, record: ConfigurationRecord): void {
-  switch (record.kind) {
-    case RecordKind.PutRegion:
-      draft.regions.set(record.region.name, record.region)
-      break
-    case RecordKind.PutLink:
-      draft.links.set(linkKey(record.link.from, record.link.to), record.link)
-      break
-    case RecordKind.PutSite:
-      draft.sites.set(record.site.name, record.site)
-      break
-    case RecordKind.PutService:
-      draft.services.set(record.service.name, record.service)
-      break
-    case RecordKind.PutSteering:
-      draft.steering.set(
-        steeringKey(record.steering.service, record.steering.clientRegion),
-        record.steering,
-      )
-      break
-    case RecordKind.RemoveSteering:
-      draft.steering.delete(steeringKey(record.service, record.clientRegion))
-      break
-    case RecordKind.PutShift:
-      draft.shifts.set(record.shift.shiftId, record.shift)
-      break
-    case RecordKind.RemoveShift:
-      draft.shifts.delete(record.shiftId)
-      break
-    case RecordKind.MarkLeaving:
-      draft.leaving.set(record.leaving.workerId, record.leaving)
-      break
-    case RecordKind.ClearLeaving:
-      draft.leaving.delete(record.workerId)
-      break
-    default:
-      throw new Error(`the fake does not apply ${record.kind}`)
-  }
+  return applyChange(emptyConfiguration(), changeOf('first', records)).unwrap()
 }
--- a/src/control/planner.ts
+++ b/src/control/planner.ts
@@ -1,4 +1,7 @@
 /** Decides on intents: pure functions of the configuration, the measurements and the time. */
+import type { ConfigurationRecord, ServiceRecord } from '../configuration/document.js'
+import { RecordKind } from '../configuration/document.js'
+import { applyChange } from '../configuration/documentBuilder.js'
 import type { Configuration } from '../configuration/view.js'
 import type { RegionLoadView } from '../shift/regionLoad.js'
 import type { Intent } from './intent.js'
@@ -7,6 +10,7 @@
 import type { LinkOutlook, Refusal, RegionOutlook } from './plan.js'
 import { Plan, RefusalKind } from './plan.js'
 import type { PlanContext, PlanDecision, PlanLimits } from './planContext.js'
+import { ADDRESS_SCHEMA } from './recordSchemas.js'
 import { planServeFrom, planShiftService, planShiftState } from './steeringPlans.js'
 import { planApplyRecords, planPutBlocks } from './tablePlans.js'
 import { planDrain, planPutService, planUndrain } from './workerPlans.js'
@@ -72,6 +76,7 @@
     links,
     refusals: [
       ...decision.refusals,
+      ...recordRefusals(decision.changes, input.configuration),
       ...regionRefusals(regions, minHeadroomShare),
       ...linkRefusals(links, input.limits.linkShare),
     ],
@@ -80,6 +85,35 @@
   })
 }
 
+/** A plan that could not be committed must not be shown as one that can be confirmed. */
+function recordRefusals(
+  records: readonly ConfigurationRecord[],
+  configuration: Configuration,
+): Refusal[] {
+  const faults = records.flatMap((record) =>
+    record.kind === RecordKind.PutService ? addressFaults(record.service) : [],
+  )
+  if (faults.length === 0 && records.length > 0) {
+    const change = { changeId: 'plan', operator: 'plan', createdAtMs: 0, summary: '', records }
+    const applied = applyChange(configuration, change)
+    if (applied.err) faults.push(contradiction(applied.val.message, applied.val.remedy))
+  }
+  return faults
+}
+
+function contradiction(message: string, remedy: string): Refusal {
+  return { kind: RefusalKind.Contradiction, message, remedy }
+}
+
+function addressFaults(service: ServiceRecord): Refusal[] {
+  return service.workers.flatMap(({ workerId, address }) => {
+    const { error } = ADDRESS_SCHEMA.label(`address of ${workerId}`).validate(address)
+    if (error === undefined) return []
+    const remedy = 'give the address that the instance listens on'
+    return [contradiction(error.message, remedy)]
+  })
+}
+
 /** A region that gets worse must keep its headroom; relief of a region is never refused. */
 function regionRefusals(regions: readonly RegionOutlook[], minHeadroomShare: number): Refusal[] {
   return regions.flatMap(({ region, service, before, after }) => {
--- a/src/control/tablePlans.ts
+++ b/src/control/tablePlans.ts
@@ -1,5 +1,5 @@
 /** Plans about client blocks and about records as they are. */
-import type { ClientBlock, ConfigurationRecord } from '../configuration/document.js'
+import type { ClientBlock } from '../configuration/document.js'
 import { RecordKind } from '../configuration/document.js'
 import { NO_BLOCK } from '../configuration/blockTable.js'
 import type { BlockTable } from '../configuration/blockTable.js'
@@ -43,24 +43,12 @@
   const firstDeployment = context.document.services.size === 0
   return {
     changes: intent.records,
-    refusals: danglingBlocks(intent.records, context),
+    refusals: [],
     warnings: firstDeployment ? ['no load is known before the first deployment'] : [],
     expectedDurationMs: 0,
   }
 }
 
-function danglingBlocks(records: readonly ConfigurationRecord[], context: PlanContext) {
-  const sites = new Set(context.document.sites.keys())
-  for (const record of records) {
-    if (record.kind === RecordKind.PutSite) sites.add(record.site.name)
-  }
-  const blocks = records.flatMap((record) =>
-    record.kind === RecordKind.PutBlocks ? record.blocks : [],
-  )
-  const missing = blocks.find((block) => !sites.has(block.site))
-  return missing === undefined ? [] : refuseUnknown('site', missing.site, sites).refusals
-}
-
 /** Moves the traffic of blocks between regions in proportion to their weights. */
 function projectBlocks(blocks: readonly ClientBlock[], context: PlanContext): void {
   const regionOf = (site: string): string => context.document.sites.get(site)?.region ?? ''
--- a/src/control/workerPlans.ts
+++ b/src/control/workerPlans.ts
@@ -78,7 +78,6 @@
 export function planPutService(intent: PutServiceIntent, context: PlanContext): PlanDecision {
   const { service } = intent
   const { document } = context
-  const refusals = service.workers.flatMap((worker) => workerRefusals(worker, service, document))
   const before = document.services.get(service.name)
   for (const region of document.regions.keys()) {
     const change = slotsIn(service, region, document) - slotsIn(before, region, document)
@@ -89,7 +88,7 @@
   )
   return {
     changes: [{ kind: RecordKind.PutService, service }],
-    refusals,
+    refusals: [],
     warnings: samePriority.map(
       (other) => `${other.name} has priority ${String(other.priority)} as well`,
     ),
@@ -98,38 +97,6 @@
   }
 }
 
-function workerRefusals(
-  worker: WorkerRecord,
-  service: ServiceRecord,
-  document: ConfigurationDocument,
-): Refusal[] {
-  const refusals: Refusal[] = []
-  const zones = document.regions.get(worker.region)?.zones ?? []
-  if (!zones.includes(worker.zone)) {
-    refusals.push({
-      kind: RefusalKind.UnknownName,
-      message: `Backend server ${worker.workerId}: region ${worker.region} has no zone ${worker.zone}`,
-      remedy: `use one of: ${zones.join(', ') || [...document.regions.keys()].join(', ')}`,
-    })
-  }
-  const known = findWorker(document, worker.workerId)
-  if (known !== undefined && known.service.name !== service.name) {
-    refusals.push({
-      kind: RefusalKind.Contradiction,
-      message: `Backend server ${worker.workerId} belongs to service ${known.service.name}`,
-      remedy: 'use another worker identifier',
-    })
-  }
-  if (known !== undefined && worker.generation < known.worker.generation) {
-    refusals.push({
-      kind: RefusalKind.Contradiction,
-      message: `Backend server ${worker.workerId}: generation ${String(worker.generation)} is below ${String(known.worker.generation)}`,
-      remedy: `use generation ${String(known.worker.generation)} or higher`,
-    })
-  }
-  return refusals
-}
-
 function lastWorkerRefusals(
   service: ServiceRecord,
   worker: WorkerRecord,
