--- a/src/control/planner.ts
+++ b/src/control/planner.ts
@@ -146,8 +146,8 @@
       `${service} in ${region} would get ${figure(after.requestsPerSecond)} requests/s of ` +
       `${figure(after.capacity)} that its slots carry; ${percent(1 - minHeadroomShare)} of them may be used`,
     remedy:
-      `move ${figure(excess)} requests/s less (a smaller share or cap), ` +
-      `or add slots for as many in ${region}, then plan again`,
+      `${figure(excess)} requests/s are too many: plan a smaller share, move callers of ${region} to ` +
+      `another region first, or add slots there; then plan again`,
   }
 }
 
