--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -18,7 +18,7 @@
   const lines = [
     `plan ${plan.planId}: ${plan.summary}`,
     `  made on revision ${String(plan.baseRevision)}, expires ${timeLeft(plan.expiresAtMs - nowMs)}`,
-    `  changes: ${keys.slice(0, MAX_KEYS_SHOWN).join(', ')}${more(keys.length - MAX_KEYS_SHOWN)}`,
+    `  changes: ${keys.slice(0, MAX_KEYS_SHOWN).join(', ') || 'none'}${more(keys.length - MAX_KEYS_SHOWN)}`,
     `  expected duration: ${duration(plan.expectedDurationMs)}`,
     ...section('  load (requests/s of capacity, headroom)', plan.regions.map(formatRegion)),
     ...section('  links (Mbit/s of bandwidth)', plan.links.map(formatLink)),
@@ -107,7 +107,9 @@
 
 function formatRegion({ region, service, before, after }: RegionOutlook): string {
   const side = (outlook: RegionOutlook['before']): string =>
-    `${figure(outlook.requestsPerSecond)}/${figure(outlook.capacity)} (${percent(outlook.headroomShare)})`
+    outlook.capacity === 0
+      ? `${figure(outlook.requestsPerSecond)}/(no capacity measured)`
+      : `${figure(outlook.requestsPerSecond)}/${figure(outlook.capacity)} (${percent(outlook.headroomShare)})`
   return `    ${service} in ${region}: ${side(before)} -> ${side(after)}`
 }
 
