--- a/src/slots/slotLending.ts
+++ b/src/slots/slotLending.ts
@@ -4,16 +4,20 @@
 import { MemberHealth, MemberState } from '../membership/memberRecord.js'
 import type { ServiceSlots, SlotWaiter } from './serviceSlots.js'
 import type { MailboxPeer } from './slotMailbox.js'
-import type { BorrowMessage, CancelMessage, GrantMessage, ReturnMessage } from './slotMessages.js'
+import type {
+  BorrowMessage,
+  CancelMessage,
+  GrantMessage,
+  RenewMessage,
+  ReturnMessage,
+  SlotMessage,
+} from './slotMessages.js'
 import { SlotMessageKind } from './slotMessages.js'
 import type { PoolSlot, SlotHold, SlotPeer } from './slotPool.js'
 import { SlotUse } from './slotSource.js'
 
 /** Sends a message, in the answer to the peer's present call if there is one. */
-export type SendMessage = (
-  peer: MailboxPeer,
-  message: BorrowMessage | GrantMessage | ReturnMessage | CancelMessage,
-) => void
+export type SendMessage = (peer: MailboxPeer, message: SlotMessage) => void
 
 interface RemoteWaiter extends SlotWaiter {
   readonly service: ServiceSlots
@@ -39,13 +43,16 @@
   readonly #waiters = new Map<string, RemoteWaiter>()
   /** By borrow identifier, so that a cancellation finds a loan whose grant was lost. */
   readonly #loans = new Map<string, Loan>()
+  readonly #handicapMs: number
   readonly #resends: { peer: MailboxPeer; message: GrantMessage; atMs: number }[] = []
 
   constructor(
     services: ReadonlyMap<string, ServiceSlots>,
     membership: MembershipView,
     send: SendMessage,
+    remoteHandicapMs: number,
   ) {
+    this.#handicapMs = remoteHandicapMs
     this.#services = services
     this.#membership = membership
     this.#send = send
@@ -56,7 +63,7 @@
     return this.#loans.size
   }
 
-  /** Grants a slot now or keeps the request until one becomes free. */
+  /** Grants a slot now, or keeps the request until one becomes free if it may wait. */
   borrow(borrower: SlotPeer, message: BorrowMessage, nowMs: number): void {
     const service = this.#services.get(message.service)
     const isKnown = this.#waiters.has(message.borrowId) || this.#loans.has(message.borrowId)
@@ -65,7 +72,7 @@
       requestId: message.borrowId,
       requestClass: message.requestClass,
       priority: message.priority,
-      arrivedAtMs: nowMs - message.waitedMs,
+      arrivedAtMs: nowMs - message.waitedMs + this.#handicapMs,
       deadlineMs: nowMs + message.remainingMs,
       excludedWorkers: new Set(message.excludedWorkers),
       borrower,
@@ -74,9 +81,11 @@
         this.#lend(waiter, slot, hold)
       },
     }
-    if (service.tryGrant(waiter, nowMs)) return
+    if (service.queue.length === 0 && service.tryGrant(waiter, nowMs)) return
+    if (!message.mayWait) return
     this.#waiters.set(waiter.requestId, waiter)
     service.queue.add(waiter)
+    service.pump(nowMs)
   }
 
   /** Ends a loan. Unknown loans were ended before. */
@@ -88,6 +97,15 @@
     }
   }
 
+  /** Notes that the borrower uses the slot for a further request. */
+  renew(message: RenewMessage, nowMs: number): void {
+    for (const loan of this.#loans.values()) {
+      if (loan.loanId !== message.loanId) continue
+      loan.service.renew(message.loanId, message.durationMs, message.requestClass, nowMs)
+      return
+    }
+  }
+
   /** Forgets a borrow request and takes back what was granted for it. */
   cancel(message: CancelMessage, nowMs: number): void {
     const waiter = this.#waiters.get(message.borrowId)
