--- a/src/configuration/packedPrefix.ts
+++ b/src/configuration/packedPrefix.ts
@@ -108,7 +108,8 @@
   if (dotted !== undefined) return Ok(dotted)
   // As with addresses, historic forms such as `10.0.0/8` hide typing errors.
   const isUsual = cidr.includes(':') || ipaddr.IPv4.isValidCIDRFourPartDecimal(cidr)
-  if (!isUsual || !ipaddr.isValidCIDR(cidr)) return Err(malformed(cidr, 'it is not in CIDR notation'))
+  if (!isUsual || !ipaddr.isValidCIDR(cidr))
+    return Err(malformed(cidr, 'it is not in CIDR notation'))
   const [address, length] = ipaddr.parseCIDR(cidr)
   const bytes = address.toByteArray()
   const family = address.kind() === 'ipv4' ? AddressFamily.Ipv4 : AddressFamily.Ipv6
