feat(gateway): report the load of each service to the region's aggregator

Cause: plans of shifts were refused with measurementsMissing, because no gateway gave its load to the aggregation. Ruled out: the aggregation itself, which delivered summaries once it got reports.

--- a/playground/gatewayCluster.ts
+++ b/playground/gatewayCluster.ts
@@ -15,6 +15,7 @@
 import type { ConfigurationDocument, ServiceRecord } from '../src/configuration/document.js'
 import type { Configuration, ConfigurationView } from '../src/configuration/view.js'
 import type { LookupAnswer, LookupSource } from '../src/client/lookupSource.js'
+import { ArrivalMeter } from '../src/gateway/arrivalMeter.js'
 import type { Gateway, GatewayNode } from '../src/gateway/gatewayDaemon.js'
 import { createGateway } from '../src/gateway/gatewayDaemon.js'
 import type { GatewaySettings } from '../src/gateway/gatewaySettings.js'
@@ -222,6 +223,7 @@
       loads: { load: () => undefined, all: () => [] },
       rpc,
       methods: server,
+      arrivals: new ArrivalMeter(),
       slots: new LeastOutstandingSource(this.configuration, options.region, (workerId) =>
         this.#leaving.has(workerId),
       ),
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -13,6 +13,7 @@
 import { OperationPrefixCodec } from '../operations/operationPrefix.js'
 import type { RegionLoadView } from '../shift/regionLoad.js'
 import type { SlotSource } from '../slots/slotSource.js'
+import type { ArrivalMeter } from './arrivalMeter.js'
 import { HttpBackendClient } from './backendClient.js'
 import type { GatewayAnswer } from './exchange.js'
 import { registerGatewayMethods } from './gatewayMethods.js'
@@ -36,6 +37,7 @@
   readonly rpc: RpcCaller
   readonly methods: RpcMethodRegistry
   readonly slots: SlotSource
+  readonly arrivals: ArrivalMeter
   readonly log: Logger
   readonly metrics: Metrics
   readonly onLeaving: LeavingListener
--- a/src/gateway/requestExecutor.ts
+++ b/src/gateway/requestExecutor.ts
@@ -9,6 +9,7 @@
 import type { LedgerDecision, OperationLedger } from '../operations/operationLedger.js'
 import { contentFingerprint, LedgerDecisionKind } from '../operations/operationLedger.js'
 import type { OperationIdentifier } from '../operations/operationPrefix.js'
+import type { ArrivalMeter } from './arrivalMeter.js'
 import type { GatewayAnswer, GatewayRequest } from './exchange.js'
 import { Arrival } from './exchange.js'
 import type { LocalRunner } from './localRun.js'
@@ -30,6 +31,7 @@
   readonly routing: RegionRouting
   readonly forwarding: Forwarding
   readonly localRunner: LocalRunner
+  readonly arrivals: ArrivalMeter
   readonly maxInFlight: number
   readonly log: Logger
   readonly metrics: Metrics
@@ -203,6 +205,9 @@
         return forwarding.toRegion({ request, configuration, regions, reason, hops, signal })
       }
     }
+    const { arrivals, membership, clock } = this.#parts
+    const homeRegion = request.operation?.grant.homeRegion ?? membership.self().region
+    arrivals.note(service.name, homeRegion, clock())
     return localRunner.run({ request, service, revision: configuration.revision, signal })
   }
 
--- a/src/gateway/runGatewayDaemon.ts
+++ b/src/gateway/runGatewayDaemon.ts
@@ -8,6 +8,7 @@
 import { MemberRole } from '../membership/memberRecord.js'
 import { HttpBackendStatusSource } from '../platform/httpBackendStatus.js'
 import { SlotDispatcher } from '../slots/index.js'
+import { ArrivalMeter, summarizeLoad } from './arrivalMeter.js'
 import type { Gateway } from './gatewayDaemon.js'
 import { createGateway } from './gatewayDaemon.js'
 import type { GatewaySettings } from './gatewaySettings.js'
@@ -23,7 +24,12 @@
 
 /** Assembles the daemon. */
 export function createGatewayDaemon(settings: GatewaySettings): Daemon {
-  const runtime = new NodeRuntime({ role: MemberRole.Gateway, settings })
+  const arrivals = new ArrivalMeter()
+  const runtime = new NodeRuntime({
+    role: MemberRole.Gateway,
+    settings,
+    ownLoad: (nowMs) => summarizeLoad(arrivals, slots.loads(nowMs), nowMs),
+  })
   const leaving = new LeavingRegistry()
   const push = new LeavingPush(leaving, runtime.members, runtime.caller)
   const slots = createSlots(runtime, leaving)
@@ -36,7 +42,7 @@
     instances: runtime.instanceList,
     status,
   })
-  const gateway = assemble(runtime, settings, leaving, slots)
+  const gateway = assemble(runtime, settings, leaving, slots, arrivals)
   runtime.exchange.addPayloadProvider(leavingPayload(leaving))
   push.registerMethods(runtime.methods)
   slots.registerMethods(runtime.methods)
@@ -72,6 +78,7 @@
   settings: GatewaySettings,
   leaving: LeavingRegistry,
   slots: SlotDispatcher,
+  arrivals: ArrivalMeter,
 ): Gateway {
   return createGateway(
     {
@@ -82,6 +89,7 @@
       rpc: runtime.caller,
       methods: runtime.methods,
       slots,
+      arrivals,
       log: createLogger('gateway'),
       metrics: runtime.metrics,
       onLeaving: (workerId) => {
