--- a/src/lookup/__tests__/lookupDaemon.spec.ts
+++ b/src/lookup/__tests__/lookupDaemon.spec.ts
@@ -103,6 +103,17 @@
     return { status: response.statusCode ?? 0, text: (await wreck.read(response)).toString() }
   }
 
+  const waitUntilSteering = async (): Promise<void> => {
+    const giveUpAtMs = Date.now() + 10_000
+    while (Date.now() < giveUpAtMs) {
+      const response = await wreck.request('GET', `${url}/health`)
+      await wreck.read(response)
+      if (response.statusCode === 200) return
+      await sleep(20)
+    }
+    expect.fail(`the daemon does not steer:\n${daemon.lines.join('\n')}`)
+  }
+
   before(async () => {
     store = new StoreServer()
     list = new InstanceListServer()
@@ -120,6 +131,7 @@
     daemon = startDaemon(lookupPort)
     url = `http://127.0.0.1:${String(callerPort)}`
     await waitUntilServing(`${url}/health`, daemon, 10_000)
+    await waitUntilSteering()
   })
 
   after(async () => {
@@ -130,7 +142,7 @@
 
   it('answers from the configuration of the store and the members it meets', async () => {
     const { status, text } = await lookUp()
-    expect(status).to.equal(200)
+    expect(status, text).to.equal(200)
     const answer = JSON.parse(text) as { revision: number; entries: { address: string }[] }
     expect(answer.revision).to.equal(1)
     expect(answer.entries.map(({ address }) => address)).to.deep.equal(['127.0.0.1:9'])
--- a/src/lookup/__tests__/lookupFixtures.ts
+++ b/src/lookup/__tests__/lookupFixtures.ts
@@ -22,7 +22,16 @@
   name: 'reveals',
   priority: 1,
   idempotentMethods: ['GET'],
-  workers: [],
+  workers: [
+    {
+      workerId: 'reveals-1',
+      generation: 1,
+      address: '127.0.0.1:9',
+      region: 'east',
+      zone: 'east-0',
+      slots: 3,
+    },
+  ],
   maxQueued: 10,
   defaultTimeoutMs: 1000,
   maxRequestBytes: 1000,
--- a/src/lookup/__tests__/lookupServer.spec.ts
+++ b/src/lookup/__tests__/lookupServer.spec.ts
@@ -21,11 +21,13 @@
     view = new FakeConfigurationView()
     lines = []
     const members = memberTable()
-    const placer = new Placer(view, members, new GatewayDirectory(members), {
+    const directory = new GatewayDirectory(members)
+    const placer = new Placer(view, members, directory, {
       regionFor: (service, homeRegion) => (service === 'none' ? undefined : homeRegion),
     })
     const parts = {
       placer,
+      directory,
       configuration: view,
       codec: new OperationPrefixCodec(KEY),
       clock: () => NOW_MS,
--- a/src/lookup/gatewayDirectory.ts
+++ b/src/lookup/gatewayDirectory.ts
@@ -29,7 +29,13 @@
     return this.#candidates(region).length > 0
   }
 
-  /** Member identifiers of the gateways of all regions that can be named. */
+  /** Tells whether any region has a gateway that can be named. */
+  hasAnyGateway(): boolean {
+    this.#byRegion ??= groupCandidates(this.#members.members())
+    return this.#byRegion.size > 0
+  }
+
+  /** Member identifiers of the gateways of a region that can be named. */
   gatewayIds(region: string): readonly string[] {
     return this.#candidates(region).map(({ member }) => member.memberId)
   }
--- a/src/lookup/lookupDaemon.ts
+++ b/src/lookup/lookupDaemon.ts
@@ -108,6 +108,7 @@
   return new LookupServer(
     {
       placer: container.resolve<Placer>(LOOKUP_TOKENS.placer),
+      directory: container.resolve<GatewayDirectory>(LOOKUP_TOKENS.directory),
       configuration: runtime.configuration.view,
       codec: new OperationPrefixCodec(settings.peerToken),
       clock: runtime.clock,
--- a/src/lookup/lookupServer.ts
+++ b/src/lookup/lookupServer.ts
@@ -9,6 +9,7 @@
 import type { Metrics } from '../common/metrics.js'
 import type { ConfigurationView } from '../configuration/view.js'
 import type { OperationPrefixCodec } from '../operations/operationPrefix.js'
+import type { GatewayDirectory } from './gatewayDirectory.js'
 import type { Placement, Placer } from './placement.js'
 import { LookupError, LookupErrorKind } from './placement.js'
 
@@ -50,6 +51,7 @@
 /** What the server uses. */
 export interface LookupServerParts {
   readonly placer: Placer
+  readonly directory: GatewayDirectory
   readonly configuration: ConfigurationView
   readonly codec: OperationPrefixCodec
   readonly clock: Clock
@@ -211,7 +213,8 @@
 
   #health(toolkit: ResponseToolkit): ResponseObject {
     const revision = this.#parts.configuration.current()?.revision
-    const canSteer = revision !== undefined && !this.#isLeaving
+    const canSteer =
+      revision !== undefined && this.#parts.directory.hasAnyGateway() && !this.#isLeaving
     return toolkit
       .response({ canSteer, isLeaving: this.#isLeaving, revision: revision ?? null })
       .code(canSteer ? 200 : 503)
--- a/src/shift/__tests__/spillOver.spec.ts
+++ b/src/shift/__tests__/spillOver.spec.ts
@@ -203,6 +203,7 @@
   describe('when the region returns', () => {
     const fail = (scenario: Scenario, fromMs: number, untilMs: number): void => {
       scenario.report({ east: 60, north: 60, west: 60 }, fromMs)
+      scenario.refresh(fromMs)
       scenario.gone.add('east')
       scenario.refresh(fromMs)
       scenario.gone.delete('east')
@@ -223,6 +224,15 @@
       expect(scenario.shares(4000)).to.have.all.keys('east')
     })
 
+    it('takes a region that this process meets late for a new one, and not for a cold one', () => {
+      const scenario = new Scenario(configurationOf(1))
+      scenario.report({ east: 60, north: 60, west: 60 }, 1000)
+      scenario.gone.add('east')
+      scenario.refresh(1000)
+      scenario.gone.delete('east')
+      expect(scenario.shares(20_000)).to.have.all.keys('east')
+    })
+
     it('starts over when the region fails again while it returns', () => {
       const scenario = new Scenario(configurationOf(1))
       fail(scenario, 1000, 60_000)
--- a/src/shift/regionAvailability.ts
+++ b/src/shift/regionAvailability.ts
@@ -9,6 +9,8 @@
 
 /** State of one region as this process sees it. */
 export class RegionAvailability {
+  /** A region that this process has never seen serving is new to it rather than failed. */
+  #hasServed = false
   #goneSinceMs: number | undefined
   #returnedAtMs: number | undefined
 
@@ -21,8 +23,11 @@
       this.#goneSinceMs ??= nowMs
       return
     }
-    if (this.#goneSinceMs === undefined) return
-    if (nowMs - this.#goneSinceMs >= WARM_ABSENCE_MS) this.#returnedAtMs = nowMs
+    const goneSinceMs = this.#hasServed ? this.#goneSinceMs : undefined
+    this.#hasServed = true
+    if (goneSinceMs !== undefined && nowMs - goneSinceMs >= WARM_ABSENCE_MS) {
+      this.#returnedAtMs = nowMs
+    }
     this.#goneSinceMs = undefined
   }
 
