--- a/src/control/controlDaemon.ts
+++ b/src/control/controlDaemon.ts
@@ -79,8 +79,11 @@
 }
 
 /** A daemon over the parts of a container. */
-export function createControlDaemon(settings: ControlSettings): ControlDaemon {
-  const parts = new ControlContainer(registerControlDaemon(settings), settings)
+export function createControlDaemon(
+  settings: ControlSettings,
+  container = registerControlDaemon(settings),
+): ControlDaemon {
+  const parts = new ControlContainer(container, settings)
   const { runtime, server, duties } = parts
   const operatorAddress = (): string => `${settings.host}:${String(server.port)}`
   return {
