--- /dev/null
+++ b/bench/__tests__/straightLine.spec.ts
@@ -0,0 +1,20 @@
+import { expect } from 'chai'
+import { fitStraightLine } from '../straightLine.js'
+
+describe('fitStraightLine', () => {
+  it('finds the line and its error, so that a wrong fit does not pass as a slope', () => {
+    const exact = fitStraightLine([1, 2, 3, 4].map((x) => ({ x, y: 5 + 2 * x })))
+    expect(exact.slope).to.be.closeTo(2, 1e-9)
+    expect(exact.intercept).to.be.closeTo(5, 1e-9)
+    expect(exact.slopeError).to.be.closeTo(0, 1e-9)
+    const noisy = fitStraightLine([
+      { x: 0, y: 0 },
+      { x: 1, y: 3 },
+      { x: 2, y: 2 },
+      { x: 3, y: 5 },
+    ])
+    expect(noisy.slope).to.be.closeTo(1.4, 1e-9)
+    expect(noisy.slopeError).to.be.closeTo(0.4243, 1e-3)
+    expect(noisy.largestResidual).to.be.closeTo(1.2, 1e-9)
+  })
+})
--- /dev/null
+++ b/bench/controlBenchRound.ts
@@ -0,0 +1,274 @@
+/** One size of the control bench: a store with a configuration, a writer and a measured child. */
+import type { ChildProcess } from 'node:child_process'
+import { fork } from 'node:child_process'
+import { loadavg } from 'node:os'
+import { fileURLToPath } from 'node:url'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { InProcessStore } from '../playground/inProcessStore.js'
+import { InstanceListServer } from '../playground/instanceListServer.js'
+import type { StoreCallCounts } from '../playground/storeServer.js'
+import { StoreServer } from '../playground/storeServer.js'
+import { sleep } from '../src/common/clock.js'
+import { PACKED_BLOCK_BYTES } from '../src/configuration/blockColumns.js'
+import type {
+  ClientBlock,
+  ConfigurationChange,
+  ConfigurationRecord,
+} from '../src/configuration/index.js'
+import {
+  BlockTable,
+  ConfigurationRepository,
+  RecordKind,
+  applyChange,
+  emptyConfiguration,
+} from '../src/configuration/index.js'
+import type { ControlOrder, ControlReady, ControlSample } from './controlBenchMessages.js'
+
+/** Sizes of a round. */
+export interface ControlRoundSizes {
+  readonly sweep: string
+  readonly peers: number
+  readonly changesPerSecond: number
+  readonly blocks: number
+  readonly measureMs: number
+  readonly seed: number
+}
+
+/** Figures of a round, per daemon unless said otherwise. */
+export interface ControlRound extends ControlRoundSizes {
+  /** Load average of the machine at the end of the round; other work on it distorts the figures. */
+  readonly loadAverage: number
+  readonly committed: number
+  readonly cpuPercent: number
+  /** Both directions, to peers and to the store. */
+  readonly kilobytesPerSecond: number
+  readonly storeCallsPerSecond: number
+  readonly heldMegabytes: number
+  /** Of a whole process, the average of several. */
+  readonly residentMegabytes: number
+  /** Changes that some daemon still lacked 4.5 s after the measurement. */
+  readonly notInForce: number
+  /** From the commit's answer until the last daemon took the revision. */
+  readonly medianInForceMs: number
+  readonly slowestInForceMs: number
+  readonly startCpuSeconds: number
+  /** Of all daemons of the round. */
+  readonly startStoreMegabytes: number
+  readonly startStoreCalls: number
+}
+
+const CHILD = fileURLToPath(new URL('./controlBenchChild.js', import.meta.url))
+/** Time after the start for members to know each other; gossip among more of them takes longer. */
+const SETTLE_MS = 2000
+const SETTLE_MS_PER_PEER = 60
+/** Changes stop before the end of the measurement, so that the last one can get everywhere. */
+const QUIET_MS = 250
+const CHILD_TIMEOUT_MS = 60_000
+const MAX_DAEMONS_PER_PROCESS = 25
+const SITES = 110
+const MEGABYTE = 1e6
+
+/** Runs one round. */
+export async function runControlRound(sizes: ControlRoundSizes): Promise<ControlRound> {
+  const store = new StoreServer()
+  const list = new InstanceListServer()
+  await Promise.all([store.start(), list.start()])
+  try {
+    // The writer reaches the store's content directly, so that the server counts the daemons' calls only.
+    const repository = new ConfigurationRepository(new InProcessStore(store.state))
+    const base = await seedStore(repository, sizes.blocks)
+    return await measure(sizes, store, list, repository, base)
+  } finally {
+    await Promise.all([store.stop(), list.stop()])
+  }
+}
+
+async function measure(
+  sizes: ControlRoundSizes,
+  store: StoreServer,
+  list: InstanceListServer,
+  repository: ConfigurationRepository,
+  baseRevision: number,
+): Promise<ControlRound> {
+  const children = ordersOf(sizes, store.url, list.url).map((order) =>
+    fork(CHILD, [JSON.stringify(order)], { execArgv: ['--expose-gc'] }),
+  )
+  const ended = new AbortController()
+  const timer = setTimeout(() => {
+    for (const child of children) child.kill()
+  }, CHILD_TIMEOUT_MS)
+  try {
+    const ready = await Promise.all(children.map(nextMessage<ControlReady>))
+    for (const child of children) child.send('measure')
+    const startStoreCalls = store.counts().total
+    store.resetCounts()
+    const acceptedAtMs = new Map<number, number>()
+    const writer = commitAtRate(repository, baseRevision, sizes, acceptedAtMs, ended.signal)
+    const samples = await Promise.all(children.map(nextMessage<ControlSample>))
+    const counts = store.counts()
+    ended.abort()
+    await writer
+    return roundOf(sizes, ready, samples, { startStoreCalls, counts, acceptedAtMs })
+  } finally {
+    ended.abort()
+    clearTimeout(timer)
+    for (const child of children) child.kill()
+  }
+}
+
+function settleMsOf({ peers }: ControlRoundSizes): number {
+  return SETTLE_MS + SETTLE_MS_PER_PEER * peers
+}
+
+/** Divides the daemons among child processes, as one event loop is busy with about 60 of them. */
+function ordersOf(
+  sizes: ControlRoundSizes,
+  storeUrl: string,
+  instanceListUrl: string,
+): ControlOrder[] {
+  const processes = Math.ceil(sizes.peers / MAX_DAEMONS_PER_PROCESS)
+  return Array.from({ length: processes }, (_, index) => {
+    const firstIndex = Math.floor((index * sizes.peers) / processes)
+    const daemons = Math.floor(((index + 1) * sizes.peers) / processes) - firstIndex
+    const times = { settleMs: settleMsOf(sizes), measureMs: sizes.measureMs }
+    return { storeUrl, instanceListUrl, firstIndex, daemons, ...times }
+  })
+}
+
+interface RoundCounts {
+  readonly startStoreCalls: number
+  readonly counts: StoreCallCounts
+  readonly acceptedAtMs: ReadonlyMap<number, number>
+}
+
+function roundOf(
+  sizes: ControlRoundSizes,
+  ready: readonly ControlReady[],
+  samples: readonly ControlSample[],
+  { startStoreCalls, counts, acceptedAtMs }: RoundCounts,
+): ControlRound {
+  const sum = <Element>(elements: readonly Element[], read: (element: Element) => number): number =>
+    elements.reduce((total, element) => total + read(element), 0)
+  const seconds = sum(samples, (sample) => sample.seconds) / samples.length
+  const perDaemonSecond = 1 / (sizes.peers * seconds)
+  // Each byte between daemons is sent by one and received by another.
+  const bytes = sum(samples, (sample) => 2 * sample.peerBytes + sample.storeBytes)
+  const held = sum(samples, (sample) => sample.heldBytes - sample.emptyHeldBytes)
+  const delays = inForceDelays(samples, acceptedAtMs)
+  return {
+    ...sizes,
+    loadAverage: loadavg()[0] ?? 0,
+    committed: acceptedAtMs.size,
+    cpuPercent: 100 * sum(samples, (sample) => sample.cpuSeconds) * perDaemonSecond,
+    kilobytesPerSecond: (bytes * perDaemonSecond) / 1000,
+    storeCallsPerSecond: counts.total / (sizes.peers * (seconds + settleMsOf(sizes) / 1000)),
+    heldMegabytes: held / sizes.peers / MEGABYTE,
+    residentMegabytes: sum(samples, (sample) => sample.residentBytes) / samples.length / MEGABYTE,
+    notInForce: acceptedAtMs.size - delays.length,
+    medianInForceMs: delays[Math.floor(delays.length / 2)] ?? 0,
+    slowestInForceMs: delays.at(-1) ?? 0,
+    startCpuSeconds: sum(ready, (each) => each.startCpuSeconds) / sizes.peers,
+    startStoreMegabytes: sum(ready, (each) => each.startStoreBytes) / MEGABYTE,
+    startStoreCalls,
+  }
+}
+
+/**
+ * Time of each change until the last daemon of the last process took it. A
+ * revision that was passed over was in force when the next higher one was.
+ */
+function inForceDelays(
+  samples: readonly ControlSample[],
+  acceptedAtMs: ReadonlyMap<number, number>,
+): number[] {
+  const delays: number[] = []
+  for (const [revision, acceptedAt] of acceptedAtMs) {
+    const taken = samples.map(
+      (sample) => sample.inForceAtMs.find(([inForce]) => inForce >= revision)?.[1],
+    )
+    if (taken.includes(undefined)) continue
+    const last = Math.max(...taken.filter((atMs) => atMs !== undefined))
+    delays.push(Math.max(0, last - acceptedAt))
+  }
+  return delays.sort((left, right) => left - right)
+}
+
+/** Commits until `signal` aborts. */
+async function commitAtRate(
+  repository: ConfigurationRepository,
+  baseRevision: number,
+  sizes: ControlRoundSizes,
+  acceptedAtMs: Map<number, number>,
+  signal: AbortSignal,
+): Promise<void> {
+  const random = xoroshiro128plus(sizes.seed)
+  if (sizes.changesPerSecond === 0) return
+  const intervalMs = 1000 / sizes.changesPerSecond
+  let revision = baseRevision
+  let nextMs = performance.now() + settleMsOf(sizes)
+  const lastMs = nextMs + sizes.measureMs - QUIET_MS
+  while (!signal.aborted && nextMs < lastMs) {
+    await sleep(nextMs - performance.now(), signal)
+    nextMs += intervalMs
+    const number = uniformInt(random, 0, 65_535)
+    const receipt = await repository.commit(blockChange(number, revision), revision)
+    if (receipt.err) throw receipt.val
+    revision = receipt.val.revision
+    acceptedAtMs.set(revision, Date.now())
+  }
+}
+
+function changeOf(changeId: string, records: ConfigurationRecord[]): ConfigurationChange {
+  return { changeId, operator: 'bench', createdAtMs: 0, summary: changeId, records }
+}
+
+function blockChange(number: number, revision: number): ConfigurationChange {
+  const block: ClientBlock = {
+    cidr: `${String(10 + (number >> 13))}.${String((number >> 5) & 255)}.${String((number & 31) * 8)}.0/24`,
+    site: `site-${String(number % SITES)}`,
+    weight: 1 + (revision % 9),
+  }
+  return changeOf(`bench-${String(revision)}`, [{ kind: RecordKind.PutBlocks, blocks: [block] }])
+}
+
+/** Commits regions and sites, and writes the blocks as a snapshot; returns the revision. */
+async function seedStore(repository: ConfigurationRepository, blocks: number): Promise<number> {
+  const region = { name: 'nyeri', zones: ['a'] }
+  const sites = Array.from({ length: SITES }, (_, index): ConfigurationRecord => {
+    const site = { name: `site-${String(index)}`, region: 'nyeri', zone: 'a' }
+    return { kind: RecordKind.PutSite, site }
+  })
+  const first = changeOf('regions', [{ kind: RecordKind.PutRegion, region }, ...sites])
+  ;(await repository.commit(first, 0)).unwrap()
+  if (blocks === 0) return 1
+  const base = applyChange(emptyConfiguration(), first).unwrap()
+  ;(await repository.writeSnapshot({ ...base, blocks: packedTable(blocks) })).unwrap()
+  return 1
+}
+
+/** Consecutive /24 blocks from 10.0.0.0, made in packed form because parsing CIDRs takes 10 s. */
+function packedTable(count: number): BlockTable {
+  const bytes = Buffer.alloc(count * PACKED_BLOCK_BYTES)
+  for (let index = 0; index < count; index++) {
+    const offset = index * PACKED_BLOCK_BYTES
+    bytes.writeUInt32BE(0x0a000000 + index * 256, offset)
+    bytes.writeFloatBE(1 + (index % 7), offset + 8)
+    bytes.writeUInt16BE(index % SITES, offset + 12)
+    bytes.writeUInt8(24, offset + 14)
+  }
+  const siteNames = Array.from({ length: SITES }, (_, index) => `site-${String(index)}`)
+  const chunks = [bytes.toString('base64')]
+  return BlockTable.unpack({ siteNames, ipv4Count: count, ipv6Count: 0, chunks })
+}
+
+function nextMessage<Message>(child: ChildProcess): Promise<Message> {
+  return new Promise((resolve, reject) => {
+    child.once('message', (message) => {
+      resolve(message as Message)
+    })
+    child.once('exit', (code) => {
+      reject(new Error(`The measured process ended early with code ${String(code)}`))
+    })
+  })
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,7 +5,9 @@
 import { printReport } from './report.js'
 
 /** Loads a bench only when it is asked for, so that one bench's start-up cost is not part of another. */
-const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {}
+const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  control: async () => (await import('./controlBench.js')).runControlBench,
+}
 
 const DEFAULT_SEED = 20261204
 
--- /dev/null
+++ b/bench/straightLine.ts
@@ -0,0 +1,40 @@
+/** Straight line through measured points by least squares. */
+
+/** `y = intercept + slope · x`. */
+export interface StraightLine {
+  readonly slope: number
+  readonly intercept: number
+  /** Standard error of the slope. */
+  readonly slopeError: number
+  /** Largest distance of a point from the line, in the unit of y. */
+  readonly largestResidual: number
+  /** Share of the variance that the line explains, 0 to 1. */
+  readonly rSquared: number
+}
+
+/** A measured point. */
+export interface Point {
+  readonly x: number
+  readonly y: number
+}
+
+/** Fits at least three points with different x. */
+export function fitStraightLine(points: readonly Point[]): StraightLine {
+  const count = points.length
+  const meanX = points.reduce((sum, { x }) => sum + x, 0) / count
+  const meanY = points.reduce((sum, { y }) => sum + y, 0) / count
+  const sumXX = points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0)
+  const sumXY = points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0)
+  const sumYY = points.reduce((sum, { y }) => sum + (y - meanY) ** 2, 0)
+  const slope = sumXY / sumXX
+  const intercept = meanY - slope * meanX
+  const residuals = points.map(({ x, y }) => y - intercept - slope * x)
+  const squares = residuals.reduce((sum, residual) => sum + residual ** 2, 0)
+  return {
+    slope,
+    intercept,
+    slopeError: Math.sqrt(squares / Math.max(1, count - 2) / sumXX),
+    largestResidual: Math.max(...residuals.map(Math.abs)),
+    rSquared: sumYY === 0 ? 1 : 1 - squares / sumYY,
+  }
+}
