--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,8 @@
 /** Loads a bench only when it is asked for, so that one bench's start-up cost is not part of another. */
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
   control: async () => (await import('./controlBench.js')).runControlBench,
+  dispatch: async () => (await import('./dispatchBench.js')).runDispatchBench,
+  drain: async () => (await import('./drainBench.js')).runDrainBench,
 }
 
 const DEFAULT_SEED = 20261204
--- a/src/lookup/lookupServer.ts
+++ b/src/lookup/lookupServer.ts
@@ -4,10 +4,12 @@
 import { server as createHapiServer } from '@hapi/hapi'
 import type { Clock } from '../common/clock.js'
 import { OUTCOME_HEADER, Outcome } from '../common/headers.js'
+import { closeListener } from '../common/httpListenerClose.js'
 import type { Logger } from '../common/logger.js'
 import type { Metrics } from '../common/metrics.js'
 import type { ConfigurationView } from '../configuration/view.js'
 import type { OperationPrefixCodec } from '../operations/operationPrefix.js'
+import type { GatewayDirectory } from './gatewayDirectory.js'
 import type { Placement, Placer } from './placement.js'
 import { LookupError, LookupErrorKind } from './placement.js'
 
@@ -49,6 +51,7 @@
 /** What the server uses. */
 export interface LookupServerParts {
   readonly placer: Placer
+  readonly directory: GatewayDirectory
   readonly configuration: ConfigurationView
   readonly codec: OperationPrefixCodec
   readonly clock: Clock
@@ -59,6 +62,8 @@
 /** New operations are accepted for this long after the answer expired, in milliseconds. */
 const ACCEPT_GRACE_MS = 2000
 const RETRY = { maxAttempts: 3, delayMs: 50 }
+/** Time that accepted connections get to send their request when the server stops. */
+const CONNECTION_GRACE_MS = 1000
 const MAX_NAME_LENGTH = 128
 const MS_PER_SECOND = 1000
 
@@ -108,6 +113,8 @@
 
   /** Stops accepting and waits up to `timeoutMs` for requests in progress. */
   async stop(timeoutMs: number): Promise<void> {
+    this.#isLeaving = true
+    await closeListener(this.#hapi.listener, Math.min(timeoutMs, CONNECTION_GRACE_MS))
     await this.#hapi.stop({ timeout: timeoutMs })
   }
 
@@ -206,7 +213,8 @@
 
   #health(toolkit: ResponseToolkit): ResponseObject {
     const revision = this.#parts.configuration.current()?.revision
-    const canSteer = revision !== undefined && !this.#isLeaving
+    const canSteer =
+      revision !== undefined && this.#parts.directory.hasAnyGateway() && !this.#isLeaving
     return toolkit
       .response({ canSteer, isLeaving: this.#isLeaving, revision: revision ?? null })
       .code(canSteer ? 200 : 503)
--- a/src/slots/dispatchOptions.ts
+++ b/src/slots/dispatchOptions.ts
@@ -13,12 +13,21 @@
   readonly random: () => number
   readonly ownershipUnit: OwnershipUnit
   readonly pace: PaceOptions
-  /** Owners asked at once when none is known to have a free slot. */
+  /** Owners that a request waits at. */
   readonly ownersAsked: number
-  /** Bound on the owners that one request waits at. */
+  /** Only this many of the oldest waiting requests ask other owners; bounds calls under overload. */
+  readonly maxBorrowers: number
+  /** Bound on the owners that one request asks. */
   readonly maxOwnersAsked: number
+  /**
+   * A remote waiter counts as this much younger. A lent slot is idle while grant and return
+   * travel; without this, every slot was lent under overload and throughput fell below the load.
+   */
+  readonly remoteHandicapMs: number
   /** A hint of free slots counts for this long. */
   readonly hintMaxAgeMs: number
+  /** A borrowed slot may serve further waiting requests for this long after the grant. */
+  readonly maxLoanReuseMs: number
   /** An owner that refused a connection is not asked again for this long. */
   readonly ownerDownMs: number
   /** Wait until a request takes a slot of a slow worker. */
@@ -44,8 +53,11 @@
   ownershipUnit: OwnershipUnit.Slot,
   pace: DEFAULT_PACE_OPTIONS,
   ownersAsked: 2,
+  maxBorrowers: 4,
   maxOwnersAsked: 8,
+  remoteHandicapMs: 30,
   hintMaxAgeMs: 500,
+  maxLoanReuseMs: 100,
   ownerDownMs: 500,
   slowSlotWaitMs: 20,
   beyondSlotWaitMs: 30,
