feat(slots): own slots per worker; hedge requests on workers judged slow

Cause of the tail: short requests that run on a worker when its slow phase begins. A second attempt goes onto a free slot, own or of an owner that stated one, only if the worker is judged slow, and for two usual times only: a request that is long by itself would occupy a second slot for nothing.

Owning all slots of a worker lets one gateway see all its requests, so a long request is told from a slow worker more often.

--- a/src/slots/__tests__/gatewayNetwork.ts
+++ b/src/slots/__tests__/gatewayNetwork.ts
@@ -129,7 +129,7 @@
       this.membership.viewOf(id),
       this.leaving,
       this.#rpcOf(id),
-      { clock: () => this.nowMs, tickMs: 60_000, ...options },
+      { clock: () => this.nowMs, tickMs: 60_000, idleTickMs: 60_000, ...options },
     )
     dispatcher.registerMethods(registry)
     dispatcher.start()
--- a/src/slots/dispatchOptions.ts
+++ b/src/slots/dispatchOptions.ts
@@ -38,19 +38,28 @@
   readonly beyondSlotMaxQueue: number
   /** Attempts beyond the slots in flight per service. */
   readonly beyondSlotMaxInFlight: number
+  /** Hedges per request of a service at most, as a long-term share. */
+  readonly hedgeShare: number
+  /** A request on a slow worker is hedged after this many usual times. */
+  readonly hedgeAgeFactor: number
+  /** A second attempt is cancelled after this many usual times. */
+  readonly hedgeLimitFactor: number
   /** Time that a slot stays unused after its worker refused a request. */
   readonly shedBlockMs: number
   /** A hold ends by itself this long after the deadline of its request. */
   readonly holdGraceMs: number
   readonly callTimeoutMs: number
   readonly maxCallsPerPeer: number
+  /** Interval of the periodic work while requests wait. */
   readonly tickMs: number
+  /** Interval of the periodic work otherwise. */
+  readonly idleTickMs: number
 }
 
 export const DEFAULT_DISPATCH_OPTIONS: DispatchOptions = {
   clock: systemClock,
   random: Math.random,
-  ownershipUnit: OwnershipUnit.Slot,
+  ownershipUnit: OwnershipUnit.Worker,
   pace: DEFAULT_PACE_OPTIONS,
   ownersAsked: 2,
   maxBorrowers: 4,
@@ -63,9 +72,13 @@
   beyondSlotWaitMs: 30,
   beyondSlotMaxQueue: 2,
   beyondSlotMaxInFlight: 1,
+  hedgeShare: 0.02,
+  hedgeAgeFactor: 1.5,
+  hedgeLimitFactor: 2,
   shedBlockMs: 10,
   holdGraceMs: 1000,
   callTimeoutMs: 500,
   maxCallsPerPeer: 4,
   tickMs: 5,
+  idleTickMs: 20,
 }
--- a/src/slots/localDispatch.ts
+++ b/src/slots/localDispatch.ts
@@ -5,6 +5,7 @@
 import { BeyondSlots } from './beyondSlots.js'
 import type { MutableCounters } from './dispatchCounters.js'
 import type { DispatchOptions } from './dispatchOptions.js'
+import type { OwnGrantFactory } from './localWaiter.js'
 import { LocalWaiter } from './localWaiter.js'
 import { expectedWaitMs, isDeadlineUnreachable } from './requestQueue.js'
 import type { ServiceSlots } from './serviceSlots.js'
@@ -66,16 +67,21 @@
     return waiter.settled
   }
 
-  /** Grants a free own slot of a worker that is not slow, or nothing. */
-  acquireFree(
+  /**
+   * Grants a free slot of a worker that is not slow, own or of an owner that
+   * stated free ones, or refuses. Never waits and never overtakes a waiter.
+   */
+  takeFree(
     request: SlotRequest,
     service: ServiceSlots,
     nowMs: number,
   ): Promise<Result<SlotGrant, SlotError>> {
-    const waiter = this.#newWaiter(request, service, nowMs)
-    const isFree = service.queue.length === 0 && service.freeNormal(nowMs) > 0
-    if (isFree && service.tryGrant(waiter, nowMs)) return waiter.settled
-    return Promise.resolve(Err(slotErrors.queueFull(request.service, 0)))
+    const waiter = this.#newWaiter(request, service, nowMs, false)
+    const isOwnFree = service.queue.length === 0 && service.freeNormal(nowMs) > 0
+    if (isOwnFree && service.tryGrant(waiter, nowMs)) return waiter.settled
+    const isAsking = this.#parts.borrowing().ask(waiter, service, nowMs)
+    if (!isAsking) waiter.refuse(slotErrors.queueFull(request.service, 0))
+    return waiter.settled
   }
 
   /** Grants a borrowed slot to its waiter. */
@@ -141,10 +147,15 @@
     }
   }
 
-  #newWaiter(request: SlotRequest, service: ServiceSlots, nowMs: number): LocalWaiter {
-    return new LocalWaiter(request, DEFAULT_PRIORITY, nowMs, (waiter, slot, hold, reason) =>
-      this.#ownGrant(waiter, service, slot, hold, reason),
-    )
+  #newWaiter(
+    request: SlotRequest,
+    service: ServiceSlots,
+    nowMs: number,
+    mayWait = true,
+  ): LocalWaiter {
+    const makeGrant: OwnGrantFactory = (waiter, slot, hold, reason) =>
+      this.#ownGrant(waiter, service, slot, hold, reason)
+    return new LocalWaiter(request, DEFAULT_PRIORITY, nowMs, makeGrant, mayWait)
   }
 
   #refusalOf(request: SlotRequest, service: ServiceSlots, nowMs: number): SlotError | undefined {
--- a/src/slots/localWaiter.ts
+++ b/src/slots/localWaiter.ts
@@ -25,8 +25,8 @@
   readonly askedOwners = new Set<string>()
   /** Borrow requests whose call is still in flight. */
   unansweredCalls = 0
-  /** Owners that answered that they have no free slot. */
-  busyOwners = 0
+  /** False: takes a slot only if one is free now; for second attempts. */
+  readonly mayWait: boolean
   readonly settled: Promise<Result<SlotGrant, SlotError>>
   readonly #makeGrant: OwnGrantFactory
   #resolve: ((result: Result<SlotGrant, SlotError>) => void) | undefined
@@ -36,11 +36,13 @@
     priority: number,
     arrivedAtMs: number,
     makeGrant: OwnGrantFactory,
+    mayWait = true,
   ) {
     this.request = request
     this.priority = priority
     this.arrivedAtMs = arrivedAtMs
     this.#makeGrant = makeGrant
+    this.mayWait = mayWait
     this.settled = new Promise((resolve) => {
       this.#resolve = resolve
     })
--- a/src/slots/slotBorrowing.ts
+++ b/src/slots/slotBorrowing.ts
@@ -7,6 +7,7 @@
 import type { ServiceSlots } from './serviceSlots.js'
 import type { MailboxPeer } from './slotMailbox.js'
 import type { BorrowMessage, GrantMessage, SlotMessage } from './slotMessages.js'
+import { slotErrors } from './slotErrors.js'
 import { SlotMessageKind } from './slotMessages.js'
 import { SlotUse } from './slotSource.js'
 import type { SendMessage } from './slotLending.js'
@@ -140,7 +141,6 @@
   answered(message: BorrowMessage, nowMs: number): void {
     const borrow = this.#borrows.get(message.borrowId)
     if (borrow === undefined) return
-    borrow.waiter.busyOwners += 1
     if (!message.mayWait) this.#drop(message.borrowId)
     this.#callEnded(borrow, nowMs)
   }
@@ -165,7 +165,9 @@
     if (!borrow.isAnswered) waiter.unansweredCalls -= 1
     borrow.isAnswered = true
     if (!waiter.isWaiting || waiter.unansweredCalls > 0) return
-    this.ask(waiter, borrow.service, nowMs)
+    const isAsking = this.ask(waiter, borrow.service, nowMs)
+    if (isAsking || waiter.mayWait) return
+    waiter.refuse(slotErrors.queueFull(borrow.service.assignment.record.name, 0))
   }
 
   #drop(borrowId: string): Borrow | undefined {
@@ -178,7 +180,7 @@
   #askOwner(waiter: LocalWaiter, service: ServiceSlots, peer: MailboxPeer, nowMs: number): void {
     const borrowId = this.#newBorrowId()
     this.#borrows.set(borrowId, { waiter, service, peer, isAnswered: false })
-    const mayWait = waiter.borrows.size < this.#options.ownersAsked
+    const mayWait = waiter.mayWait && waiter.borrows.size < this.#options.ownersAsked
     waiter.borrows.set(borrowId, peer)
     waiter.askedOwners.add(peer.memberId)
     waiter.unansweredCalls += 1
@@ -206,7 +208,9 @@
         return { peer, free, rank: free + this.#options.random() }
       })
       .sort((left, right) => right.rank - left.rank)
-    const waitable = Math.max(0, this.#options.ownersAsked - waiter.borrows.size)
+    const waitable = waiter.mayWait
+      ? Math.max(0, this.#options.ownersAsked - waiter.borrows.size)
+      : 0
     const count = (ranked[0]?.free ?? 0) >= 1 ? 1 : waitable
     return ranked.slice(0, count).map(({ peer }) => peer)
   }
--- a/src/slots/slotDispatcher.ts
+++ b/src/slots/slotDispatcher.ts
@@ -9,6 +9,7 @@
 import { newCounters } from './dispatchCounters.js'
 import type { DispatchOptions } from './dispatchOptions.js'
 import { DEFAULT_DISPATCH_OPTIONS } from './dispatchOptions.js'
+import { HedgeWatch } from './hedgeWatch.js'
 import { LocalDispatch } from './localDispatch.js'
 import { ServiceSlots } from './serviceSlots.js'
 import { SlotAssignments } from './slotAssignments.js'
@@ -33,8 +34,10 @@
   readonly #lending: SlotLending
   readonly #borrowing: SlotBorrowing
   readonly #local: LocalDispatch
+  readonly #hedges: HedgeWatch
   readonly #subscriptions: (() => void)[] = []
   #timer: NodeJS.Timeout | undefined
+  #soonTimer: NodeJS.Timeout | undefined
   #gatewayFingerprint = ''
   #nextId = 0
 
@@ -65,6 +68,7 @@
       borrowing: () => this.#borrowing,
       newId,
     })
+    this.#hedges = new HedgeWatch(this.#options, this.#local.takeFree.bind(this.#local))
     this.#lending = new SlotLending(
       this.#services,
       membership,
@@ -100,7 +104,7 @@
     )
     this.#timer = setInterval(() => {
       this.tick(clock())
-    }, this.#options.tickMs)
+    }, this.#options.idleTickMs)
     this.#timer.unref()
   }
 
@@ -108,10 +112,12 @@
   stop(): void {
     for (const unsubscribe of this.#subscriptions.splice(0)) unsubscribe()
     clearInterval(this.#timer)
+    clearTimeout(this.#soonTimer)
     this.#timer = undefined
     for (const service of this.#services.values()) {
       this.#local.refuseAll(service, slotErrors.cancelled(), this.#options.clock())
     }
+    this.#hedges.stop()
     this.#exchange.stop()
   }
 
@@ -122,18 +128,36 @@
       this.#counters.refused += 1
       return Promise.resolve(Err(slotErrors.noBackendServer(request.service)))
     }
-    return this.#local.acquire(request, service, nowMs)
+    const settled = this.#local.acquire(request, service, nowMs)
+    if (service.queue.length > 0) this.#tickSoon()
+    return settled
   }
 
   /**
-   * Grants a free own slot of a worker that is not slow, or refuses at once.
-   * Never borrows and never overtakes a waiter; for hedged attempts.
+   * Waits until an idempotent request that runs under `running` needs a second
+   * attempt, and grants a free slot for it. The second attempt never waits in
+   * the queue, and its share of all requests is bounded. Abort the signal when
+   * the first attempt ends; the loser is released as `SlotUse.Cancelled`.
    */
-  acquireFree(request: SlotRequest, nowMs: number): Promise<Result<SlotGrant, SlotError>> {
+  acquireHedge(
+    request: SlotRequest,
+    running: SlotGrant,
+    nowMs: number,
+  ): Promise<Result<SlotGrant, SlotError>> {
     const service = this.#services.get(request.service)
     return service === undefined
       ? Promise.resolve(Err(slotErrors.noBackendServer(request.service)))
-      : this.#local.acquireFree(request, service, nowMs)
+      : this.#hedges.watch(request, service, running.workerId, nowMs)
+  }
+
+  /**
+   * Time after which a second attempt should be cancelled, in milliseconds. It
+   * ran on a worker of normal speed for that long, so the request is long by
+   * itself, and both attempts would only double its work.
+   */
+  hedgeLimitMs(request: SlotRequest): number {
+    const usualMs = this.usualMs(request.service, request.requestClass) ?? 0
+    return this.#options.hedgeLimitFactor * usualMs
   }
 
   /** Usual time of a class in milliseconds, if known; the base of hedging delays. */
@@ -171,6 +195,18 @@
       service.pump(nowMs)
       this.#local.review(service, nowMs)
     }
+    this.#hedges.tick(nowMs)
+  }
+
+  /** Waits need a review every few milliseconds; an idle dispatcher would waste those wake-ups. */
+  #tickSoon(): void {
+    if (this.#timer === undefined) return
+    this.#soonTimer ??= setTimeout(() => {
+      this.#soonTimer = undefined
+      this.tick(this.#options.clock())
+      const isQueued = [...this.#services.values()].some((service) => service.queue.length > 0)
+      if (isQueued) this.#tickSoon()
+    }, this.#options.tickMs).unref()
   }
 
   #expireHolds(service: ServiceSlots, nowMs: number): void {
--- a/src/slots/workerPreference.ts
+++ b/src/slots/workerPreference.ts
@@ -18,8 +18,11 @@
   readonly slowHoldMs: number
 }
 
-/** Limits as section 8 of the design page has them. */
-export const DEFAULT_PACE_OPTIONS: PaceOptions = { lateFactor: 3, slowHoldMs: 50 }
+/**
+ * The factor is that of section 8 of the design page. The hold covers two usual times of a
+ * 40 ms service, so that a probe does not meet the same slow phase at once.
+ */
+export const DEFAULT_PACE_OPTIONS: PaceOptions = { lateFactor: 3, slowHoldMs: 100 }
 
 interface Running {
   readonly requestClass: string
