--- a/playground/gatewayCluster.ts
+++ b/playground/gatewayCluster.ts
@@ -227,7 +227,9 @@
       ),
       log: createLogger('gateway'),
       metrics: noMetrics,
-      onLeaving: (workerId) => this.#leaving.add(workerId),
+      onAnswer: (workerId, isLeaving) => {
+        if (isLeaving) this.#leaving.add(workerId)
+      },
       announceLeaving: () => {
         this.members.put({ ...membership.self(), state: MemberState.Leaving, version: 2 })
         return Promise.resolve()
--- /dev/null
+++ b/src/gateway/__tests__/localRun.spec.ts
@@ -0,0 +1,153 @@
+import { expect } from 'chai'
+import type { ExchangeResult, HeaderPair } from '../../common/exchange.js'
+import { BreakReason, ExchangeKind } from '../../common/exchange.js'
+import { NOT_STARTED_HEADER, Outcome } from '../../common/headers.js'
+import { noMetrics } from '../../common/metrics.js'
+import { Ok } from '../../common/results.js'
+import { createService } from '../../../playground/gatewayCluster.js'
+import type { SlotRequest } from '../../slots/slotSource.js'
+import { SlotUse } from '../../slots/slotSource.js'
+import { createDeadline } from '../deadline.js'
+import type { GatewayRequest } from '../exchange.js'
+import { LocalRunner } from '../localRun.js'
+import { RefusalKind } from '../refusals.js'
+import { RetryBudget } from '../retryBudget.js'
+
+const BROKEN: ExchangeResult = { kind: ExchangeKind.Broken, reason: BreakReason.Reset }
+const REFUSED: ExchangeResult = { kind: ExchangeKind.NotConnected, reason: BreakReason.Refused }
+
+function answered(status: number, headers: readonly HeaderPair[] = []): ExchangeResult {
+  return { kind: ExchangeKind.Answered, status, headers, body: Buffer.from('') }
+}
+
+/** A runner whose slots and attempts follow a script; time is moved by the script. */
+class Harness {
+  nowMs = 1000
+  /** Runs while the request waits for its slot. */
+  whileWaiting: () => void = () => undefined
+  readonly uses: SlotUse[] = []
+  readonly excluded: string[][] = []
+  readonly abort = new AbortController()
+  attempts = 0
+
+  async run(method: string, results: readonly ExchangeResult[]) {
+    const runner = new LocalRunner({
+      clock: () => this.nowMs,
+      slots: { acquire: (request) => this.#acquire(request) },
+      backend: {
+        attempt: () => {
+          this.attempts += 1
+          return Promise.resolve(results[this.attempts - 1] ?? BROKEN)
+        },
+      },
+      retryBudget: new RetryBudget(),
+      log: { decision: () => undefined, event: () => undefined },
+      metrics: noMetrics,
+      onAnswer: () => undefined,
+    })
+    const service = createService('reveals', {})
+    const { signal } = this.abort
+    return runner.run({ request: this.#request(method), service, revision: 1, signal })
+  }
+
+  #acquire(request: SlotRequest) {
+    this.excluded.push([...request.excludedWorkers])
+    this.whileWaiting()
+    const workerId = `w${String(this.excluded.length)}`
+    const release = (use: SlotUse): void => {
+      this.uses.push(use)
+    }
+    return Promise.resolve(Ok({ workerId, address: 'a:1', reason: 'test', release }))
+  }
+
+  #request(method: string): GatewayRequest {
+    return {
+      requestId: 'r',
+      service: 'reveals',
+      method,
+      target: '/letters/1',
+      headers: [],
+      body: Buffer.alloc(0),
+      operation: undefined,
+      deadline: createDeadline(this.nowMs, 1000, 100),
+      signal: this.abort.signal,
+    }
+  }
+}
+
+describe('LocalRunner', () => {
+  let harness: Harness
+
+  beforeEach(() => {
+    harness = new Harness()
+  })
+
+  it('sends nothing when the process was paused past the deadline during its wait', async () => {
+    harness.whileWaiting = () => {
+      harness.nowMs = 1901
+    }
+    const answer = await harness.run('POST', [answered(200)])
+    expect([answer.outcome, answer.reason]).to.deep.equal([
+      Outcome.NotRun,
+      RefusalKind.DeadlineUnreachable,
+    ])
+    expect(harness.attempts).to.equal(0)
+    expect(harness.uses).to.deep.equal([SlotUse.Unused])
+  })
+
+  it('gives the slot back unused when the caller went away during the wait', async () => {
+    harness.whileWaiting = () => {
+      harness.abort.abort()
+    }
+    const answer = await harness.run('POST', [answered(200)])
+    expect(answer.reason).to.equal(RefusalKind.Cancelled)
+    expect(harness.attempts).to.equal(0)
+    expect(harness.uses).to.deep.equal([SlotUse.Unused])
+  })
+
+  const shed = answered(503, [[NOT_STARTED_HEADER, 'true']])
+  const rows: readonly (readonly [
+    title: string,
+    method: string,
+    results: readonly ExchangeResult[],
+    outcome: Outcome,
+    attempts: number,
+  ])[] = [
+    ['a complete answer', 'POST', [answered(200)], Outcome.Ran, 1],
+    ["the service's own error", 'POST', [answered(500)], Outcome.Ran, 1],
+    ['a 503 without the contract header', 'POST', [answered(503)], Outcome.Ran, 1],
+    ['shed, then an answer', 'POST', [shed, answered(200)], Outcome.Ran, 2],
+    ['refused, then an answer', 'POST', [REFUSED, answered(200)], Outcome.Ran, 2],
+    ['refused everywhere', 'POST', [REFUSED, REFUSED, REFUSED, REFUSED], Outcome.NotRun, 4],
+    ['a break', 'POST', [BROKEN, answered(200)], Outcome.Unknown, 1],
+    ['shed, then a break', 'POST', [shed, BROKEN, answered(200)], Outcome.Unknown, 2],
+    ['a break of a read, then an answer', 'GET', [BROKEN, answered(200)], Outcome.Ran, 2],
+    [
+      'a break of a read, then only refusals',
+      'GET',
+      [BROKEN, shed, REFUSED, shed],
+      Outcome.Unknown,
+      4,
+    ],
+  ]
+  for (const [title, method, results, outcome, attempts] of rows) {
+    it(`reports "${outcome}" after ${title}`, async () => {
+      const answer = await harness.run(method, results)
+      expect([answer.outcome, harness.attempts]).to.deep.equal([outcome, attempts])
+      expect(harness.uses).to.have.length(attempts)
+    })
+  }
+
+  it('does not offer the same worker twice', async () => {
+    await harness.run('POST', [shed, shed, answered(200)])
+    expect(harness.excluded).to.deep.equal([[], ['w1'], ['w1', 'w2']])
+  })
+
+  it('does not retry once the deadline for sending has passed', async () => {
+    harness.whileWaiting = () => {
+      harness.nowMs += 500
+    }
+    const answer = await harness.run('GET', [BROKEN, answered(200)])
+    expect([answer.outcome, harness.attempts]).to.deep.equal([Outcome.Unknown, 1])
+  })
+})
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -19,7 +19,7 @@
 import { GatewayServer } from './gatewayServer.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { LinkBudget } from './linkBudget.js'
-import type { LeavingListener } from './localRun.js'
+import type { AnswerListener } from './localRun.js'
 import { LocalRunner } from './localRun.js'
 import { MovedTrafficBudget } from './movedTrafficBudget.js'
 import { Forwarding } from './ownerForwarding.js'
@@ -38,7 +38,7 @@
   readonly slots: SlotSource
   readonly log: Logger
   readonly metrics: Metrics
-  readonly onLeaving: LeavingListener
+  readonly onAnswer: AnswerListener
   /** Pushes this member's record as leaving. */
   announceLeaving(): Promise<void>
   /** Resolves once no slot of this gateway is lent; bounded by the deadlines of the loans. */
--- a/src/gateway/leavingWatch.ts
+++ b/src/gateway/leavingWatch.ts
@@ -30,17 +30,21 @@
 const READ_TIMEOUT_MS = 400
 /** Gateways that read one source; a second one covers the failure of the first. */
 const WATCHERS = 2
-const MIN_LIST_POLL_MS = 1000
+const MIN_LIST_POLL_MS = 250
 /**
  * Time per listed instance between two readings. An entry is about 150 bytes, so
  * that a reader spends at most 10 KB/s of its 21 KB/s on the list, whatever its length.
  */
 const LIST_POLL_MS_PER_ENTRY = 15
+/** Spreads the readings of the watchers, so that together they see a change sooner. */
+const JITTER = 0.3
 
 /** Periodic reader of the sources. */
 export class LeavingWatch {
   readonly #parts: LeavingWatchParts
   readonly #stop = new AbortController()
+  /** Time of the last answer of each worker to this gateway. */
+  readonly #answeredAtMs = new Map<string, number>()
   #unsubscribe: (() => void) | undefined
   #running: Promise<unknown> | undefined
 
@@ -64,6 +68,11 @@
     ])
   }
 
+  /** Notes an answer to a request; the worker says by its answers whether it is leaving. */
+  noteAnswer(workerId: string, nowMs: number): void {
+    this.#answeredAtMs.set(workerId, nowMs)
+  }
+
   async stop(): Promise<void> {
     this.#unsubscribe?.()
     this.#stop.abort()
@@ -72,7 +81,10 @@
 
   /** @param read returns the time until the next reading, ms */
   async #repeat(read: () => Promise<number>): Promise<void> {
-    while (!this.#stop.signal.aborted) await sleep(await read(), this.#stop.signal)
+    while (!this.#stop.signal.aborted) {
+      const spread = 1 - JITTER * Math.random()
+      await sleep((await read()) * spread, this.#stop.signal)
+    }
   }
 
   async #readInstances(): Promise<number> {
@@ -94,8 +106,9 @@
     }
   }
 
-  /** Workers of the region whose status this gateway reads. */
+  /** Workers of the region whose status this gateway reads: those without recent answers. */
   #watchedWorkers(): WorkerRecord[] {
+    const silentSinceMs = this.#parts.clock() - STATUS_POLL_MS
     const { membership, configuration, leaving } = this.#parts
     const { region } = membership.self()
     const gateways = this.#gatewayIds()
@@ -106,6 +119,7 @@
         (worker) =>
           worker.region === region &&
           !leaving.isLeaving(worker.workerId, worker.generation) &&
+          (this.#answeredAtMs.get(worker.workerId) ?? 0) < silentSinceMs &&
           this.#watches(worker.workerId, gateways),
       )
   }
--- a/src/gateway/localRun.ts
+++ b/src/gateway/localRun.ts
@@ -19,8 +19,8 @@
 /** Attempts of one request; more would hold its caller back from another entry instance. */
 const MAX_ATTEMPTS = 4
 
-/** Called when a backend server's own answer says that it is leaving. */
-export type LeavingListener = (workerId: string, address: string) => void
+/** Called with each answer of a backend server and whether it says that it is leaving. */
+export type AnswerListener = (workerId: string, isLeaving: boolean) => void
 
 /** What a local run needs. */
 export interface LocalRunParts {
@@ -30,7 +30,7 @@
   readonly retryBudget: RetryBudget
   readonly log: Logger
   readonly metrics: Metrics
-  readonly onLeaving: LeavingListener
+  readonly onAnswer: AnswerListener
 }
 
 /** A request with what the configuration says of it. */
@@ -136,7 +136,10 @@
     })
     const nowMs = this.#parts.clock()
     grant.release(slotUse(result), nowMs - sentAtMs, nowMs)
-    if (result.kind === ExchangeKind.Answered) this.#noteLeaving(grant, result)
+    if (result.kind === ExchangeKind.Answered) {
+      const isLeaving = headerOf(result.headers, LEAVING_HEADER) === 'true'
+      this.#parts.onAnswer(grant.workerId, isLeaving)
+    }
     this.#parts.log.decision('attempt', {
       requestId: request.requestId,
       attempt: progress.attempts,
@@ -151,12 +154,6 @@
     return result
   }
 
-  #noteLeaving(grant: SlotGrant, answer: HttpAnswer): void {
-    if (headerOf(answer.headers, LEAVING_HEADER) === 'true') {
-      this.#parts.onLeaving(grant.workerId, grant.address)
-    }
-  }
-
   #mayRetry(task: LocalTask, progress: Progress, execution: Execution): boolean {
     const { request, service } = task
     if (task.signal.aborted || progress.attempts >= MAX_ATTEMPTS) return false
--- a/src/gateway/runGatewayDaemon.ts
+++ b/src/gateway/runGatewayDaemon.ts
@@ -36,7 +36,7 @@
     instances: runtime.instanceList,
     status,
   })
-  const gateway = assemble(runtime, settings, leaving, slots)
+  const gateway = assemble(runtime, settings, leaving, slots, watch)
   runtime.exchange.addPayloadProvider(leavingPayload(leaving))
   push.registerMethods(runtime.methods)
   slots.registerMethods(runtime.methods)
@@ -72,6 +72,7 @@
   settings: GatewaySettings,
   leaving: LeavingRegistry,
   slots: SlotDispatcher,
+  watch: LeavingWatch,
 ): Gateway {
   return createGateway(
     {
@@ -84,8 +85,9 @@
       slots,
       log: createLogger('gateway'),
       metrics: runtime.metrics,
-      onLeaving: (workerId) => {
-        const generation = generationOf(runtime, workerId)
+      onAnswer: (workerId, isLeaving) => {
+        watch.noteAnswer(workerId, runtime.clock())
+        const generation = isLeaving ? generationOf(runtime, workerId) : undefined
         if (generation !== undefined) leaving.observeAnswer(workerId, generation)
       },
       // The runtime has announced it before it drains the gateway.
