--- a/playground/__tests__/localDeployment.spec.ts
+++ b/playground/__tests__/localDeployment.spec.ts
@@ -18,6 +18,9 @@
 /** Bound of the design for a change to be in force everywhere. */
 const IN_FORCE_LIMIT_MS = 4000
 const OBSERVATION_MS = 1500
+const REGION_LOSS_OBSERVATION_MS = 9000
+/** Detection of failed members, the callers' cache and one retry. */
+const LAST_REQUEST_LIMIT_MS = 7500
 
 /** One entry instance per region, so that the whole deployment is 9 processes. */
 function smallDeployment(): LocalDeployment['deployment'] {
@@ -226,6 +229,30 @@
     })
   })
 
+  describe('loss of a whole region', () => {
+    it('its callers are served by other regions or refused as not run, and no call stays open', async () => {
+      const region = local.deployment.entryInstances[1]?.region ?? ''
+      const lost = local.daemons.filter((daemon) => daemon.instance.region === region)
+      const lostAddresses = new Set(lost.map((daemon) => daemon.serviceAddress))
+      const killedMs = Date.now()
+      for (const daemon of lost) daemon.program.signal('SIGKILL')
+      await sleep(REGION_LOSS_OBSERVATION_MS)
+      const homeCalls = traffic.calls.filter(
+        (call) => call.homeRegion === region && call.startMs > killedMs,
+      )
+      const settled = homeCalls.filter((call) => call.report.outcome !== Outcome.Unknown)
+      expect(homeCalls.length, 'callers of the region went on').to.be.greaterThan(0)
+      expect(settled.length / homeCalls.length).to.be.greaterThan(0.95)
+      const lateTries = homeCalls
+        .flatMap((call) => call.report.tries)
+        .filter((tried) => lostAddresses.has(tried.address))
+        .map((tried) => tried.startMs - killedMs)
+      expect(Math.max(0, ...lateTries)).to.be.at.most(LAST_REQUEST_LIMIT_MS)
+      for (const daemon of lost) daemon.start()
+      await Promise.all(lost.map((daemon) => daemon.ready()))
+    })
+  })
+
   describe('graceful shutdown', () => {
     for (const role of Object.values(MemberRole)) {
       it(`of a ${role} daemon cuts nothing, also with a second signal`, async () => {
--- a/src/gateway/runGatewayDaemon.ts
+++ b/src/gateway/runGatewayDaemon.ts
@@ -83,14 +83,7 @@
   readonly watch: LeavingWatch
 }
 
-function assemble({
-  runtime,
-  settings,
-  leaving,
-  slots,
-  arrivals,
-  watch,
-}: GatewayParts): Gateway {
+function assemble({ runtime, settings, leaving, slots, arrivals, watch }: GatewayParts): Gateway {
   return createGateway(
     {
       clock: runtime.clock,
