feat(gateway): second attempts for repeatable requests on slow backend servers

Cause: a short request that is on a backend server when its slow phase begins waits for it, whatever the dispatcher decides later. The dispatcher's hedge watch was used by no gateway. An attempt that was cancelled counts as possibly run, so that a shed first attempt beside it is not reported as not run.

--- /dev/null
+++ b/src/gateway/__tests__/hedgedAttempt.spec.ts
@@ -0,0 +1,97 @@
+import { expect } from 'chai'
+import { sleep, systemClock } from '../../common/clock.js'
+import type { ExchangeResult } from '../../common/exchange.js'
+import { BreakReason, ExchangeKind } from '../../common/exchange.js'
+import { Err, Ok } from '../../common/results.js'
+import type { SlotGrant, SlotRequest } from '../../slots/slotSource.js'
+import { SlotError, SlotErrorKind } from '../../slots/slotSource.js'
+import type { HedgeSource } from '../hedgedAttempt.js'
+import { runHedged } from '../hedgedAttempt.js'
+
+interface Script {
+  readonly afterMs: number
+  readonly fails?: boolean
+}
+
+function grantOf(workerId: string): SlotGrant {
+  return { workerId, address: '127.0.0.1:1', reason: 'test', release: () => undefined }
+}
+
+function answerOf(workerId: string): ExchangeResult {
+  return { kind: ExchangeKind.Answered, status: 200, headers: [], body: Buffer.from(workerId) }
+}
+
+/** Runs a request whose attempts follow a script; returns the answering worker and who was cancelled. */
+async function play(
+  scripts: Readonly<Record<string, Script>>,
+  hedgeAfterMs: number | undefined,
+): Promise<{ answeredBy: string; cancelled: string[]; started: string[] }> {
+  const cancelled: string[] = []
+  const started: string[] = []
+  const request: SlotRequest = {
+    requestId: 'r',
+    service: 's',
+    requestClass: 's GET /',
+    deadlineMs: Number.MAX_SAFE_INTEGER,
+    excludedWorkers: new Set(),
+    signal: new AbortController().signal,
+  }
+  const hedges: HedgeSource = {
+    acquireHedge: async ({ signal }) => {
+      await sleep(hedgeAfterMs ?? 60_000, signal)
+      return signal.aborted
+        ? Err(new SlotError(SlotErrorKind.Cancelled, 'ended', 'none', 0))
+        : Ok(grantOf('second'))
+    },
+    hedgeLimitMs: () => 200,
+  }
+  const attempt = async (grant: SlotGrant, signal: AbortSignal): Promise<ExchangeResult> => {
+    started.push(grant.workerId)
+    const script = scripts[grant.workerId] ?? { afterMs: 0 }
+    await sleep(script.afterMs, signal)
+    if (signal.aborted) cancelled.push(grant.workerId)
+    const isBroken = signal.aborted || script.fails === true
+    const reason = signal.aborted ? BreakReason.Cancelled : BreakReason.TimedOut
+    return isBroken ? { kind: ExchangeKind.Broken, reason } : answerOf(grant.workerId)
+  }
+  const grant = grantOf('first')
+  const result = await runHedged({ hedges, clock: systemClock, request, grant, attempt })
+  await sleep(10)
+  const answeredBy = result.kind === ExchangeKind.Answered ? result.body.toString() : result.kind
+  return { answeredBy, cancelled, started }
+}
+
+describe('runHedged', () => {
+  it('makes no second attempt while the first one answers in time', async () => {
+    const played = await play({ first: { afterMs: 5 } }, undefined)
+    expect(played).to.deep.equal({ answeredBy: 'first', cancelled: [], started: ['first'] })
+  })
+
+  it('takes the second answer and cancels the first attempt, so that its slot is free again', async () => {
+    const played = await play({ first: { afterMs: 5000 }, second: { afterMs: 5 } }, 10)
+    expect(played.answeredBy).to.equal('second')
+    expect(played.cancelled).to.deep.equal(['first'])
+  })
+
+  it('cancels the second attempt when the first one answers', async () => {
+    const played = await play({ first: { afterMs: 40 }, second: { afterMs: 5000 } }, 10)
+    expect(played.answeredBy).to.equal('first')
+    expect(played.cancelled).to.deep.equal(['second'])
+  })
+
+  it('waits for the second attempt when the first one fails', async () => {
+    const scripts = { first: { afterMs: 30, fails: true }, second: { afterMs: 60 } }
+    expect((await play(scripts, 10)).answeredBy).to.equal('second')
+  })
+
+  it('reports the failure of the first attempt when both fail', async () => {
+    const scripts = { first: { afterMs: 30, fails: true }, second: { afterMs: 10, fails: true } }
+    expect((await play(scripts, 5)).answeredBy).to.equal(ExchangeKind.Broken)
+  })
+
+  it('cancels a second attempt that takes too long, because the request is long by itself', async () => {
+    const played = await play({ first: { afterMs: 400 }, second: { afterMs: 5000 } }, 10)
+    expect(played.answeredBy).to.equal('first')
+    expect(played.cancelled).to.deep.equal(['second'])
+  })
+})
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -19,6 +19,7 @@
 import { registerGatewayMethods } from './gatewayMethods.js'
 import { GatewayServer } from './gatewayServer.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import type { HedgeSource } from './hedgedAttempt.js'
 import { LinkBudget } from './linkBudget.js'
 import type { AnswerListener } from './localRun.js'
 import { LocalRunner } from './localRun.js'
@@ -37,6 +38,7 @@
   readonly rpc: RpcCaller
   readonly methods: RpcMethodRegistry
   readonly slots: SlotSource
+  readonly hedges?: HedgeSource
   readonly arrivals: ArrivalMeter
   readonly log: Logger
   readonly metrics: Metrics
--- a/src/gateway/localRun.ts
+++ b/src/gateway/localRun.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '../common/logger.js'
 import type { Metrics } from '../common/metrics.js'
 import type { ServiceRecord } from '../configuration/document.js'
-import type { SlotError, SlotGrant, SlotSource } from '../slots/slotSource.js'
+import type { SlotError, SlotGrant, SlotRequest, SlotSource } from '../slots/slotSource.js'
 import { SlotErrorKind, SlotUse } from '../slots/slotSource.js'
 import type { ExchangeResult, HttpAnswer } from '../common/exchange.js'
 import { BreakReason, ExchangeKind, headerOf } from '../common/exchange.js'
@@ -13,6 +13,8 @@
 import { maySend } from './deadline.js'
 import type { GatewayAnswer, GatewayRequest } from './exchange.js'
 import { endToEndAnswerHeaders } from './headerRules.js'
+import type { HedgeSource } from './hedgedAttempt.js'
+import { runHedged } from './hedgedAttempt.js'
 import { RefusalKind, refuse } from './refusals.js'
 import type { RetryBudget } from './retryBudget.js'
 
@@ -26,6 +28,8 @@
 export interface LocalRunParts {
   readonly clock: Clock
   readonly slots: SlotSource
+  /** Absent: no second attempts. */
+  readonly hedges?: HedgeSource
   readonly backend: BackendCaller
   readonly retryBudget: RetryBudget
   readonly log: Logger
@@ -77,12 +81,11 @@
         grant.val.release(SlotUse.Unused, 0, this.#parts.clock())
         return this.#giveUp(task, progress, refusal)
       }
-      const result = await this.#attempt(task, grant.val, progress)
+      const result = await this.#attemptOnceOrHedged(task, grant.val, progress)
       const execution = classify(result)
       if (result.kind === ExchangeKind.Answered && execution === Execution.Ran) {
         return relay(result, task.request.method)
       }
-      progress.maybeRan ||= execution === Execution.Possible
       progress.lastFailure = failureKind(result)
       progress.excludedWorkers.add(grant.val.workerId)
       if (!this.#mayRetry(task, progress, execution)) {
@@ -92,21 +95,10 @@
   }
 
   async #acquire(task: LocalTask, progress: Progress): ReturnType<SlotSource['acquire']> {
-    const { request, service } = task
     const startedAtMs = this.#parts.clock()
-    const grant = await this.#parts.slots.acquire(
-      {
-        requestId: request.requestId,
-        service: service.name,
-        requestClass: requestClass(service.name, request),
-        deadlineMs: request.deadline.sendByMs,
-        excludedWorkers: progress.excludedWorkers,
-        signal: task.signal,
-      },
-      startedAtMs,
-    )
+    const grant = await this.#parts.slots.acquire(slotRequest(task, progress), startedAtMs)
     this.#parts.metrics.timing('gateway.slot_wait', this.#parts.clock() - startedAtMs, {
-      service: service.name,
+      service: task.service.name,
     })
     return grant
   }
@@ -118,7 +110,31 @@
     return inTime ? undefined : RefusalKind.DeadlineUnreachable
   }
 
-  async #attempt(task: LocalTask, grant: SlotGrant, progress: Progress): Promise<ExchangeResult> {
+  #attemptOnceOrHedged(
+    task: LocalTask,
+    grant: SlotGrant,
+    progress: Progress,
+  ): Promise<ExchangeResult> {
+    const { hedges, clock } = this.#parts
+    const isRepeatable = task.service.idempotentMethods.includes(task.request.method)
+    if (hedges === undefined || !isRepeatable) {
+      return this.#attempt(task, grant, progress, task.signal)
+    }
+    return runHedged({
+      hedges,
+      clock,
+      request: slotRequest(task, progress),
+      grant,
+      attempt: (granted, signal) => this.#attempt(task, granted, progress, signal),
+    })
+  }
+
+  async #attempt(
+    task: LocalTask,
+    grant: SlotGrant,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<ExchangeResult> {
     const { request } = task
     progress.attempts += 1
     const attemptId = `${request.requestId}.${String(progress.attempts)}`
@@ -132,10 +148,12 @@
       body: request.body,
       deadlineMs: request.deadline.deadlineMs,
       maxAnswerBytes: task.service.maxResponseBytes,
-      signal: task.signal,
+      signal,
     })
     const nowMs = this.#parts.clock()
     grant.release(slotUse(result), nowMs - sentAtMs, nowMs)
+    // Each attempt counts: of two, the one that was cancelled may have run although the other was shed.
+    progress.maybeRan ||= classify(result) === Execution.Possible
     if (result.kind === ExchangeKind.Answered) {
       const isLeaving = headerOf(result.headers, LEAVING_HEADER) === 'true'
       this.#parts.onAnswer(grant.workerId, isLeaving)
@@ -183,6 +201,18 @@
   return `${service} ${request.method} ${path.split('/').slice(0, 3).join('/')}`
 }
 
+function slotRequest(task: LocalTask, progress: Progress): SlotRequest {
+  const { request, service, signal } = task
+  return {
+    requestId: request.requestId,
+    service: service.name,
+    requestClass: requestClass(service.name, request),
+    deadlineMs: request.deadline.sendByMs,
+    excludedWorkers: progress.excludedWorkers,
+    signal,
+  }
+}
+
 function relay(answer: HttpAnswer, method: string): GatewayAnswer {
   const length = headerOf(answer.headers, 'content-length')
   const headers = endToEndAnswerHeaders(answer.headers)
--- a/src/gateway/runGatewayDaemon.ts
+++ b/src/gateway/runGatewayDaemon.ts
@@ -93,6 +93,7 @@
       rpc: runtime.caller,
       methods: runtime.methods,
       slots,
+      hedges: slots,
       arrivals,
       log: createLogger('gateway'),
       metrics: runtime.metrics,
