feat(shift): keep load reports within the byte budget

Summaries ride on every fourth exchange only, aggregators are leaves of the spreading tree, and region aggregators are others than zone aggregators. Digests are computed once per change of the table.

--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -47,6 +47,7 @@
   readonly #listeners = new Set<() => void>()
   readonly #gatewayCounts = new Map<string, GatewayCountHistory>()
   #members: readonly Member[] | undefined
+  #digests: Readonly<Record<string, string>> | undefined
   #lastTickMs: number | undefined
 
   constructor(self: MemberRecord) {
@@ -172,6 +173,11 @@
 
   /** Digest per region of the records that this process shares. */
   digests(): Readonly<Record<string, string>> {
+    this.#digests ??= this.#computeDigests()
+    return this.#digests
+  }
+
+  #computeDigests(): Readonly<Record<string, string>> {
     const byRegion = new Map<string, MemberRecord[]>()
     for (const record of this.#shared()) {
       const records = byRegion.get(record.region) ?? []
@@ -270,6 +276,7 @@
 
   #changed(nowMs: number): void {
     this.#members = undefined
+    this.#digests = undefined
     this.#recordGatewayCounts(nowMs)
     for (const listener of this.#listeners) listener()
   }
--- a/src/shift/loadAggregation.ts
+++ b/src/shift/loadAggregation.ts
@@ -111,8 +111,7 @@
       measuredAtMs: nowMs,
       services: load.map(packService),
     }
-    const gateways = this.#gateways().filter(({ zone }) => zone === self.zone)
-    const [aggregator] = rendezvousOrder(`load/${self.zone}`, gateways, ({ memberId }) => memberId)
+    const aggregator = this.#zoneAggregators(self.region).get(self.zone)
     await this.#send(aggregator, LoadMethod.ReportGateway, report, this.#gatewayReports)
   }
 
@@ -185,7 +184,17 @@
       .members()
       .filter((member) => member.region === region && member.health === MemberHealth.Alive)
     const key = `spread/${String(request.round)}/${request.summary[0]}`
-    return rendezvousOrder(key, peers, ({ memberId }) => memberId)
+    const order = rendezvousOrder(key, peers, ({ memberId }) => memberId)
+    // Aggregators already receive the reports of others, so they are leaves of the tree.
+    const aggregators = [
+      ...this.#regionAggregators(region),
+      ...this.#zoneAggregators(region).values(),
+    ]
+    const busy = new Set(aggregators.map(({ memberId }) => memberId))
+    return [
+      ...order.filter(({ memberId }) => !busy.has(memberId)),
+      ...order.filter(({ memberId }) => busy.has(memberId)),
+    ]
   }
 
   #mergeReports(
@@ -224,9 +233,26 @@
       )
   }
 
+  /** The aggregators of all zones of a region, by zone. */
+  #zoneAggregators(region: string): ReadonlyMap<string, Member> {
+    const gateways = this.#gatewaysOf(region)
+    const aggregators = new Map<string, Member>()
+    for (const { zone } of gateways) {
+      if (aggregators.has(zone)) continue
+      const candidates = gateways.filter((member) => member.zone === zone)
+      const [first] = rendezvousOrder(`load/${zone}`, candidates, ({ memberId }) => memberId)
+      if (first !== undefined) aggregators.set(zone, first)
+    }
+    return aggregators
+  }
+
+  /** Others than the zones' aggregators where there are enough, because each role costs calls. */
   #regionAggregators(region: string): readonly Member[] {
+    const ofZones = new Set([...this.#zoneAggregators(region).values()])
     const gateways = this.#gatewaysOf(region)
-    return rendezvousOrder(`load/${region}`, gateways, ({ memberId }) => memberId).slice(
+    const free = gateways.filter((member) => !ofZones.has(member))
+    const candidates = free.length >= REGION_AGGREGATORS ? free : gateways
+    return rendezvousOrder(`load/${region}`, candidates, ({ memberId }) => memberId).slice(
       0,
       REGION_AGGREGATORS,
     )
--- a/src/shift/regionLoadTable.ts
+++ b/src/shift/regionLoadTable.ts
@@ -28,10 +28,13 @@
 /** Summaries are passed on for this long, so that processes that start late learn the last values. */
 const SHARE_MAX_AGE_MS = 60_000
 
+const EXCHANGES_PER_PAYLOAD = 4
+
 /** {@link RegionLoadView} over the newest summary of each region. */
 export class RegionLoadTable implements RegionLoadView {
   /** Name of the payload on the membership exchange. */
   readonly name = 'regionLoad'
+  #exchanges = 0
   readonly #summaries = new Map<string, RegionSummary>()
   /** Highest home rates while the home region itself reported, by `<service>@<region>`. */
   readonly #lastHomeRates = new Map<string, number>()
@@ -63,7 +66,13 @@
     return this.#summaries.get(region)?.measuredAtMs
   }
 
+  /**
+   * Summaries for an exchange, on every fourth one: the tree of {@link LoadAggregation} is the
+   * usual way, and the exchange only reaches processes that the tree misses.
+   */
   collect(nowMs: number): unknown {
+    this.#exchanges = (this.#exchanges + 1) % EXCHANGES_PER_PAYLOAD
+    if (this.#exchanges !== 0) return undefined
     const summaries = this.summaries(nowMs)
     return summaries.length === 0 ? undefined : summaries.map(packSummary)
   }
