--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -13,13 +13,14 @@
 import { OperationPrefixCodec } from '../operations/operationPrefix.js'
 import type { RegionLoadView } from '../shift/regionLoad.js'
 import type { SlotSource } from '../slots/slotSource.js'
+import type { ArrivalMeter } from './arrivalMeter.js'
 import { HttpBackendClient } from './backendClient.js'
 import type { GatewayAnswer } from './exchange.js'
 import { registerGatewayMethods } from './gatewayMethods.js'
 import { GatewayServer } from './gatewayServer.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { LinkBudget } from './linkBudget.js'
-import type { LeavingListener } from './localRun.js'
+import type { AnswerListener } from './localRun.js'
 import { LocalRunner } from './localRun.js'
 import { MovedTrafficBudget } from './movedTrafficBudget.js'
 import { Forwarding } from './ownerForwarding.js'
@@ -36,9 +37,10 @@
   readonly rpc: RpcCaller
   readonly methods: RpcMethodRegistry
   readonly slots: SlotSource
+  readonly arrivals: ArrivalMeter
   readonly log: Logger
   readonly metrics: Metrics
-  readonly onLeaving: LeavingListener
+  readonly onAnswer: AnswerListener
   /** Pushes this member's record as leaving. */
   announceLeaving(): Promise<void>
   /** Resolves once no slot of this gateway is lent; bounded by the deadlines of the loans. */
