fix(gateway): close connections only after a quiet period

The gateway now waits until no request arrived for 250 ms.

rpcClient counts a call as not sent only if connecting failed: an established connection can fail with EHOSTUNREACH after the call was sent.

--- a/src/common/rpcClient.ts
+++ b/src/common/rpcClient.ts
@@ -104,8 +104,11 @@
 
 function classifyFailure(address: string, error: unknown): RpcError {
   // Wreck wraps failures into Boom errors that keep the socket's error code.
-  const boom = error as { code?: string; output?: { statusCode?: number } }
-  if (boom.code !== undefined && NOT_SENT_CODES.has(boom.code)) return notSent(address, boom.code)
+  const boom = error as { code?: string; syscall?: string; output?: { statusCode?: number } }
+  // An established connection can fail with some of these codes too, after the call was sent.
+  if (boom.syscall === 'connect' && boom.code !== undefined && NOT_SENT_CODES.has(boom.code)) {
+    return notSent(address, boom.code)
+  }
   if (boom.output?.statusCode === 504) {
     return new RpcError(
       RpcErrorKind.TimedOut,
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -60,6 +60,12 @@
 }
 
 const POLL_MS = 20
+/**
+ * Connections are closed only after no request arrived for this long. A caller may
+ * send at the very end of its cached answer, and a connection that is closed while
+ * its request is on the way looks to the caller like a request that was cut.
+ */
+const QUIET_MS = 250
 const REQUEST_ID_PREFIX_LENGTH = 8
 
 /** A running gateway without the parts that all daemons share. */
@@ -128,7 +134,13 @@
 
   /** Every request ends by its deadline, so that the wait is bounded. */
   async #untilIdle(latestMs: number): Promise<void> {
-    while (this.#executor.inFlight > 0 && this.#node.clock() < latestMs) await sleep(POLL_MS)
+    const { clock } = this.#node
+    const startedAtMs = clock()
+    const isQuiet = (): boolean => {
+      const sinceMs = Math.max(startedAtMs, this.#executor.lastArrivalMs)
+      return this.#executor.inFlight === 0 && clock() - sinceMs >= QUIET_MS
+    }
+    while (!isQuiet() && clock() < latestMs) await sleep(POLL_MS)
   }
 }
 
--- a/src/gateway/requestExecutor.ts
+++ b/src/gateway/requestExecutor.ts
@@ -61,6 +61,7 @@
 export class RequestExecutor {
   readonly #parts: RequestExecutorParts
   #inFlight = 0
+  #lastArrivalMs = Number.NEGATIVE_INFINITY
   #refusesNew = false
 
   constructor(parts: RequestExecutorParts) {
@@ -72,6 +73,11 @@
     return this.#inFlight
   }
 
+  /** When the latest request arrived, milliseconds since the epoch. */
+  get lastArrivalMs(): number {
+    return this.#lastArrivalMs
+  }
+
   /**
    * Refuses what would start a new run from now on. Kept outcomes and runs in
    * flight can still be asked for.
@@ -84,6 +90,7 @@
   async execute(request: GatewayRequest, arrival: Arrival): Promise<GatewayAnswer> {
     this.#inFlight += 1
     const startedAtMs = this.#parts.clock()
+    this.#lastArrivalMs = startedAtMs
     try {
       const answer = await this.#route(request, arrival)
       this.#report(request, arrival, answer, this.#parts.clock() - startedAtMs)
