--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,7 +6,12 @@
 
 /** Loads a bench only when it is asked for, so that one bench's start-up cost is not part of another. */
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  control: async () => (await import('./controlBench.js')).runControlBench,
+  dispatch: async () => (await import('./dispatchBench.js')).runDispatchBench,
   drain: async () => (await import('./drainBench.js')).runDrainBench,
+  failover: async () => (await import('./failoverBench.js')).runFailoverBench,
+  lookup: async () => (await import('./lookupBench.js')).runLookupBench,
+  shift: async () => (await import('./shiftBench.js')).runShiftBench,
 }
 
 const DEFAULT_SEED = 20261204
--- a/src/gateway/runGatewayDaemon.ts
+++ b/src/gateway/runGatewayDaemon.ts
@@ -8,6 +8,7 @@
 import { MemberRole } from '../membership/memberRecord.js'
 import { HttpBackendStatusSource } from '../platform/httpBackendStatus.js'
 import { SlotDispatcher } from '../slots/index.js'
+import { ArrivalMeter, summarizeLoad } from './arrivalMeter.js'
 import type { Gateway } from './gatewayDaemon.js'
 import { createGateway } from './gatewayDaemon.js'
 import type { GatewaySettings } from './gatewaySettings.js'
@@ -23,7 +24,12 @@
 
 /** Assembles the daemon. */
 export function createGatewayDaemon(settings: GatewaySettings): Daemon {
-  const runtime = new NodeRuntime({ role: MemberRole.Gateway, settings })
+  const arrivals = new ArrivalMeter()
+  const runtime = new NodeRuntime({
+    role: MemberRole.Gateway,
+    settings,
+    ownLoad: (nowMs) => summarizeLoad(arrivals, slots.loads(nowMs), nowMs),
+  })
   const leaving = new LeavingRegistry()
   const push = new LeavingPush(leaving, runtime.members, runtime.caller)
   const slots = createSlots(runtime, leaving)
@@ -36,7 +42,7 @@
     instances: runtime.instanceList,
     status,
   })
-  const gateway = assemble(runtime, settings, leaving, slots, watch)
+  const gateway = assemble({ runtime, settings, leaving, slots, arrivals, watch })
   runtime.exchange.addPayloadProvider(leavingPayload(leaving))
   push.registerMethods(runtime.methods)
   slots.registerMethods(runtime.methods)
@@ -67,13 +73,17 @@
   })
 }
 
-function assemble(
-  runtime: NodeRuntime,
-  settings: GatewaySettings,
-  leaving: LeavingRegistry,
-  slots: SlotDispatcher,
-  watch: LeavingWatch,
-): Gateway {
+/** What {@link assemble} connects. */
+interface GatewayParts {
+  readonly runtime: NodeRuntime
+  readonly settings: GatewaySettings
+  readonly leaving: LeavingRegistry
+  readonly slots: SlotDispatcher
+  readonly arrivals: ArrivalMeter
+  readonly watch: LeavingWatch
+}
+
+function assemble({ runtime, settings, leaving, slots, arrivals, watch }: GatewayParts): Gateway {
   return createGateway(
     {
       clock: runtime.clock,
@@ -83,6 +93,7 @@
       rpc: runtime.caller,
       methods: runtime.methods,
       slots,
+      arrivals,
       log: createLogger('gateway'),
       metrics: runtime.metrics,
       onAnswer: (workerId, isLeaving) => {
