fix(membership): fail a member whose address refuses connections at once

Cause: callers of a region whose daemons were all killed were sent to its gateways for the whole time of a refutation, 3 s after the suspicion, and look-up daemons of other regions probed those gateways only by chance. Ruled out: a shorter time for every suspicion, which would fail paused processes; dropping suspected gateways where no other is left, which would move a region's callers on one lost probe. Now a refused connection ends the time for a refutation, and a look-up daemon probes the gateways that it named within the last 10 s.

--- a/src/common/rpc.ts
+++ b/src/common/rpc.ts
@@ -16,23 +16,28 @@
   Remote = 'rpcRemote',
 }
 
+/** What is known of a failure besides its kind. */
+export interface RpcErrorCause {
+  readonly remote?: ErrorDetails
+  readonly statusCode?: number
+  readonly isRefused?: boolean
+}
+
 /** Failure of a call between processes. */
 export class RpcError extends SteeringError<RpcErrorKind> {
   /** The other side's typed error, for kind `Remote`. */
   readonly remote: ErrorDetails | undefined
   /** HTTP status of the answer, for kind `Broken` with an answer other than 200. */
   readonly statusCode: number | undefined
+  /** True if the address refused the connection: its host answers, but no process listens. */
+  readonly isRefused: boolean
 
-  constructor(
-    kind: RpcErrorKind,
-    problem: string,
-    remedy: string,
-    remote?: ErrorDetails,
-    statusCode?: number,
-  ) {
+  constructor(kind: RpcErrorKind, problem: string, remedy: string, cause: RpcErrorCause = {}) {
+    const { remote } = cause
     super(kind, problem, remedy, remote === undefined ? undefined : { remote })
     this.remote = remote
-    this.statusCode = statusCode
+    this.statusCode = cause.statusCode
+    this.isRefused = cause.isRefused === true
   }
 }
 
--- a/src/common/rpcClient.ts
+++ b/src/common/rpcClient.ts
@@ -10,7 +10,8 @@
 import type { CallOptions, RpcCaller } from './rpc.js'
 import { RpcError, RpcErrorKind } from './rpc.js'
 
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
+const REFUSED_CODE = 'ECONNREFUSED'
+const NOT_SENT_CODES = new Set([REFUSED_CODE, 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024
 
 /** {@link RpcCaller} over HTTP POST to `/rpc` with a bearer token. */
@@ -81,7 +82,7 @@
     message: response.error.message,
     remedy: 'read the log of the answering process',
   }
-  return Err(new RpcError(RpcErrorKind.Remote, remote.message, remote.remedy, remote))
+  return Err(new RpcError(RpcErrorKind.Remote, remote.message, remote.remedy, { remote }))
 }
 
 function notSent(address: string, reason: string): RpcError {
@@ -89,6 +90,7 @@
     RpcErrorKind.NotSent,
     `The call to ${address} was not sent: ${reason}`,
     'check that the process at this address runs, or use another one',
+    { isRefused: reason === REFUSED_CODE },
   )
 }
 
@@ -97,8 +99,7 @@
     RpcErrorKind.Broken,
     `The call to ${address} ended without a usable answer: ${reason}`,
     'check tokens and versions of both processes, then repeat if the method is idempotent',
-    undefined,
-    statusCode,
+    statusCode === undefined ? {} : { statusCode },
   )
 }
 
--- a/src/lookup/gatewayDirectory.ts
+++ b/src/lookup/gatewayDirectory.ts
@@ -11,10 +11,14 @@
 
 /** Entries of an answer. */
 export const MAX_ENTRIES = 3
+/** Callers depend on a named gateway for about the time that they cache an answer. */
+const NAMED_WINDOW_MS = 10_000
 
 /** Chooses the entry instances of a region for a client. */
 export class GatewayDirectory {
   readonly #members: MembershipView
+  /** Time at which each gateway was last named first, milliseconds since the epoch. */
+  readonly #namedAtMs = new Map<string, number>()
   #byRegion: ReadonlyMap<string, readonly Candidate[]> | undefined
 
   constructor(members: MembershipView) {
@@ -35,6 +39,19 @@
     return this.#byRegion.size > 0
   }
 
+  /** Notes which gateway an answer names first, because its callers depend on it now. */
+  noteNamed(memberId: string, nowMs: number): void {
+    this.#namedAtMs.set(memberId, nowMs)
+  }
+
+  /** Gateways that were named lately, in whichever region, then the others of `region`. */
+  watchedIds(region: string, nowMs: number): readonly string[] {
+    for (const [memberId, namedAtMs] of this.#namedAtMs) {
+      if (nowMs - namedAtMs > NAMED_WINDOW_MS) this.#namedAtMs.delete(memberId)
+    }
+    return [...new Set([...this.#namedAtMs.keys(), ...this.gatewayIds(region)])]
+  }
+
   /** Member identifiers of the gateways of a region that can be named. */
   gatewayIds(region: string): readonly string[] {
     return this.#candidates(region).map(({ member }) => member.memberId)
--- a/src/lookup/lookupDaemon.ts
+++ b/src/lookup/lookupDaemon.ts
@@ -77,7 +77,9 @@
     role: MemberRole.Lookup,
     settings,
     watchedMembers: () =>
-      container.resolve<GatewayDirectory>(LOOKUP_TOKENS.directory).gatewayIds(settings.region),
+      container
+        .resolve<GatewayDirectory>(LOOKUP_TOKENS.directory)
+        .watchedIds(settings.region, resolveRuntime(container).clock()),
   })
 }
 
--- a/src/lookup/placement.ts
+++ b/src/lookup/placement.ts
@@ -119,12 +119,14 @@
     const choice = this.#chooseRegion(configuration, service, block, nowMs)
     if (choice === undefined) return Err(noCapacity(service, block.homeRegion))
     const site = choice.region === block.homeRegion ? block.site : undefined
+    const entries = this.#directory.entriesFor(choice.region, site, block.clientHash)
+    if (entries[0] !== undefined) this.#directory.noteNamed(entries[0].memberId, nowMs)
     return Ok({
       service,
       revision: configuration.revision,
       homeRegion: block.homeRegion,
       ...choice,
-      entries: this.#directory.entriesFor(choice.region, site, block.clientHash),
+      entries,
     })
   }
 
--- a/src/membership/__tests__/memberFixtures.ts
+++ b/src/membership/__tests__/memberFixtures.ts
@@ -79,7 +79,7 @@
   ): Promise<Result<unknown, RpcError>> {
     const handler = this.#methods.get(to)?.get(method)
     if (handler === undefined || !this.#methods.has(from))
-      return Err(new RpcError(RpcErrorKind.NotSent, 'refused', 'none'))
+      return Err(new RpcError(RpcErrorKind.NotSent, 'refused', 'none', { isRefused: true }))
     const blocked = [from, to].some((address) => this.frozen.has(address))
     if (blocked || this.cuts.has(`${from}>${to}`) || this.cuts.has(`${to}>${from}`)) {
       await new Promise((resolve) => setTimeout(resolve, options.timeoutMs / this.#timeScale))
--- /dev/null
+++ b/src/membership/__tests__/memberProbe.spec.ts
@@ -0,0 +1,74 @@
+import { expect } from 'chai'
+import { RpcError, RpcErrorKind } from '../../common/rpc.js'
+import type { RpcCaller } from '../../common/rpc.js'
+import { Err, Ok } from '../../common/results.js'
+import { MemberProbe } from '../memberProbe.js'
+import { MemberHealth, MemberRole, MemberState } from '../memberRecord.js'
+import type { MemberRecord } from '../memberRecord.js'
+import { MemberTable, SUSPICION_MS } from '../memberTable.js'
+import { MembershipPeers } from '../membershipPeers.js'
+
+function recordOf(memberId: string): MemberRecord {
+  return {
+    memberId,
+    role: MemberRole.Gateway,
+    incarnation: '0000000000000001',
+    startedAtMs: 1,
+    version: 1,
+    state: MemberState.Live,
+    region: 'nyeri',
+    zone: 'nyeri-a',
+    site: 'nyeri-a',
+    callerAddress: '',
+    internalAddress: memberId,
+  }
+}
+
+/** Probes a member whose direct probes end with `failure`; a helper says whether it is alive. */
+async function doubt(
+  failure: RpcError,
+  isAliveForHelper: boolean,
+  isSuspectedAlready = false,
+): Promise<MemberTable> {
+  const table = new MemberTable(recordOf('self'))
+  table.merge([recordOf('doubted'), recordOf('helper')], 0)
+  if (isSuspectedAlready) table.suspect('doubted', 0)
+  const rpc: RpcCaller = {
+    call: (address) =>
+      Promise.resolve(address === 'helper' ? Ok({ isAlive: isAliveForHelper }) : Err(failure)),
+  }
+  const options = { random: () => 0, watchedMembers: () => [] }
+  const probe = new MemberProbe(table, new MembershipPeers(rpc), () => 0, options)
+  await probe.doubt('doubted', 0)
+  return table
+}
+
+describe('MemberProbe', () => {
+  const refused = new RpcError(RpcErrorKind.NotSent, 'refused', 'none', { isRefused: true })
+  const unreachable = new RpcError(RpcErrorKind.NotSent, 'no route', 'none')
+  const silent = new RpcError(RpcErrorKind.TimedOut, 'silent', 'none')
+
+  it('fails a killed member at once, so that callers are not sent to it for the time of a refutation', async () => {
+    const table = await doubt(refused, false)
+    expect(table.find('doubted')?.health).to.equal(MemberHealth.Failed)
+  })
+
+  it('fails a killed member at once also when a peer suspected it first', async () => {
+    const table = await doubt(refused, false, true)
+    expect(table.find('doubted')?.health).to.equal(MemberHealth.Failed)
+  })
+
+  for (const [name, failure] of Object.entries({ silent, unreachable })) {
+    it(`only suspects a member that is ${name}, because it may be paused or cut off`, async () => {
+      const table = await doubt(failure, false)
+      expect(table.find('doubted')?.health).to.equal(MemberHealth.Suspected)
+      table.tick(SUSPICION_MS - 1)
+      expect(table.find('doubted')?.health).to.equal(MemberHealth.Suspected)
+    })
+  }
+
+  it('keeps a member that another process reaches, even if this one is refused', async () => {
+    const table = await doubt(refused, true)
+    expect(table.find('doubted')?.health).to.equal(MemberHealth.Alive)
+  })
+})
--- a/src/membership/memberProbe.ts
+++ b/src/membership/memberProbe.ts
@@ -4,7 +4,7 @@
 import type { Member } from './memberRecord.js'
 import type { MemberTable, Suspicion } from './memberTable.js'
 import type { MembershipPeers } from './membershipPeers.js'
-import { INDIRECT_PROBE_TIMEOUT_MS } from './membershipPeers.js'
+import { INDIRECT_PROBE_TIMEOUT_MS, PingOutcome } from './membershipPeers.js'
 import type { ProbeAnswer } from './membershipMessages.js'
 import { sample } from './peerSelection.js'
 
@@ -60,11 +60,22 @@
    */
   async doubt(memberId: string, startedAtMs: number): Promise<Suspicion | undefined> {
     const member = this.#table.find(memberId)
-    if (member?.health !== MemberHealth.Alive || member.state === MemberState.Left) return undefined
+    if (member === undefined || member.state === MemberState.Left) return undefined
+    if (member.health === MemberHealth.Suspected) await this.#failIfRefused(member)
+    if (member.health !== MemberHealth.Alive) return undefined
     const isAlive = await this.#isAliveByOtherMeans(member)
+    if (isAlive) return undefined
     const nowMs = this.#clock()
-    if (isAlive || nowMs - startedAtMs > LONGEST_DOUBT_MS) return undefined
-    return this.#table.suspect(memberId, nowMs)
+    if (nowMs - startedAtMs > LONGEST_DOUBT_MS) return undefined
+    const suspicion = this.#table.suspect(memberId, nowMs)
+    if (suspicion !== undefined) await this.#failIfRefused(suspicion)
+    return suspicion
+  }
+
+  /** A refused connection needs no time for a refutation: no process listens at the address. */
+  async #failIfRefused(suspicion: Suspicion): Promise<void> {
+    const outcome = await this.#ping(suspicion.memberId)
+    if (outcome === PingOutcome.Refused) this.#table.fail(suspicion, this.#clock())
   }
 
   /** Probes a member on behalf of a peer. */
@@ -74,13 +85,19 @@
   }
 
   async #pings(memberId: string): Promise<boolean> {
+    return (await this.#ping(memberId)) === PingOutcome.Answered
+  }
+
+  async #ping(memberId: string): Promise<PingOutcome> {
     const member = this.#table.find(memberId)
-    if (member === undefined) return false
-    if (memberId === this.#table.self().memberId) return true
-    const answer = await this.#peers.ping(member.internalAddress)
-    if (answer?.memberId !== memberId) return false
+    if (member === undefined) return PingOutcome.Silent
+    if (memberId === this.#table.self().memberId) return PingOutcome.Answered
+    const result = await this.#peers.ping(member.internalAddress)
+    if (result.outcome !== PingOutcome.Answered) return result.outcome
+    const { answer } = result
+    if (answer.memberId !== memberId) return PingOutcome.Silent
     this.#table.confirmAlive(memberId, answer.incarnation, this.#clock())
-    return true
+    return PingOutcome.Answered
   }
 
   #nextRound(watched: readonly string[]): readonly string[] {
--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -123,6 +123,19 @@
     return this.#suspect(suspicion, nowMs) ? suspicion : undefined
   }
 
+  /** Ends the time for a refutation: this process has seen that the suspected member is gone. */
+  fail(suspicion: Suspicion, nowMs: number): void {
+    const entry = this.#entries.get(suspicion.memberId)
+    const applies =
+      entry?.health === MemberHealth.Suspected &&
+      entry.record.incarnation === suspicion.incarnation &&
+      entry.record.version <= suspicion.version
+    if (!applies) return
+    entry.health = MemberHealth.Failed
+    entry.sinceMs = nowMs
+    this.#changed(nowMs)
+  }
+
   /** Ends a suspicion in this process only: the member answered it directly. */
   confirmAlive(memberId: string, incarnation: string, nowMs: number): void {
     const entry = this.#entries.get(memberId)
--- a/src/membership/membershipPeers.ts
+++ b/src/membership/membershipPeers.ts
@@ -17,6 +17,20 @@
 export const INDIRECT_PROBE_TIMEOUT_MS = 900
 const TRANSFER_TIMEOUT_MS = 2000
 
+/** End of a direct probe. */
+export enum PingOutcome {
+  Answered = 'answered',
+  /** The host answers, but no process listens at the address. */
+  Refused = 'refused',
+  /** No usable answer; the process may be paused or cut off. */
+  Silent = 'silent',
+}
+
+/** Result of {@link MembershipPeers.ping}. */
+export type PingResult =
+  | { readonly outcome: PingOutcome.Answered; readonly answer: PingAnswer }
+  | { readonly outcome: PingOutcome.Refused | PingOutcome.Silent }
+
 /** Calls at one address each; `undefined` stands for any failure and for malformed answers. */
 export class MembershipPeers {
   readonly #rpc: RpcCaller
@@ -33,8 +47,16 @@
     return this.#call(address, MembershipMethod.Records, request, TRANSFER_TIMEOUT_MS)
   }
 
-  ping(address: string): Promise<PingAnswer | undefined> {
-    return this.#call(address, MembershipMethod.Ping, {}, DIRECT_PROBE_TIMEOUT_MS)
+  async ping(address: string): Promise<PingResult> {
+    const method = MembershipMethod.Ping
+    const answer = await this.#rpc.call(address, method, {}, { timeoutMs: DIRECT_PROBE_TIMEOUT_MS })
+    if (answer.err) {
+      return { outcome: answer.val.isRefused ? PingOutcome.Refused : PingOutcome.Silent }
+    }
+    const checked = ANSWER_SCHEMAS[method].validate(answer.val)
+    return checked.error === undefined
+      ? { outcome: PingOutcome.Answered, answer: checked.value as PingAnswer }
+      : { outcome: PingOutcome.Silent }
   }
 
   probe(address: string, memberId: string): Promise<ProbeAnswer | undefined> {
