test(configuration): cut-off nodes, lost watchers, older stores and long changes

The test that claimed to cover a cut-off node only started a new one; it now cuts a node from peers and store and checks that it reads no change from the store afterwards.

--- a/playground/inProcessStore.ts
+++ b/playground/inProcessStore.ts
@@ -38,7 +38,7 @@
   readonly #decide: (call: PendingCall) => CallFate | Promise<CallFate>
   readonly #late: (() => unknown)[] = []
   /** Calls so far, a watch counted once. */
-  calls = 0
+  readonly callsByMethod = new Map<string, number>()
 
   constructor(
     state = new StoreState(),
@@ -111,13 +111,22 @@
     return Ok((answer.body as { found: StoredValue | null }).found ?? undefined)
   }
 
+  /** Calls of all methods so far. */
+  get calls(): number {
+    return [...this.callsByMethod.values()].reduce((sum, count) => sum + count, 0)
+  }
+
+  #fateOf(method: string, key: string): CallFate | Promise<CallFate> {
+    this.callsByMethod.set(method, (this.callsByMethod.get(method) ?? 0) + 1)
+    return this.#decide({ method, key })
+  }
+
   async #read<Value>(
     method: string,
     key: string,
     execute: Execution<Value>,
   ): Promise<Result<Value, StoreError>> {
-    this.calls++
-    const fate = await this.#decide({ method, key })
+    const fate = await this.#fateOf(method, key)
     return fate === CallFate.Execute ? execute() : Err(storeError(StoreErrorKind.Failed))
   }
 
@@ -126,8 +135,7 @@
     key: string,
     execute: Execution<Value>,
   ): Promise<Result<Value, StoreError>> {
-    this.calls++
-    const fate = await this.#decide({ method, key })
+    const fate = await this.#fateOf(method, key)
     if (fate === CallFate.Refuse) return Err(storeError(StoreErrorKind.Failed))
     if (fate === CallFate.ExecuteLate) this.#late.push(execute)
     if (fate === CallFate.Execute) return execute()
--- a/src/configuration/__tests__/configurationDistributor.spec.ts
+++ b/src/configuration/__tests__/configurationDistributor.spec.ts
@@ -1,8 +1,10 @@
 import { expect } from 'chai'
+import type { PendingCall } from '../../../playground/inProcessStore.js'
 import { CallFate, InProcessStore } from '../../../playground/inProcessStore.js'
 import { StoreState } from '../../../playground/storeState.js'
 import { DistributionMethod } from '../distributionMessages.js'
-import type { ConfigurationRepository } from '../configurationRepository.js'
+import { ConfigurationRepository } from '../configurationRepository.js'
+import { RecordKind } from '../document.js'
 import { isWatcher } from '../peerSelection.js'
 import { REGIONS, blockChange, changeOf } from './sampleChanges.js'
 import { TestCluster, eventually } from './testCluster.js'
@@ -39,6 +41,9 @@
     await Promise.all(cluster.nodes.map((node) => node.distributor.start()))
   }
 
+  const writer = (): ConfigurationRepository =>
+    new ConfigurationRepository(new InProcessStore(state))
+
   const allAt = (revision: number): boolean =>
     cluster.nodes.every((node) => node.replica.revision === revision)
 
@@ -47,45 +52,107 @@
       for (let index = 0; index < 12; index++)
         cluster.add(index % 2 === 0 ? 'nyeri' : 'nakuru', FAST)
       await Promise.all(cluster.nodes.map((node) => node.distributor.start()))
-      const writer = new InProcessStore(state)
-      const repository = cluster.add('nyeri', FAST, writer).repository
-      await cluster.nodes.at(-1)?.distributor.start()
-      await commitBlocks(repository, 0, 10)
+      await commitBlocks(writer(), 0, 10)
       await eventually('all nodes at revision 10', () => allAt(10))
     })
 
-    it('goes on without watchers: peers and own reads of the head bring revisions', async () => {
-      await addNodes('nyeri', 4)
-      const views = cluster.nodes.map((node) => node.record.memberId)
-      expect(views.length).to.equal(4)
-      // Watches fail, other reads work: the state of a store whose watches are overloaded.
-      const decide = ({ method }: { method: string }): CallFate =>
+    it('goes on when no watch works: single reads of the head bring revisions', async () => {
+      const decide = ({ method }: PendingCall): CallFate =>
         method === 'watch' ? CallFate.Refuse : CallFate.Execute
-      const other = new TestCluster(new InProcessStore(state, decide))
-      for (let index = 0; index < 4; index++) other.add('nakuru', FAST)
-      await Promise.all(other.nodes.map((node) => node.distributor.start()))
-      await commitBlocks(new TestCluster(new InProcessStore(state)).add('x').repository, 0, 3)
+      const unwatched = new TestCluster(new InProcessStore(state, decide))
+      for (let index = 0; index < 4; index++) unwatched.add('nakuru', FAST)
+      await Promise.all(unwatched.nodes.map((node) => node.distributor.start()))
+      await commitBlocks(writer(), 0, 3)
       await eventually('nodes without a watch at revision 3', () =>
-        other.nodes.every((node) => node.replica.revision === 3),
+        unwatched.nodes.every((node) => node.replica.revision === 3),
       )
-      await other.stop()
+      await unwatched.stop()
     })
 
-    it('fills a gap of a node that was cut off, by changes and not by the store', async () => {
-      await addNodes('nyeri', 6)
-      const [first, last] = [cluster.nodes[0], cluster.nodes[5]]
-      if (first === undefined || last === undefined) throw new Error('nodes are missing')
-      await commitBlocks(first.repository, 0, 3)
+    it('fills the gap of a node that was cut off from peers and store, from a peer', async () => {
+      await addNodes('nyeri', 5)
+      const reads: PendingCall[] = []
+      let isCut = false
+      const ownStore = new InProcessStore(state, (call) => {
+        reads.push(call)
+        return isCut ? CallFate.Refuse : CallFate.Execute
+      })
+      const lonely = cluster.add('nyeri', FAST, ownStore)
+      await lonely.distributor.start()
+      await commitBlocks(writer(), 0, 3)
       await eventually('all at revision 3', () => allAt(3))
-      await last.distributor.stop()
-      await commitBlocks(first.repository, 3, 9)
+      isCut = true
+      cluster.network.cut.add(lonely.record.internalAddress)
+      await commitBlocks(writer(), 3, 9)
       await eventually('the others at revision 9', () =>
-        cluster.nodes.slice(0, 5).every((node) => node.replica.revision === 9),
+        cluster.nodes.every((node) => node === lonely || node.replica.revision === 9),
       )
-      isStoreDown = true
-      const late = cluster.add('nyeri', FAST)
+      expect(lonely.replica.revision).to.equal(3)
+      reads.length = 0
+      cluster.network.cut.clear()
+      await eventually('revision 9 after the cut', () => lonely.replica.revision === 9)
+      expect(reads.filter(({ key }) => key.includes('/changes/'))).to.deep.equal([])
+    })
+
+    it('reaches the remaining nodes when both watchers of their region are cut off', async () => {
+      await addNodes('nyeri', 6)
+      const watchers = cluster.nodes.filter((node) => isWatcher(cluster.viewOf(node.record)))
+      expect(watchers.length).to.equal(2)
+      for (const { record } of watchers) cluster.network.cut.add(record.internalAddress)
+      cluster.notifyMembership()
+      await commitBlocks(writer(), 0, 4)
+      await eventually('the remaining nodes at revision 4', () =>
+        cluster.nodes.every((node) => watchers.includes(node) || node.replica.revision === 4),
+      )
+    })
+
+    it('never goes back when the store comes back with an older state', async () => {
+      await commitBlocks(writer(), 0, 5)
+      await addNodes('nyeri', 3)
+      expect(allAt(5)).to.equal(true)
+      const old = new StoreState()
+      const oldWriter = new ConfigurationRepository(new InProcessStore(old))
+      await commitBlocks(oldWriter, 0, 2)
+      const late = cluster.add('nyeri', FAST, new InProcessStore(old))
       await late.distributor.start()
-      expect(late.replica.revision).to.equal(9)
+      expect(late.replica.revision).to.equal(5)
+      await new Promise((resolve) => setTimeout(resolve, 300))
+      expect(allAt(5)).to.equal(true)
+    })
+
+    it('announces a long change and lets peers fetch it, so that it crosses each link once', async () => {
+      await addNodes('nyeri', 5)
+      await commitBlocks(writer(), 0, 1)
+      await eventually('all at revision 1', () => allAt(1))
+      const longest: Record<string, number> = {}
+      cluster.network.onCall = (method, params, answer) => {
+        const bytes = JSON.stringify([params, answer]).length
+        longest[method] = Math.max(longest[method] ?? 0, bytes)
+      }
+      const blocks = Array.from({ length: 2000 }, (_, index) => {
+        return {
+          cidr: `10.1.${String(index >> 3)}.${String((index & 7) * 32)}/27`,
+          site: 'nyeri-1',
+          weight: 1,
+        }
+      })
+      const long = changeOf('long', { kind: RecordKind.PutBlocks, blocks })
+      ;(await writer().commit(long, 1)).unwrap()
+      await eventually('all at revision 2', () => allAt(2))
+      expect(longest[DistributionMethod.Announce]).to.be.lessThan(1000)
+    })
+
+    it('asks a store in an outage no more often than allowed', async () => {
+      await commitBlocks(writer(), 0, 1)
+      await addNodes('nyeri', 4)
+      isStoreDown = true
+      await new Promise((resolve) => setTimeout(resolve, 300 + FAST.staleAfterMs))
+      const before = cluster.store.callsByMethod.get('get') ?? 0
+      await new Promise((resolve) => setTimeout(resolve, 1000))
+      const reads = (cluster.store.callsByMethod.get('get') ?? 0) - before
+      expect(reads).to.be.greaterThan(0)
+      // Each of 4 nodes at most once per 200 ms, and once more at the edges.
+      expect(reads).to.be.at.most(4 * 6)
     })
   })
 
@@ -104,7 +171,7 @@
     })
 
     it('holds no revision without store and peers, and gets one once the store is back', async () => {
-      await commitBlocks(new TestCluster(new InProcessStore(state)).add('x').repository, 0, 2)
+      await commitBlocks(writer(), 0, 2)
       isStoreDown = true
       const alone = cluster.add('nyeri', FAST)
       await alone.distributor.start()
@@ -120,15 +187,38 @@
     })
 
     it('reads a snapshot and the changes after it from the store', async () => {
-      const writer = new TestCluster(new InProcessStore(state)).add('x')
-      await commitBlocks(writer.repository, 0, 6)
-      const history = (await writer.repository.readSince(-1)).unwrap()
-      writer.replica.offerChanges(history.changes, 'store')
-      await commitBlocks(writer.repository, 6, 8)
+      const repository = writer()
+      await commitBlocks(repository, 0, 6)
+      const source = cluster.add('nakuru', FAST)
+      await source.distributor.start()
+      const held = source.replica.current()
+      if (held === undefined) throw new Error('no configuration')
+      expect((await repository.writeSnapshot(held)).unwrap()).to.equal(true)
+      await commitBlocks(repository, 6, 8)
+      await source.distributor.stop()
+      cluster.network.cut.add(source.record.internalAddress)
       const alone = cluster.add('nyeri', FAST)
       await alone.distributor.start()
       expect(alone.replica.revision).to.equal(8)
       expect(alone.replica.current()?.blocks.size).to.equal(7)
+      expect(alone.replica.changesSince(5)).to.equal(undefined)
+    })
+
+    it('takes a snapshot from another peer when the first one vanishes in the middle', async () => {
+      await commitBlocks(writer(), 0, 4)
+      await addNodes('nyeri', 3)
+      isStoreDown = true
+      let vanished: string | undefined
+      cluster.network.onCall = (method, _params, _answer, address) => {
+        if (method !== DistributionMethod.SnapshotManifest.valueOf() || vanished !== undefined)
+          return
+        vanished = address
+        cluster.network.cut.add(address)
+      }
+      const late = cluster.add('nyeri', FAST)
+      await late.distributor.start()
+      await eventually('revision 4 from another peer', () => late.replica.revision === 4)
+      expect(vanished).not.to.equal(undefined)
     })
   })
 
@@ -147,22 +237,11 @@
   })
 
   describe('isWatcher', () => {
-    it('chooses exactly two members per region, so that the store sees few waiting calls', async () => {
-      await addNodes('nyeri', 20)
-      await eventually('two waiting watches', () => cluster.store.calls > 0)
-      const record = cluster.nodes[0]?.record
-      if (record === undefined) throw new Error('nodes are missing')
-      const members = cluster.nodes.map((node) => ({ ...node.record, health: 'alive' as never }))
-      const watchers = members.filter((self) =>
-        isWatcher({
-          self: () => self,
-          members: () => members,
-          find: () => undefined,
-          largestGatewayCount: () => 1,
-          subscribe: () => () => undefined,
-        }),
-      )
-      expect(watchers.length).to.equal(2)
+    it('chooses exactly two members per region, so that the store sees few waiting calls', () => {
+      for (let index = 0; index < 40; index++) cluster.add(index % 2 === 0 ? 'nyeri' : 'nakuru')
+      const watchers = cluster.nodes.filter((node) => isWatcher(cluster.viewOf(node.record)))
+      const regions = watchers.map(({ record }) => record.region).sort()
+      expect(regions).to.deep.equal(['nakuru', 'nakuru', 'nyeri', 'nyeri'])
     })
   })
 })
--- a/src/configuration/__tests__/testCluster.ts
+++ b/src/configuration/__tests__/testCluster.ts
@@ -17,7 +17,9 @@
   readonly methods = new Map<string, Map<string, RpcMethod>>()
   /** Addresses that nothing reaches and that reach nothing. */
   readonly cut = new Set<string>()
-  calls = 0
+  /** Called after each answer, for tests that look at or disturb the traffic. */
+  onCall: (method: string, params: unknown, answer: unknown, address: string) => void = () =>
+    undefined
 
   registry(address: string): RpcMethodRegistry {
     const methods = new Map<string, RpcMethod>()
@@ -47,13 +49,13 @@
     params: unknown,
     options: CallOptions,
   ): Promise<Result<unknown, RpcError>> {
-    this.calls++
     const method = this.methods.get(address)?.get(name)
     const isCut = this.cut.has(from) || this.cut.has(address) || options.signal?.aborted === true
     if (method === undefined || isCut) return Err(rpcError(RpcErrorKind.NotSent, address))
     try {
       const copy = structuredClone(params) as never
       const answer = await method(copy, { signal: new AbortController().signal })
+      this.onCall(name, params, answer, address)
       return Ok(structuredClone(answer))
     } catch (error) {
       return Err(rpcError(RpcErrorKind.Remote, `${address}: ${String(error)}`))
@@ -94,22 +96,28 @@
     const distributor = new ConfigurationDistributor(
       replica,
       repository,
-      this.#viewOf(record),
+      this.viewOf(record),
       this.network.caller(address),
       options,
     )
     distributor.registerMethods(this.network.registry(address))
     const node = { record, replica, repository, distributor }
     this.nodes.push(node)
-    for (const listener of [...this.#listeners]) listener()
+    this.notifyMembership()
     return node
   }
 
+  /** Tells all nodes that the membership changed. */
+  notifyMembership(): void {
+    for (const listener of [...this.#listeners]) listener()
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.nodes.map((node) => node.distributor.stop()))
   }
 
-  #viewOf(self: MemberRecord): MembershipView {
+  /** Membership as the node with this record sees it. */
+  viewOf(self: MemberRecord): MembershipView {
     const members = (): Member[] =>
       this.nodes
         .filter(({ record }) => !this.network.cut.has(record.internalAddress))
