--- a/src/configuration/__tests__/configurationRepository.spec.ts
+++ b/src/configuration/__tests__/configurationRepository.spec.ts
@@ -249,6 +249,14 @@
       expect([...new Set(keys)]).to.deep.equal(['5', '6'])
     })
 
+    it('commits no further than a new member can read without a snapshot', async () => {
+      await commitAll(repository, 0, 240)
+      const overdue = await repository.commit(blockChange(240), 240)
+      expect(overdue.err && overdue.val.kind).to.equal(ConfigurationErrorKind.StoreUnavailable)
+      await repository.writeSnapshot(await configurationOf(repository))
+      expect((await repository.commit(blockChange(240), 240)).unwrap().revision).to.equal(241)
+    })
+
     it('never names a snapshot whose parts are incomplete', async () => {
       await commitAll(repository, 0, 2)
       const configuration = await configurationOf(repository)
--- a/src/configuration/commitAttempt.ts
+++ b/src/configuration/commitAttempt.ts
@@ -142,7 +142,7 @@
 
   async #prepare(head: VersionedHead): Promise<Result<void, ConfigurationError>> {
     if (head.revision - head.snapshotRevision >= MAX_CHANGES_SINCE_SNAPSHOT) {
-      return Err(refused('No snapshot was written for too many revisions'))
+      return Err(snapshotOverdue(head))
     }
     const checked = await this.#context.check(head)
     return checked.err ? checked : this.#writeBody(head.revision + 1)
@@ -194,3 +194,12 @@
     )
   }
 }
+
+function snapshotOverdue(head: VersionedHead): ConfigurationError {
+  const behind = head.revision - head.snapshotRevision
+  return new ConfigurationError(
+    ConfigurationErrorKind.StoreUnavailable,
+    `No snapshot was written for ${String(behind)} revisions; new members could not read more changes`,
+    'check that a control daemon runs and can write snapshots, then repeat the commit',
+  )
+}
