--- a/src/gateway/runGatewayDaemon.ts
+++ b/src/gateway/runGatewayDaemon.ts
@@ -42,7 +42,7 @@
     instances: runtime.instanceList,
     status,
   })
-  const gateway = assemble(runtime, settings, leaving, slots, arrivals)
+  const gateway = assemble({ runtime, settings, leaving, slots, arrivals, watch })
   runtime.exchange.addPayloadProvider(leavingPayload(leaving))
   push.registerMethods(runtime.methods)
   slots.registerMethods(runtime.methods)
@@ -73,13 +73,17 @@
   })
 }
 
-function assemble(
-  runtime: NodeRuntime,
-  settings: GatewaySettings,
-  leaving: LeavingRegistry,
-  slots: SlotDispatcher,
-  arrivals: ArrivalMeter,
-): Gateway {
+/** What {@link assemble} connects. */
+interface GatewayParts {
+  readonly runtime: NodeRuntime
+  readonly settings: GatewaySettings
+  readonly leaving: LeavingRegistry
+  readonly slots: SlotDispatcher
+  readonly arrivals: ArrivalMeter
+  readonly watch: LeavingWatch
+}
+
+function assemble({ runtime, settings, leaving, slots, arrivals, watch }: GatewayParts): Gateway {
   return createGateway(
     {
       clock: runtime.clock,
@@ -89,11 +93,13 @@
       rpc: runtime.caller,
       methods: runtime.methods,
       slots,
+      hedges: slots,
       arrivals,
       log: createLogger('gateway'),
       metrics: runtime.metrics,
-      onLeaving: (workerId) => {
-        const generation = generationOf(runtime, workerId)
+      onAnswer: (workerId, isLeaving) => {
+        watch.noteAnswer(workerId, runtime.clock())
+        const generation = isLeaving ? generationOf(runtime, workerId) : undefined
         if (generation !== undefined) leaving.observeAnswer(workerId, generation)
       },
       // The runtime has announced it before it drains the gateway.
