--- a/bench/failoverBench.ts
+++ b/bench/failoverBench.ts
@@ -1,7 +1,8 @@
 /** Bench `failover`: one region of three dies at 60% load and returns cold, in a model. */
 import type { BenchOptions, BenchReport, Goal } from './report.js'
 import type { TickFigures } from './steeringModel.js'
-import { REGIONS, SteeringModel, TICK_MS } from './steeringModel.js'
+import { REGIONS } from './steeringDaemon.js'
+import { SteeringModel, TICK_MS } from './steeringModel.js'
 
 const LOAD = { east: 0.6, north: 0.6, west: 0.6 }
 const DIES_MS = 15_000
