--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -19,6 +19,7 @@
 import { registerGatewayMethods } from './gatewayMethods.js'
 import { GatewayServer } from './gatewayServer.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import type { HedgeSource } from './hedgedAttempt.js'
 import { LinkBudget } from './linkBudget.js'
 import type { AnswerListener } from './localRun.js'
 import { LocalRunner } from './localRun.js'
@@ -37,6 +38,7 @@
   readonly rpc: RpcCaller
   readonly methods: RpcMethodRegistry
   readonly slots: SlotSource
+  readonly hedges?: HedgeSource
   readonly arrivals: ArrivalMeter
   readonly log: Logger
   readonly metrics: Metrics
@@ -62,6 +64,12 @@
 }
 
 const POLL_MS = 20
+/**
+ * Connections are closed only after no request arrived for this long. A caller may
+ * send at the very end of its cached answer, and a connection that is closed while
+ * its request is on the way looks to the caller like a request that was cut.
+ */
+const QUIET_MS = 250
 const REQUEST_ID_PREFIX_LENGTH = 8
 
 /** A running gateway without the parts that all daemons share. */
@@ -130,7 +138,13 @@
 
   /** Every request ends by its deadline, so that the wait is bounded. */
   async #untilIdle(latestMs: number): Promise<void> {
-    while (this.#executor.inFlight > 0 && this.#node.clock() < latestMs) await sleep(POLL_MS)
+    const { clock } = this.#node
+    const startedAtMs = clock()
+    const isQuiet = (): boolean => {
+      const sinceMs = Math.max(startedAtMs, this.#executor.lastArrivalMs)
+      return this.#executor.inFlight === 0 && clock() - sinceMs >= QUIET_MS
+    }
+    while (!isQuiet() && clock() < latestMs) await sleep(POLL_MS)
   }
 }
 
