--- a/bench/dispatchGateway.ts
+++ b/bench/dispatchGateway.ts
@@ -6,7 +6,7 @@
 import { HttpRpcServer } from '../src/common/rpcServer.js'
 import type { WorkerRecord } from '../src/configuration/document.js'
 import { LeavingRegistry } from '../src/drain/index.js'
-import type { DispatchOptions, SlotGrant, SlotSource } from '../src/slots/index.js'
+import type { DispatchOptions, SlotGrant, SlotRequest, SlotSource } from '../src/slots/index.js'
 import { SlotDispatcher, SlotUse } from '../src/slots/index.js'
 import { benchConfiguration, benchMembership, benchRequest } from './dispatchParts.js'
 import { Policy, makeBaseline } from './dispatchPolicies.js'
@@ -120,12 +120,69 @@
   return status === 503 ? SlotUse.Shed : SlotUse.Failed
 }
 
-async function attempt(grant: SlotGrant, arrival: Arrival): Promise<Attempt> {
+interface Finished {
+  readonly answer: Attempt
+  readonly grant: SlotGrant
+  readonly hedges: number
+  readonly hedgeWon: boolean
+}
+
+/** Sends under the grant, and a second time if the dispatcher grants a hedge. */
+function attempt(
+  dispatcher: SlotDispatcher | undefined,
+  grant: SlotGrant,
+  arrival: Arrival,
+  request: SlotRequest,
+): Promise<Finished> {
+  return new Promise((resolve) => {
+    const sentMs = preciseNow()
+    const first = send(grant, arrival)
+    let hedges = 0
+    let cancelHedge: () => void = () => undefined
+    const endWatch = dispatcher?.watchForHedge(request, grant, sentMs, (hedge) => {
+      hedges += 1
+      cancelHedge = sendHedge(hedge, arrival, dispatcher.hedgeLimitMs(request), (answer) => {
+        first.call.destroy()
+        grant.release(SlotUse.Cancelled, preciseNow() - sentMs, preciseNow())
+        resolve({ answer, grant: hedge, hedges, hedgeWon: true })
+      })
+    })
+    let isCancelled = false
+    first.call.once('close', () => (isCancelled = true))
+    void first.answer.then((answer) => {
+      if (answer.status === 0 && isCancelled && hedges > 0) return
+      endWatch?.()
+      cancelHedge()
+      const nowMs = preciseNow()
+      grant.release(useOf(answer.status), nowMs - sentMs, nowMs)
+      resolve({ answer, grant, hedges, hedgeWon: false })
+    })
+  })
+}
+
+/** Sends a second attempt; returns a function that cancels it. */
+function sendHedge(
+  grant: SlotGrant,
+  arrival: Arrival,
+  limitMs: number,
+  onWin: (answer: Attempt) => void,
+): () => void {
   const sentMs = preciseNow()
-  const answered = await send(grant, arrival).answer
-  const nowMs = preciseNow()
-  grant.release(useOf(answered.status), nowMs - sentMs, nowMs)
-  return answered
+  const { answer, call } = send(grant, arrival)
+  let isCancelled = false
+  const cancel = (): void => {
+    isCancelled = true
+    call.destroy()
+  }
+  const timer = setTimeout(cancel, limitMs)
+  void answer.then((answered) => {
+    clearTimeout(timer)
+    const hasWon = !isCancelled && answered.status === 200
+    const nowMs = preciseNow()
+    grant.release(hasWon ? SlotUse.Completed : SlotUse.Cancelled, nowMs - sentMs, nowMs)
+    if (hasWon) onWin(answered)
+  })
+  return cancel
 }
 
 async function serve(
@@ -134,6 +191,7 @@
   arrival: Arrival,
 ): Promise<RequestRecord> {
   const arrivedMs = run.startAtMs + arrival.atMs
+  const dispatcher = source instanceof SlotDispatcher ? source : undefined
   const excludedWorkers = new Set<string>()
   const base = { atMs: arrival.atMs, isLong: arrival.isLong, hedges: 0, hedgeWon: false }
   const failed = { ...base, latencyMs: 0, startedMs: 0, endedMs: 0, worker: '', served: false }
@@ -141,9 +199,9 @@
     const request = benchRequest(arrivedMs, excludedWorkers)
     const acquired = await source.acquire(request, preciseNow())
     if (acquired.err) return { ...failed, attempts, beyondSlots: false }
-    const grant = acquired.val
-    const beyondSlots = grant.reason === 'beyond slots'
-    const answer = await attempt(grant, arrival)
+    const beyondSlots = acquired.val.reason === 'beyond slots'
+    const finished = await attempt(dispatcher, acquired.val, arrival, request)
+    const { answer, grant, hedges, hedgeWon } = finished
     if (answer.status === 200) {
       return {
         ...base,
@@ -154,6 +212,8 @@
         served: true,
         attempts,
         beyondSlots,
+        hedges,
+        hedgeWon,
       }
     }
     if (attempts >= MAX_ATTEMPTS) return { ...failed, attempts, beyondSlots }
--- a/src/slots/hedgeWatch.ts
+++ b/src/slots/hedgeWatch.ts
@@ -1,9 +1,7 @@
 /** Second attempts for idempotent requests that are late on a slow worker. */
 import type { Result } from '../common/results.js'
-import { Err, Ok } from '../common/results.js'
 import type { DispatchOptions } from './dispatchOptions.js'
 import type { ServiceSlots } from './serviceSlots.js'
-import { slotErrors } from './slotErrors.js'
 import type { SlotError, SlotGrant, SlotRequest } from './slotSource.js'
 import { SlotUse } from './slotSource.js'
 import { WorkerPace } from './workerPreference.js'
@@ -14,7 +12,7 @@
   readonly workerId: string
   readonly startedAtMs: number
   isTrying: boolean
-  readonly settle: (result: Result<SlotGrant, SlotError>) => void
+  readonly onGrant: (grant: SlotGrant) => void
 }
 
 /** Takes a slot that is free now, or refuses. */
@@ -42,28 +40,25 @@
     this.#takeFreeSlot = takeFreeSlot
   }
 
-  /** Resolves with a second slot once the request needs one, or with an error when aborted. */
+  /**
+   * Calls `onGrant` at most once, when the request needs a second attempt and
+   * a slot is free. Returns a function that ends the watch; call it when the
+   * first attempt ends. No promise and no signal: nearly every watch ends
+   * unused, and an abort signal costs more than the rest of the watch.
+   */
   watch(
     request: SlotRequest,
     service: ServiceSlots,
     workerId: string,
     nowMs: number,
-  ): Promise<Result<SlotGrant, SlotError>> {
+    onGrant: (grant: SlotGrant) => void,
+  ): () => void {
     this.#budget = Math.min(MAX_SAVED_HEDGES, this.#budget + this.#options.hedgeShare)
-    if (request.signal.aborted) return Promise.resolve(Err(slotErrors.cancelled()))
-    return new Promise((resolve) => {
-      const settle = (result: Result<SlotGrant, SlotError>): void => {
-        this.#watched.delete(watched)
-        request.signal.removeEventListener('abort', abort)
-        resolve(result)
-      }
-      const abort = (): void => {
-        settle(Err(slotErrors.cancelled()))
-      }
-      const watched = { request, service, workerId, startedAtMs: nowMs, isTrying: false, settle }
-      this.#watched.add(watched)
-      request.signal.addEventListener('abort', abort)
-    })
+    const watched = { request, service, workerId, startedAtMs: nowMs, isTrying: false, onGrant }
+    this.#watched.add(watched)
+    return () => {
+      this.#watched.delete(watched)
+    }
   }
 
   /** Grants the hedges that are due. */
@@ -77,7 +72,7 @@
 
   /** Ends all watches. */
   stop(): void {
-    for (const watched of [...this.#watched]) watched.settle(Err(slotErrors.cancelled()))
+    this.#watched.clear()
   }
 
   async #hedge(watched: Watched, nowMs: number): Promise<void> {
@@ -91,7 +86,7 @@
       this.#budget += 1
       return
     }
-    if (this.#watched.has(watched)) watched.settle(Ok(taken.val))
+    if (this.#watched.delete(watched)) watched.onGrant(taken.val)
     else taken.val.release(SlotUse.Unused, 0, this.#options.clock())
   }
 
--- a/src/slots/slotDispatcher.ts
+++ b/src/slots/slotDispatcher.ts
@@ -134,20 +134,21 @@
   }
 
   /**
-   * Waits until an idempotent request that runs under `running` needs a second
-   * attempt, and grants a free slot for it. The second attempt never waits in
-   * the queue, and its share of all requests is bounded. Abort the signal when
-   * the first attempt ends; the loser is released as `SlotUse.Cancelled`.
+   * Watches an idempotent request that runs under `running`. Calls `onGrant`
+   * at most once, with a free slot for a second attempt, if the request is
+   * late on a slow worker; the share of second attempts is bounded. Call the
+   * returned function when the first attempt ends. The loser is released as
+   * `SlotUse.Cancelled`.
    */
-  acquireHedge(
+  watchForHedge(
     request: SlotRequest,
     running: SlotGrant,
     nowMs: number,
-  ): Promise<Result<SlotGrant, SlotError>> {
+    onGrant: (grant: SlotGrant) => void,
+  ): () => void {
     const service = this.#services.get(request.service)
-    return service === undefined
-      ? Promise.resolve(Err(slotErrors.noBackendServer(request.service)))
-      : this.#hedges.watch(request, service, running.workerId, nowMs)
+    if (service === undefined) return () => undefined
+    return this.#hedges.watch(request, service, running.workerId, nowMs, onGrant)
   }
 
   /**
