--- a/src/common/rpcClient.ts
+++ b/src/common/rpcClient.ts
@@ -56,7 +56,7 @@
         maxBytes: MAX_ANSWER_BYTES,
       })
       if (response.statusCode !== 200) {
-        return Err(broken(address, `status ${String(response.statusCode)}`))
+        return Err(broken(address, `status ${String(response.statusCode)}`, response.statusCode))
       }
       return decodeAnswer(body)
     } catch (error) {
@@ -92,18 +92,23 @@
   )
 }
 
-function broken(address: string, reason: string): RpcError {
+function broken(address: string, reason: string, statusCode?: number): RpcError {
   return new RpcError(
     RpcErrorKind.Broken,
     `The call to ${address} ended without a usable answer: ${reason}`,
     'check tokens and versions of both processes, then repeat if the method is idempotent',
+    undefined,
+    statusCode,
   )
 }
 
 function classifyFailure(address: string, error: unknown): RpcError {
   // Wreck wraps failures into Boom errors that keep the socket's error code.
-  const boom = error as { code?: string; output?: { statusCode?: number } }
-  if (boom.code !== undefined && NOT_SENT_CODES.has(boom.code)) return notSent(address, boom.code)
+  const boom = error as { code?: string; syscall?: string; output?: { statusCode?: number } }
+  // An established connection can fail with some of these codes too, after the call was sent.
+  if (boom.syscall === 'connect' && boom.code !== undefined && NOT_SENT_CODES.has(boom.code)) {
+    return notSent(address, boom.code)
+  }
   if (boom.output?.statusCode === 504) {
     return new RpcError(
       RpcErrorKind.TimedOut,
