--- a/src/gateway/arrivalMeter.ts
+++ b/src/gateway/arrivalMeter.ts
@@ -21,13 +21,15 @@
     const index = Math.floor(nowMs / BUCKET_MS)
     const buckets = this.#buckets.get(service) ?? []
     this.#buckets.set(service, buckets)
-    let latest = buckets.at(-1)
-    if (latest?.index !== index) {
-      latest = { index, counts: new Map<string, number>() }
-      buckets.push(latest)
+    // By index and not by position, since a correction of the clock can go back.
+    let bucket = buckets.find((candidate) => candidate.index === index)
+    if (bucket === undefined) {
+      bucket = { index, counts: new Map<string, number>() }
+      buckets.push(bucket)
+      buckets.sort((left, right) => left.index - right.index)
       if (buckets.length > WINDOW_BUCKETS + 1) buckets.shift()
     }
-    latest.counts.set(homeRegion, (latest.counts.get(homeRegion) ?? 0) + 1)
+    bucket.counts.set(homeRegion, (bucket.counts.get(homeRegion) ?? 0) + 1)
   }
 
   /** Requests per second by home region, over the whole buckets before the present one. */
