--- a/playground/serveDeployment.ts
+++ b/playground/serveDeployment.ts
@@ -1,6 +1,7 @@
 /**
  * Starts an example deployment and keeps it until SIGINT or SIGTERM:
- * `node dist/playground/serveDeployment.js [--deployment NAME] [--logs PATTERNS]`.
+ * `node dist/playground/serveDeployment.js [--deployment NAME] [--logs PATTERNS]
+ * [--traffic]`.
  * Prints the variables that the operators' command needs and the first
  * deployment's file, with the ports of this run.
  */
@@ -8,13 +9,32 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { Command, Option } from 'commander'
+import { systemClock } from '../src/common/clock.js'
+import { HttpExchangeClient } from '../src/common/httpExchange.js'
 import { MemberRole } from '../src/membership/memberRecord.js'
-import { DeploymentName, loadDeployment } from './deployment.js'
+import { DemoTraffic } from './demoTraffic.js'
+import { DeploymentName, loadDeployment, workersOf } from './deployment.js'
 import { LocalDeployment, OPERATOR_TOKEN } from './localDeployment.js'
 
 interface ServeOptions {
   readonly deployment: DeploymentName
   readonly logs: string
+  readonly traffic: boolean
+}
+
+const CALLER_PAUSE_MS = 400
+
+/** Starts one caller per client block. @returns what ends them */
+function startTraffic(local: LocalDeployment): () => Promise<void> {
+  const http = new HttpExchangeClient({ maxConnections: 256, idleMs: 5000, clock: systemClock })
+  const services = [...new Set(workersOf(local.deployment).map((worker) => worker.service))]
+  const options = { callersPerBlock: 1, pauseMs: CALLER_PAUSE_MS, services }
+  const traffic = new DemoTraffic(local, http, options)
+  traffic.start()
+  return async () => {
+    await traffic.stop()
+    http.close()
+  }
 }
 
 /** Writes the records with the addresses of this run. @returns the path */
@@ -33,6 +53,7 @@
         .default(DeploymentName.Kirinyaga),
     )
     .option('--logs <patterns>', 'log areas of the daemons', '')
+    .option('--traffic', 'let one caller per client block send requests', false)
   command.parse()
   const options = command.opts<ServeOptions>()
   const deployment = loadDeployment(options.deployment).unwrap()
@@ -44,10 +65,12 @@
   console.log(`export RECORDS=${await writeRecords(local)}`)
   console.log(`export LOOKUP=${lookup?.serviceAddress ?? ''}`)
   console.log(`export STORE=${local.store.url}`)
+  const stopTraffic = options.traffic ? startTraffic(local) : () => Promise.resolve()
   console.log('# ready; end with SIGINT')
   await new Promise<void>((resolve) => {
     for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, resolve)
   })
+  await stopTraffic()
   await local.stop()
 }
 
--- a/src/control/confirmErrors.ts
+++ b/src/control/confirmErrors.ts
@@ -2,6 +2,7 @@
 import { SteeringError } from '../common/errors.js'
 import type { CommittedChange } from './changeLog.js'
 import type { Plan } from './plan.js'
+import { problemOf } from './problems.js'
 import { keysOfRecords, sharedKeys } from './recordKeys.js'
 
 /** Why a plan was not confirmed, or not certainly. */
@@ -135,7 +136,7 @@
 export function storeUnavailable(error: Error): ConfirmError {
   return new ConfirmError(
     ConfirmErrorKind.StoreUnavailable,
-    `Nothing was committed: ${error.message}`,
+    `Nothing was committed: ${problemOf(error)}`,
     'try again when the key-value service answers; the configuration stays in force',
   )
 }
@@ -144,7 +145,7 @@
 export function planUnreadable(error: SteeringError): ConfirmError {
   return new ConfirmError(
     ConfirmErrorKind.StoreUnavailable,
-    `The plan can't be read: ${error.message}`,
+    `The plan can't be read: ${problemOf(error)}`,
     error.remedy,
   )
 }
@@ -153,7 +154,7 @@
 export function outcomeUnknown(planId: string, error: Error): ConfirmError {
   return new ConfirmError(
     ConfirmErrorKind.OutcomeUnknown,
-    `Plan ${planId} may have been confirmed: ${error.message}`,
+    `Plan ${planId} may have been confirmed: ${problemOf(error)}`,
     `ask again with: tamarackdrift confirm ${planId}; it commits at most once`,
     { planId },
   )
--- a/src/control/controlSettings.ts
+++ b/src/control/controlSettings.ts
@@ -60,7 +60,7 @@
   durationSetting(
     'dutyIntervalMs',
     'time between rounds of periodic work: steps of shifts, snapshots, removal of old plans',
-    500,
+    250,
     50,
     60_000,
   ),
--- a/src/control/planConfirmation.ts
+++ b/src/control/planConfirmation.ts
@@ -26,6 +26,7 @@
 import type { PlanLimits } from './planContext.js'
 import type { PlanStore } from './planStore.js'
 import { planIntent } from './planner.js'
+import { problemOf } from './problems.js'
 import { sharedKeys } from './recordKeys.js'
 
 /** A confirmation by an operator. */
@@ -170,7 +171,7 @@
     Err(
       new ConfirmError(
         ConfirmErrorKind.PlanStale,
-        `Plan ${planId} does not apply to the configuration: ${error.message}`,
+        `Plan ${planId} does not apply to the configuration: ${problemOf(error)}`,
         'plan the intent again',
       ),
     ),
--- a/src/control/planner.ts
+++ b/src/control/planner.ts
@@ -10,6 +10,7 @@
 import type { LinkOutlook, Refusal, RegionOutlook } from './plan.js'
 import { Plan, RefusalKind } from './plan.js'
 import type { PlanContext, PlanDecision, PlanLimits } from './planContext.js'
+import { problemOf } from './problems.js'
 import { ADDRESS_SCHEMA } from './recordSchemas.js'
 import { planServeFrom, planShiftService, planShiftState } from './steeringPlans.js'
 import { planApplyRecords, planPutBlocks } from './tablePlans.js'
@@ -96,7 +97,7 @@
   if (faults.length === 0 && records.length > 0) {
     const change = { changeId: 'plan', operator: 'plan', createdAtMs: 0, summary: '', records }
     const applied = applyChange(configuration, change)
-    if (applied.err) faults.push(contradiction(applied.val.message, applied.val.remedy))
+    if (applied.err) faults.push(contradiction(problemOf(applied.val), applied.val.remedy))
   }
   return faults
 }
--- a/src/control/repositoryChangeLog.ts
+++ b/src/control/repositoryChangeLog.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationChange } from '../configuration/document.js'
 import type { ChangeLog, CommittedChange, HeadState, HistoryLine } from './changeLog.js'
 import { CommitError, CommitErrorKind } from './changeLog.js'
+import { problemOf } from './problems.js'
 
 const KINDS: Readonly<Record<ConfigurationErrorKind, CommitErrorKind>> = {
   [ConfigurationErrorKind.Conflict]: CommitErrorKind.Conflict,
@@ -69,7 +70,7 @@
 }
 
 function commitError(error: ConfigurationError): CommitError {
-  return new CommitError(KINDS[error.kind], error.message, error.remedy)
+  return new CommitError(KINDS[error.kind], problemOf(error), error.remedy)
 }
 
 function notKept(first: number): CommitError {
--- a/src/control/shiftAdvancer.ts
+++ b/src/control/shiftAdvancer.ts
@@ -55,6 +55,8 @@
   readonly #sightings = new Map<string, Sighting>()
   #storeGoodSinceMs: number | undefined
   #storeFailed = false
+  /** Latest commit of this process per shift. */
+  readonly #ownCommits = new Map<string, { step: number; state: ShiftState; atMs: number }>()
   #committedRevision = 0
 
   constructor(parts: AdvancerParts) {
@@ -77,7 +79,9 @@
     this.#losses.observe(members.members(), loads.all(), nowMs)
     const shifts = configuration.current()?.document.shifts ?? new Map<string, ShiftRecord>()
     for (const shiftId of [...this.#sightings.keys()]) {
-      if (!shifts.has(shiftId)) this.#sightings.delete(shiftId)
+      if (shifts.has(shiftId)) continue
+      this.#sightings.delete(shiftId)
+      this.#ownCommits.delete(shiftId)
     }
     const added = this.#addedRates(shifts.values(), nowMs)
     for (const shift of shifts.values()) this.#see(shift, added, nowMs)
@@ -134,13 +138,19 @@
       step,
       state,
       share,
-      seenAtMs: isSame ? last.seenAtMs : nowMs,
+      seenAtMs: isSame ? last.seenAtMs : this.#ownCommitMs(shift, nowMs),
       // A process that did not see the last step assumes that it is not visible yet.
       previousShare: moved ?? Math.max(0, share - shift.stepShare),
       goodSinceMs: obstacle === undefined ? (last?.goodSinceMs ?? nowMs) : undefined,
     })
   }
 
+  /** The interval counts from the own commit, not from its arrival in the replica. */
+  #ownCommitMs(shift: ShiftRecord, nowMs: number): number {
+    const own = this.#ownCommits.get(shift.shiftId)
+    return own?.step === shift.step && own.state === shift.state ? own.atMs : nowMs
+  }
+
   #obstacle(shift: ShiftRecord, addedRate: number, nowMs: number): ReturnType<typeof obstacleOf> {
     const conditions = {
       isStoreAvailable: this.#isStoreGood(shift, nowMs),
@@ -155,6 +165,14 @@
     return nowMs - this.#storeGoodSinceMs >= GOOD_INTERVALS * shift.stepIntervalMs
   }
 
+  #noteOwn(decisions: readonly CommittableDecision[], revision: number, nowMs: number): void {
+    this.#committedRevision = revision
+    for (const { record } of decisions) {
+      const { shiftId, step, state } = record
+      this.#ownCommits.set(shiftId, { step, state, atMs: nowMs })
+    }
+  }
+
   async #commit(
     decisions: readonly CommittableDecision[],
     revision: number,
@@ -174,7 +192,7 @@
     }
     const committed = await changeLog.commit(change, revision)
     this.noteStore(committed.ok || isAnswered(committed.val.kind), nowMs)
-    if (committed.ok) this.#committedRevision = committed.val
+    if (committed.ok) this.#noteOwn(decisions, committed.val, nowMs)
     for (const { verdict, reason, record } of decisions) {
       logger.decision('shift', {
         shiftId: record.shiftId,
--- a/src/control/shiftCommands.ts
+++ b/src/control/shiftCommands.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationView } from '../configuration/view.js'
 import type { ChangeLog } from './changeLog.js'
 import { CommitErrorKind } from './changeLog.js'
+import { problemOf } from './problems.js'
 import { pausedShift, resumedShift, reversedShift } from './shiftStates.js'
 
 /** What an operator can do to a shift without a plan: none of it moves more callers than the plan said. */
@@ -80,13 +81,14 @@
   async run(command: ShiftCommand, nowMs: number): Promise<Outcome> {
     for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
       const head = await this.#changeLog.head()
-      if (head.err) return Err(failure(ShiftCommandErrorKind.StoreUnavailable, head.val.message))
+      if (head.err) return Err(failure(ShiftCommandErrorKind.StoreUnavailable, problemOf(head.val)))
       const earlier = head.val.changeIds.get(command.changeId)
       if (earlier !== undefined) return Ok({ shiftId: command.shiftId, revision: earlier })
       const shift = await this.#latestShift(command.shiftId, head.val.revision)
       if (shift.err) return shift
       const changed = ACTIONS[command.action](shift.val, nowMs)
-      if (changed.err) return Err(failure(ShiftCommandErrorKind.NotPossible, changed.val.message))
+      if (changed.err)
+        return Err(failure(ShiftCommandErrorKind.NotPossible, problemOf(changed.val)))
       const committed = await this.#changeLog.commit(
         {
           changeId: command.changeId,
@@ -99,7 +101,7 @@
       )
       if (committed.ok) return Ok({ shiftId: command.shiftId, revision: committed.val })
       if (committed.val.kind !== CommitErrorKind.Conflict) {
-        return Err(failure(FAILURES[committed.val.kind], committed.val.message))
+        return Err(failure(FAILURES[committed.val.kind], problemOf(committed.val)))
       }
     }
     return Err(failure(ShiftCommandErrorKind.Conflict, 'other changes came first in each try'))
@@ -115,7 +117,7 @@
     if ((held?.revision ?? 0) < revision) {
       const missing = await this.#changeLog.changes((held?.revision ?? 0) + 1, revision)
       if (missing.err) {
-        return Err(failure(ShiftCommandErrorKind.StoreUnavailable, missing.val.message))
+        return Err(failure(ShiftCommandErrorKind.StoreUnavailable, problemOf(missing.val)))
       }
       for (const record of missing.val.flatMap(({ change }) => change.records)) {
         if (record.kind === RecordKind.PutShift && record.shift.shiftId === shiftId) {
--- a/src/control/steeringPlans.ts
+++ b/src/control/steeringPlans.ts
@@ -9,6 +9,7 @@
 import type { PlanContext, PlanDecision } from './planContext.js'
 import { refuse, refuseUnknown } from './planContext.js'
 import { CappedShift } from '../shift/cappedShift.js'
+import { problemOf } from './problems.js'
 import { pausedShift, resumedShift, reversedShift } from './shiftStates.js'
 
 const COLD_CACHE_WARNING = 'caches of the target are cold for the callers that move'
@@ -30,7 +31,7 @@
   const wanted = { service, from, to, capShare, stepShare, stepIntervalMs, plannedRate }
   const planned = CappedShift.plan({ shiftId: `shift-${context.planId}`, ...wanted }, context.nowMs)
   if (planned.err) {
-    return refuse(RefusalKind.Contradiction, planned.val.message, planned.val.remedy)
+    return refuse(RefusalKind.Contradiction, problemOf(planned.val), planned.val.remedy)
   }
   const shift = planned.val.record
   const before = context.projection.presentShares(intent.service, intent.from)
@@ -103,7 +104,7 @@
   }
   const changed = STATE_CHANGES[intent.kind](shift, context.nowMs)
   if (changed.err) {
-    return refuse(RefusalKind.Contradiction, changed.val.message, changed.val.remedy)
+    return refuse(RefusalKind.Contradiction, problemOf(changed.val), changed.val.remedy)
   }
   const reversing = intent.kind === IntentKind.ReverseShift
   if (reversing) {
