--- a/src/cli/operatorProgram.ts
+++ b/src/cli/operatorProgram.ts
@@ -55,7 +55,7 @@
     exitCode = await runSession(program, terminal, work)
   }
   describeProgram(program, terminal)
-  addCommands(program, run)
+  addCommands(program, terminal, run)
   try {
     await program.parseAsync([...argv], { from: 'user' })
   } catch (error) {
@@ -66,6 +66,10 @@
 
 /** Entry of `bin/tamarackdrift.js`. */
 export async function main(argv: readonly string[]): Promise<void> {
+  // A reader such as `head` may close the pipe early; that is no fault of the command.
+  process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code !== 'EPIPE') throw error
+  })
   process.exitCode = await runOperatorProgram(argv)
 }
 
@@ -86,7 +90,11 @@
     })
 }
 
-function addCommands(program: Command, run: (work: Run) => Promise<void>): void {
+function addCommands(
+  program: Command,
+  terminal: Terminal,
+  run: (work: Run) => Promise<void>,
+): void {
   const plan = program.command('plan').description('make a plan of an intent')
   addPlanCommands(plan, (intent) => run(({ commands }) => commands.plan(intent)))
   program
@@ -133,8 +141,13 @@
     .command('check')
     .description('check the settings and call each control daemon')
     .action(() => run(({ commands, clientsByServer }) => commands.check(clientsByServer)))
-  // Only reached without a command; the settings were checked by then.
-  program.action(() => run(() => Promise.resolve(ExitCode.Usage)))
+  // Only reached without a command, for example with --check alone.
+  program.action(() =>
+    run(() => {
+      terminal.error(program.helpInformation().trimEnd())
+      return Promise.resolve(ExitCode.Usage)
+    }),
+  )
 }
 
 async function runSession(program: Command, terminal: Terminal, work: Run): Promise<ExitCode> {
