fix(control): a step could come before its interval had passed

Cause: the advancer observes, renews its lease and then decides; when the replica reached the last step in between, the decision used the time at which the step before it was seen. Ruled out: the clock and a second daemon (all steps in the history are of one daemon, and its waits use the same clock). Now the decision waits for the next observation.

--- a/src/control/__tests__/shiftAdvancer.spec.ts
+++ b/src/control/__tests__/shiftAdvancer.spec.ts
@@ -188,6 +188,25 @@
     expectOrderlySteps(bench.states)
   })
 
+  // Guards against a step 673 ms after the last one, seen in a run with an interval of 1000 ms:
+  // the replica reached the last step between the observation and the decision.
+  it('counts the interval anew when the replica moves on between observation and decision', async () => {
+    const bench = new AdvancerBench()
+    const view = new LaggingView(bench.changeLog)
+    const advancer = bench.advancer('c1', view)
+    await bench.pass(1000 + TICK_MS, advancer)
+    expect(bench.shift.step).to.equal(1)
+    await bench.pass(750, advancer)
+    view.isFrozen = true
+    const shift = { ...bench.shift, step: 2, currentShare: 0.2 }
+    bench.changeLog.append(changeOf('other', [{ kind: RecordKind.PutShift, shift }]))
+    bench.nowMs += 2 * TICK_MS
+    advancer.observe(bench.nowMs)
+    view.isFrozen = false
+    expect(await advancer.advance(bench.nowMs)).to.equal(0)
+    expect(bench.shift.step).to.equal(2)
+  })
+
   // Guards against two shifts that each fit into the target, but not together (P2).
   it('counts the steps of other shifts that measurements do not show yet', async () => {
     const bench = new AdvancerBench({ capShare: 0.2, stepShare: 0.2, plannedRate: 30 })
--- a/src/control/shiftAdvancer.ts
+++ b/src/control/shiftAdvancer.ts
@@ -103,7 +103,9 @@
     const decisions: CommittableDecision[] = []
     for (const shift of shifts) {
       const sight = this.#sightings.get(shift.shiftId)
-      if (sight === undefined || shift.state === ShiftState.Finished) continue
+      // The replica may have moved on since the observation; the interval then has to be counted anew.
+      const isSeen = sight?.step === shift.step && sight.state === shift.state
+      if (!isSeen || shift.state === ShiftState.Finished) continue
       const key = targetKey(shift)
       const obstacle = this.#obstacle(shift, added.get(key) ?? 0, nowMs)
       const { verdict, reason, record } = decideShift(shift, sight, obstacle, nowMs)
