--- a/src/control/__tests__/advancerBench.ts
+++ b/src/control/__tests__/advancerBench.ts
@@ -137,6 +137,13 @@
     )
   }
 
+  /** Times of the committed steps. */
+  get stepTimes(): number[] {
+    return this.changeLog.committed
+      .filter(({ change }) => change.summary.startsWith('step of'))
+      .map(({ change }) => change.createdAtMs)
+  }
+
   setTargetRate(requestsPerSecond: number): void {
     const load = this.loads.load('nakuru', 'shelf-stock')
     if (load !== undefined) this.loads.put({ ...load, requestsPerSecond })
--- a/src/control/__tests__/shiftAdvancer.spec.ts
+++ b/src/control/__tests__/shiftAdvancer.spec.ts
@@ -238,9 +238,13 @@
           if (chance(30)) continue
           advancer.noteStore(!chance(1), bench.nowMs)
           advancer.observe(bench.nowMs)
+          if (chance(20)) view.isFrozen = !view.isFrozen
           await advancer.advance(bench.nowMs)
         }
       }
+      for (const [index, atMs] of bench.stepTimes.slice(1).entries()) {
+        expect(atMs - (bench.stepTimes[index] ?? 0)).to.be.at.least(500)
+      }
       expect(bench.changeLog.current()?.document.shifts.get(SHIFT_ID)?.step).to.be.greaterThan(0)
       expectOrderlySteps(bench.states)
     })
