--- a/src/gateway/__tests__/hedgedAttempt.spec.ts
+++ b/src/gateway/__tests__/hedgedAttempt.spec.ts
@@ -2,9 +2,7 @@
 import { sleep, systemClock } from '../../common/clock.js'
 import type { ExchangeResult } from '../../common/exchange.js'
 import { BreakReason, ExchangeKind } from '../../common/exchange.js'
-import { Err, Ok } from '../../common/results.js'
 import type { SlotGrant, SlotRequest } from '../../slots/slotSource.js'
-import { SlotError, SlotErrorKind } from '../../slots/slotSource.js'
 import type { HedgeSource } from '../hedgedAttempt.js'
 import { runHedged } from '../hedgedAttempt.js'
 
@@ -37,11 +35,14 @@
     signal: new AbortController().signal,
   }
   const hedges: HedgeSource = {
-    acquireHedge: async ({ signal }) => {
-      await sleep(hedgeAfterMs ?? 60_000, signal)
-      return signal.aborted
-        ? Err(new SlotError(SlotErrorKind.Cancelled, 'ended', 'none', 0))
-        : Ok(grantOf('second'))
+    watchForHedge: (_request, _running, _nowMs, onGrant) => {
+      if (hedgeAfterMs === undefined) return () => undefined
+      const timer = setTimeout(() => {
+        onGrant(grantOf('second'))
+      }, hedgeAfterMs)
+      return () => {
+        clearTimeout(timer)
+      }
     },
     hedgeLimitMs: () => 200,
   }
--- a/src/gateway/arrivalMeter.ts
+++ b/src/gateway/arrivalMeter.ts
@@ -6,37 +6,28 @@
 /** Long enough for a rate of a few requests per second, and below the age at which loads are ignored. */
 const WINDOW_BUCKETS = 5
 
-/** Requests per home region within one bucket of time. */
-interface Bucket {
-  readonly index: number
-  readonly counts: Map<string, number>
-}
+/** Counts by home region. */
+type Counts = Map<string, number>
 
 /** Counts arrivals in a sliding window. */
 export class ArrivalMeter {
-  readonly #buckets = new Map<string, Bucket[]>()
+  /** Counts of each service by the index of their time bucket. */
+  readonly #buckets = new Map<string, Map<number, Counts>>()
 
   /** Counts one request that runs in this region. */
   note(service: string, homeRegion: string, nowMs: number): void {
     const index = Math.floor(nowMs / BUCKET_MS)
-    const buckets = this.#buckets.get(service) ?? []
+    const buckets = this.#buckets.get(service) ?? new Map<number, Counts>()
     this.#buckets.set(service, buckets)
-    // By index and not by position, since a correction of the clock can go back.
-    let bucket = buckets.find((candidate) => candidate.index === index)
-    if (bucket === undefined) {
-      bucket = { index, counts: new Map<string, number>() }
-      buckets.push(bucket)
-      buckets.sort((left, right) => left.index - right.index)
-      if (buckets.length > WINDOW_BUCKETS + 1) buckets.shift()
-    }
-    bucket.counts.set(homeRegion, (bucket.counts.get(homeRegion) ?? 0) + 1)
+    const counts = buckets.get(index) ?? newBucket(buckets, index)
+    counts.set(homeRegion, (counts.get(homeRegion) ?? 0) + 1)
   }
 
   /** Requests per second by home region, over the whole buckets before the present one. */
   homeRates(service: string, nowMs: number): Readonly<Record<string, number>> {
     const present = Math.floor(nowMs / BUCKET_MS)
     const rates: Record<string, number> = {}
-    for (const { index, counts } of this.#buckets.get(service) ?? []) {
+    for (const [index, counts] of this.#buckets.get(service) ?? []) {
       if (index >= present || index < present - WINDOW_BUCKETS) continue
       for (const [region, count] of counts) {
         rates[region] = (rates[region] ?? 0) + (count * 1000) / (WINDOW_BUCKETS * BUCKET_MS)
@@ -46,6 +37,16 @@
   }
 }
 
+/** Adds a bucket and drops those outside the window, on either side: the clock may be set back. */
+function newBucket(buckets: Map<number, Counts>, index: number): Counts {
+  for (const known of buckets.keys()) {
+    if (Math.abs(index - known) > WINDOW_BUCKETS) buckets.delete(known)
+  }
+  const counts: Counts = new Map()
+  buckets.set(index, counts)
+  return counts
+}
+
 /** Combines arrivals and slots into what this gateway reports to its aggregator. */
 export function summarizeLoad(
   arrivals: ArrivalMeter,
--- a/src/gateway/hedgedAttempt.ts
+++ b/src/gateway/hedgedAttempt.ts
@@ -2,18 +2,21 @@
 import type { Clock } from '../common/clock.js'
 import type { ExchangeResult } from '../common/exchange.js'
 import { ExchangeKind } from '../common/exchange.js'
-import type { Result } from '../common/results.js'
-import type { SlotError, SlotGrant, SlotRequest } from '../slots/slotSource.js'
+import type { SlotGrant, SlotRequest } from '../slots/slotSource.js'
 import { classify, Execution } from './backendAttempt.js'
 
 /** Grants slots for second attempts; decides alone when one pays. */
 export interface HedgeSource {
-  /** Waits until the request that runs under `running` needs a second attempt. */
-  acquireHedge(
+  /**
+   * Watches the request that runs under `running`; calls `onGrant` at most once, when it needs
+   * a second attempt. Returns a function that ends the watch.
+   */
+  watchForHedge(
     request: SlotRequest,
     running: SlotGrant,
     nowMs: number,
-  ): Promise<Result<SlotGrant, SlotError>>
+    onGrant: (grant: SlotGrant) => void,
+  ): () => void
   /** Time after which a second attempt is cancelled, in milliseconds. */
   hedgeLimitMs(request: SlotRequest): number
 }
@@ -34,30 +37,40 @@
  * that may run more than once.
  */
 export async function runHedged(task: HedgedTask): Promise<ExchangeResult> {
-  const { request, grant, attempt } = task
-  const settled = new AbortController()
-  const watching = new AbortController()
-  const attemptSignal = AbortSignal.any([request.signal, settled.signal])
-  const first = attempt(grant, attemptSignal)
-  const second = runSecond(task, AbortSignal.any([request.signal, watching.signal]), attemptSignal)
-  const winner = await Promise.race([first, second.then((result) => usable(result) ?? first)])
-  watching.abort()
+  const { hedges, clock, request, grant, attempt } = task
+  const ending = new AbortController()
+  const end = (): void => {
+    ending.abort()
+  }
+  request.signal.addEventListener('abort', end, { once: true })
+  if (request.signal.aborted) end()
+  const seconds: Promise<ExchangeResult>[] = []
+  let endWatch: () => void = () => undefined
+  const secondAnswer = new Promise<ExchangeResult>((resolve) => {
+    endWatch = hedges.watchForHedge(request, grant, clock(), (granted) => {
+      const second = runSecond(task, granted, ending.signal)
+      seconds.push(second)
+      void second.then((result) => {
+        if (usable(result) !== undefined) resolve(result)
+      })
+    })
+  })
+  const winner = await Promise.race([attempt(grant, ending.signal), secondAnswer])
+  endWatch()
   // The first attempt may have failed while the second one still runs.
-  const result = usable(winner) ?? usable(await second) ?? winner
-  settled.abort()
+  const result = usable(winner) ?? usable(await seconds[0]) ?? winner
+  end()
+  request.signal.removeEventListener('abort', end)
   return result
 }
 
-async function runSecond(
-  task: HedgedTask,
-  watchSignal: AbortSignal,
-  attemptSignal: AbortSignal,
-): Promise<ExchangeResult | undefined> {
-  const { hedges, clock, request, grant, attempt } = task
-  const acquired = await hedges.acquireHedge({ ...request, signal: watchSignal }, grant, clock())
-  if (acquired.err) return undefined
+function runSecond(
+  { hedges, request, attempt }: HedgedTask,
+  grant: SlotGrant,
+  signal: AbortSignal,
+): Promise<ExchangeResult> {
   const limit = AbortSignal.timeout(Math.ceil(hedges.hedgeLimitMs(request)))
-  return attempt(acquired.val, AbortSignal.any([attemptSignal, limit]))
+  return attempt(grant, AbortSignal.any([signal, limit]))
 }
 
 /** Returns the result if it is an answer of a backend server that ran the request. */
