--- a/src/slots/slotDispatcher.ts
+++ b/src/slots/slotDispatcher.ts
@@ -1,6 +1,6 @@
 /** Grants slots of the region's backend servers to the requests of this gateway. */
 import type { Result } from '../common/results.js'
-import { Err } from '../common/results.js'
+import { Err, Ok } from '../common/results.js'
 import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
 import type { ConfigurationView } from '../configuration/view.js'
 import type { LeavingRegistry } from '../drain/leavingRegistry.js'
@@ -151,6 +151,29 @@
     return this.#hedges.watch(request, service, running.workerId, nowMs, onGrant)
   }
 
+  /**
+   * {@link watchForHedge} as a promise: resolves with the slot, or with an error
+   * when `request.signal` aborts.
+   */
+  acquireHedge(
+    request: SlotRequest,
+    running: SlotGrant,
+    nowMs: number,
+  ): Promise<Result<SlotGrant, SlotError>> {
+    return new Promise((resolve) => {
+      const endWatch = this.watchForHedge(request, running, nowMs, (grant) => {
+        request.signal.removeEventListener('abort', abort)
+        resolve(Ok(grant))
+      })
+      const abort = (): void => {
+        endWatch()
+        resolve(Err(slotErrors.cancelled()))
+      }
+      if (request.signal.aborted) abort()
+      else request.signal.addEventListener('abort', abort, { once: true })
+    })
+  }
+
   /**
    * Time after which a second attempt should be cancelled, in milliseconds. It
    * ran on a worker of normal speed for that long, so the request is long by
