--- a/bench/drainBench.ts
+++ b/bench/drainBench.ts
@@ -132,9 +132,11 @@
   const rounds: WorkerRound[] = []
   const sources = Object.values(Source)
   const order = quick ? sources : [...sources, ...sources]
-  for (const [index, source] of order.entries()) {
-    const worker = processes.workers[index]
-    if (worker !== undefined) rounds.push(await drainWorker(processes, source, worker))
+  const remaining = new Set(processes.workers)
+  for (const source of order) {
+    const worker = await workerWithLongRequest(remaining)
+    remaining.delete(worker)
+    rounds.push(await drainWorker(processes, source, worker))
   }
   return rounds
 }
@@ -144,7 +146,6 @@
   source: Source,
   worker: BackendServer,
 ): Promise<WorkerRound> {
-  await untilLongRequestStarts(worker)
   await MARKS[source](processes, worker)
   const atMs = Date.now()
   const inFlight = runningAt(worker.records, atMs)
@@ -160,17 +161,25 @@
   }
 }
 
-/** A drain is measured from the start of a long request on: without one its time has no scale. */
-async function untilLongRequestStarts(worker: BackendServer): Promise<void> {
-  const giveUpAt = Date.now() + LONG_REQUEST_WAIT_MS
-  const hasFreshLong = (): boolean =>
+/**
+ * Waits for a backend server that has just started a long request: a drain is
+ * measured from there on, since without a long request its time has no scale.
+ */
+async function workerWithLongRequest(workers: ReadonlySet<BackendServer>): Promise<BackendServer> {
+  const hasFreshLong = (worker: BackendServer): boolean =>
     worker.records.some(
       (run) =>
         run.endMs === undefined &&
         run.target.endsWith(`serviceMs=${String(LONG_MS)}`) &&
         Date.now() - run.startMs < FRESH_MS,
     )
-  while (!hasFreshLong() && Date.now() < giveUpAt) await sleep(10)
+  const giveUpAt = Date.now() + LONG_REQUEST_WAIT_MS
+  while (Date.now() < giveUpAt) {
+    const found = [...workers].find(hasFreshLong)
+    if (found !== undefined) return found
+    await sleep(10)
+  }
+  throw new Error('No long request started at a backend server that is not leaving')
 }
 
 async function drainGateway(
