--- /dev/null
+++ b/playground/cappedShiftExample.ts
@@ -0,0 +1,49 @@
+/**
+ * Example of the shift part without a daemon: `node dist/playground/cappedShiftExample.js`.
+ * Plans a shift, takes its steps, pauses, resumes and reverses it; the time is an argument.
+ */
+import { CappedShift } from '../src/shift/index.js'
+
+const STEP_INTERVAL_MS = 5000
+
+let nowMs = 0
+let shift = CappedShift.plan(
+  {
+    shiftId: 'shift-1',
+    service: 'shelf-stock',
+    from: 'nyeri',
+    to: 'nakuru',
+    capShare: 0.2,
+    stepShare: 0.08,
+    stepIntervalMs: STEP_INTERVAL_MS,
+    plannedRate: 120,
+  },
+  nowMs,
+).unwrap()
+
+function show(action: string): void {
+  const { state, currentShare, step } = shift.record
+  console.log(
+    `${String(nowMs).padStart(6)} ms  ${action.padEnd(8)} ${state} ${String(currentShare)} step ${String(step)}`,
+  )
+}
+
+function advance(): void {
+  nowMs += STEP_INTERVAL_MS
+  shift = shift.advance(nowMs).unwrap()
+  show('advance')
+}
+
+show('planned')
+const early = shift.advance(nowMs + 1)
+console.log(`early step: ${early.err ? early.val.message : 'taken'}`)
+advance()
+shift = shift.pause('measurements are missing', nowMs).unwrap()
+show('pause')
+shift = shift.resume(nowMs).unwrap()
+show('resume')
+advance()
+shift = shift.reverse(nowMs).unwrap()
+show('reverse')
+advance()
+advance()
--- /dev/null
+++ b/playground/slotDispatcherExample.ts
@@ -0,0 +1,65 @@
+/**
+ * Example of the slots part without a daemon: `node dist/playground/slotDispatcherExample.js`.
+ * One gateway owns all slots of a region; a request waits while they are taken.
+ */
+import { systemClock } from '../src/common/clock.js'
+import { HttpRpcCaller } from '../src/common/rpcClient.js'
+import type { ConfigurationChange } from '../src/configuration/document.js'
+import { applyChange, emptyConfiguration } from '../src/configuration/documentBuilder.js'
+import type { ConfigurationView } from '../src/configuration/view.js'
+import { LeavingRegistry } from '../src/drain/index.js'
+import { SlotDispatcher } from '../src/slots/index.js'
+import type { SlotRequest } from '../src/slots/index.js'
+import { SlotUse } from '../src/slots/index.js'
+import { DeploymentName, loadDeployment } from './deployment.js'
+import { FixedMembership, exampleMember } from './fixedMembership.js'
+
+const SERVICE = 'shelf-stock'
+const REGION = 'nyeri'
+const WAIT_MS = 300
+
+const change: ConfigurationChange = {
+  changeId: 'example',
+  operator: 'example',
+  createdAtMs: 0,
+  summary: 'first configuration',
+  records: loadDeployment(DeploymentName.Kirinyaga).unwrap().records,
+}
+const configuration = applyChange(emptyConfiguration(), change).unwrap()
+const view: ConfigurationView = { current: () => configuration, subscribe: () => () => undefined }
+const self = exampleMember('nyeri-1/gateway', REGION, '127.0.0.1:1')
+const rpc = new HttpRpcCaller('a-token-of-the-example')
+const dispatcher = new SlotDispatcher(
+  view,
+  new FixedMembership(self, [self]),
+  new LeavingRegistry(),
+  rpc,
+  { clock: systemClock },
+)
+dispatcher.start()
+
+function request(requestId: string): SlotRequest {
+  return {
+    requestId,
+    service: SERVICE,
+    requestClass: `${SERVICE} GET /items`,
+    deadlineMs: Date.now() + WAIT_MS,
+    excludedWorkers: new Set(),
+    signal: new AbortController().signal,
+  }
+}
+
+const slots = dispatcher.loads(Date.now()).find(({ service }) => service === SERVICE)?.ownSlots ?? 0
+console.log(`${String(slots)} slots are owned`)
+const grants = await Promise.all(
+  Array.from({ length: slots }, (_, index) =>
+    dispatcher.acquire(request(String(index)), Date.now()),
+  ),
+)
+console.log(`${String(grants.filter((grant) => grant.ok).length)} requests run`)
+const waiting = dispatcher.acquire(request('waits'), Date.now())
+grants[0]?.unwrap().release(SlotUse.Completed, 20, Date.now())
+const granted = (await waiting).unwrap()
+console.log(`the waiting request got a slot of ${granted.workerId}: ${granted.reason}`)
+dispatcher.stop()
+rpc.close()
