fix(playground): the demo waits for the first step of its shift

Cause: a run of the second deployment moved 0 of 359 requests: the killed gateway was in the target region, whose failures pause a shift, before the first step had reached callers. Ruled out: refusal of the plan, which was confirmed. Now it waits for the first step, kills a gateway of the third region, and callers pause 600 ms in place of 400.

--- a/playground/demo.ts
+++ b/playground/demo.ts
@@ -20,8 +20,9 @@
 
 const IN_FORCE_LIMIT_MS = 4000
 const SHIFT_CAP = 0.2
-const CALLER_PAUSE_MS = 400
-const PHASE_MS = 4000
+const CALLER_PAUSE_MS = 600
+const PHASE_MS = 3000
+const FIRST_STEP_TIMEOUT_MS = 8000
 const STOP_GATEWAY_TIMEOUT_MS = 15_000
 
 interface DemoOptions {
@@ -56,6 +57,7 @@
 
   const shift = await startShift(local, operator, services[0] ?? '')
   const drain = await drainBackendServer(local, operator)
+  await operator.waitUntilShifting(FIRST_STEP_TIMEOUT_MS)
   await sleep(PHASE_MS)
   const leavingGateway = await stopGateway(local)
   const killedGateway = killGateway(local)
@@ -100,7 +102,8 @@
 }
 
 function killGateway(local: LocalDeployment): DemoRun['killedGateway'] {
-  const gateway = gatewayAt(local, 4)
+  // In the third region: a failure in the target of the shift would pause it.
+  const gateway = gatewayAt(local, 7)
   gateway.program.signal('SIGKILL')
   say(`gateway ${gateway.memberId} killed`)
   return { address: gateway.serviceAddress, killedMs: Date.now() }
--- a/playground/demoOperator.ts
+++ b/playground/demoOperator.ts
@@ -18,6 +18,7 @@
   readonly acceptedRevision: number
   readonly liveMembers: number
   readonly membersInForce: number
+  readonly shifts: readonly { readonly currentShare: number }[]
 }
 
 /** How a command ended. */
@@ -81,6 +82,15 @@
     }
   }
 
+  /** Waits until a shift has taken its first step, at most `timeoutMs`. */
+  async waitUntilShifting(timeoutMs: number): Promise<void> {
+    const startMs = Date.now()
+    while (Date.now() - startMs < timeoutMs) {
+      const { shifts } = await this.run<ShownStatus>('status')
+      if (shifts.some((shift) => shift.currentShare > 0)) return
+    }
+  }
+
   /**
    * Waits until all live members hold the accepted revision.
    *
