--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 
 /** Domain folders: they hold decisions and must not depend on programs or on HTTP. */
 const DOMAIN_FILES = [
-  'src/{configuration,membership,lookup,operations,slots,shift,gateway,control}/*.ts',
+  'src/{configuration,membership,lookup,operations,slots,shift,drain,gateway,control}/*.ts',
 ]
 const ADAPTER_FILES = [
   'src/**/*Server.ts',
--- a/src/membership/gatewayCountHistory.ts
+++ b/src/membership/gatewayCountHistory.ts
@@ -1,4 +1,6 @@
 /** Largest number of gateways of a region over a period. */
+import type { MemberRecord } from './memberRecord.js'
+import { MemberRole } from './memberRecord.js'
 
 /** Budgets are divided by the largest count within this time, in milliseconds. */
 export const GATEWAY_COUNT_WINDOW_MS = 60_000
@@ -31,3 +33,31 @@
     return this.#samples[0]?.count ?? 0
   }
 }
+
+/** Recent largest counts of gateways, one history for each region. */
+export class GatewayCounts {
+  readonly #histories = new Map<string, GatewayCountHistory>()
+
+  /** Notes the present members; regions without any count as 0. */
+  record(members: readonly MemberRecord[], nowMs: number): void {
+    const regions = new Set([...this.#histories.keys(), ...members.map(({ region }) => region)])
+    for (const region of regions) {
+      const history = this.#histories.get(region) ?? new GatewayCountHistory()
+      history.record(countGateways(members, region), nowMs)
+      this.#histories.set(region, history)
+    }
+  }
+
+  /** Notes the present count of one region and returns the largest recent one. */
+  largest(region: string, members: readonly MemberRecord[], nowMs: number): number {
+    const history = this.#histories.get(region)
+    history?.record(countGateways(members, region), nowMs)
+    return history?.largest(nowMs) ?? 0
+  }
+}
+
+/** Leaving gateways count: they still serve within their part of a budget. */
+function countGateways(members: readonly MemberRecord[], region: string): number {
+  return members.filter((member) => member.role === MemberRole.Gateway && member.region === region)
+    .length
+}
--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -1,8 +1,8 @@
 /** The members that this process knows, and its judgement of them. */
-import { GatewayCountHistory } from './gatewayCountHistory.js'
+import { GatewayCounts } from './gatewayCountHistory.js'
 import { compareIncarnations, digestRecords, latestRecord, sameRecord } from './memberOrder.js'
 import type { Member, MemberRecord, MembershipView } from './memberRecord.js'
-import { MemberHealth, MemberRole, MemberState } from './memberRecord.js'
+import { MemberHealth, MemberState } from './memberRecord.js'
 
 /** A suspected member fails if it does not refute the suspicion within this time, in milliseconds. */
 export const SUSPICION_MS = 3000
@@ -45,14 +45,14 @@
   #self: MemberRecord
   readonly #entries = new Map<string, Entry>()
   readonly #listeners = new Set<() => void>()
-  readonly #gatewayCounts = new Map<string, GatewayCountHistory>()
+  readonly #gatewayCounts = new GatewayCounts()
   #members: readonly Member[] | undefined
   #digests: Readonly<Record<string, string>> | undefined
   #lastTickMs: number | undefined
 
   constructor(self: MemberRecord) {
     this.#self = self
-    this.#recordGatewayCounts(self.startedAtMs)
+    this.#gatewayCounts.record(this.members(), self.startedAtMs)
   }
 
   self(): MemberRecord {
@@ -75,9 +75,7 @@
   }
 
   largestGatewayCount(region: string, nowMs: number): number {
-    const history = this.#gatewayCounts.get(region)
-    history?.record(this.#countGateways(region), nowMs)
-    return history?.largest(nowMs) ?? 0
+    return this.#gatewayCounts.largest(region, this.members(), nowMs)
   }
 
   subscribe(listener: () => void): () => void {
@@ -290,26 +288,9 @@
   #changed(nowMs: number): void {
     this.#members = undefined
     this.#digests = undefined
-    this.#recordGatewayCounts(nowMs)
+    this.#gatewayCounts.record(this.members(), nowMs)
     for (const listener of this.#listeners) listener()
   }
-
-  #recordGatewayCounts(nowMs: number): void {
-    const regions = new Set([...this.#gatewayCounts.keys()])
-    for (const { region } of this.members()) regions.add(region)
-    for (const region of regions) {
-      const history = this.#gatewayCounts.get(region) ?? new GatewayCountHistory()
-      history.record(this.#countGateways(region), nowMs)
-      this.#gatewayCounts.set(region, history)
-    }
-  }
-
-  /** Leaving gateways count: they still serve within their part of a budget. */
-  #countGateways(region: string): number {
-    return this.members().filter(
-      (member) => member.role === MemberRole.Gateway && member.region === region,
-    ).length
-  }
 }
 
 function isPresent(entry: Entry): boolean {
