refactor: one choice of live gateways, one schema of leaving marks, one goal form

Cause: the read of the whole change found the filter for gateways that take new work in region routing and in load aggregation, the schema of a leaving mark at the push and at the exchange, and the form of an at-most goal in two benches. Ruled out: the leaving watch, which counts suspected gateways too on purpose, and the pairs that are alike in shape only.

--- a/bench/failoverBench.ts
+++ b/bench/failoverBench.ts
@@ -1,5 +1,6 @@
 /** Bench `failover`: one region of three dies at 60% load and returns cold, in a model. */
-import type { BenchOptions, BenchReport, Goal } from './report.js'
+import type { BenchOptions, BenchReport } from './report.js'
+import { atMost } from './report.js'
 import type { TickFigures } from './steeringModel.js'
 import { REGIONS } from './steeringDaemon.js'
 import { SteeringModel, TICK_MS } from './steeringModel.js'
@@ -89,13 +90,6 @@
   const seeds = Array.from({ length: options.quick ? 1 : 5 }, (_, index) => options.seed + index)
   const rounds = seeds.map(runRound)
   const worst = (name: keyof Round): number => Math.max(...rounds.map((round) => round[name]))
-  const atMost = (name: string, target: number, measured: number, unit: string): Goal => ({
-    name,
-    target,
-    measured: Math.round(measured * 1000) / 1000,
-    unit,
-    met: measured <= target,
-  })
   return Promise.resolve({
     bench: 'failover',
     seed: options.seed,
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -20,6 +20,17 @@
   readonly met: boolean
 }
 
+/** Goal that is met while the measured figure, printed to three decimals, is at most the target. */
+export function atMost(name: string, target: number, measured: number, unit: string): Goal {
+  return {
+    name,
+    target,
+    measured: Math.round(measured * 1000) / 1000,
+    unit,
+    met: measured <= target,
+  }
+}
+
 /** Result of a bench. */
 export interface BenchReport {
   readonly bench: string
--- a/bench/shiftBench.ts
+++ b/bench/shiftBench.ts
@@ -4,6 +4,7 @@
 import { CappedShift } from '../src/shift/cappedShift.js'
 import { shiftPauseReason } from '../src/shift/shiftPause.js'
 import type { BenchOptions, BenchReport } from './report.js'
+import { atMost } from './report.js'
 import { MODEL_SERVICE } from './steeringConfiguration.js'
 import type { TickFigures } from './steeringModel.js'
 import { ANSWER_CACHE_MS, CAPACITY, SteeringModel, TICK_MS } from './steeringModel.js'
@@ -177,31 +178,19 @@
   const load = Math.max(...rounds.map(({ highestTargetLoad }) => highestTargetLoad))
   const steady = rounds.filter(({ scenario }) => scenario === SCENARIOS[0]?.name)
   const factor = Math.max(...steady.map(({ durationMs, imposedMs }) => durationMs / imposedMs))
-  const goal = (
-    name: string,
-    target: number,
-    measured: number,
-    unit: string,
-  ): BenchReport['goals'][0] => ({
-    name,
-    target,
-    measured: Math.round(measured * 1000) / 1000,
-    unit,
-    met: measured <= target,
-  })
   return Promise.resolve({
     bench: 'shift',
     seed: options.seed,
     rounds,
     goals: [
-      goal(
+      atMost(
         'highest share of moved requests within 1 s',
         INTENT.capShare,
         moved,
         'of the source region',
       ),
-      goal('highest load of the target region within 1 s', 1, load, 'of its capacity'),
-      goal('duration of a steady shift', 1.5, factor, 'x the imposed time'),
+      atMost('highest load of the target region within 1 s', 1, load, 'of its capacity'),
+      atMost('duration of a steady shift', 1.5, factor, 'x the imposed time'),
     ],
     lines: rounds.map(
       (round) =>
--- a/src/drain/leavingPayload.ts
+++ b/src/drain/leavingPayload.ts
@@ -2,22 +2,12 @@
 import Joi from 'joi'
 import type { ExchangePayloadProvider } from '../membership/membershipExchange.js'
 import type { LeavingMark, LeavingRegistry } from './leavingRegistry.js'
-import { LeavingSource } from './leavingRegistry.js'
+import { LEAVING_MARK_SCHEMA } from './leavingPush.js'
 
 /** Newest marks that ride on an exchange; about 5 KB. */
 const MAX_MARKS = 64
 
-const MARKS_SCHEMA = Joi.array()
-  .items(
-    Joi.object({
-      workerId: Joi.string().max(128).required(),
-      generation: Joi.number().integer().min(0).required(),
-      source: Joi.string()
-        .valid(...Object.values(LeavingSource))
-        .required(),
-    }),
-  )
-  .required()
+const MARKS_SCHEMA = Joi.array().items(LEAVING_MARK_SCHEMA).required()
 
 /** Creates the provider of a registry. */
 export function leavingPayload(registry: LeavingRegistry): ExchangePayloadProvider {
--- a/src/drain/leavingPush.ts
+++ b/src/drain/leavingPush.ts
@@ -12,21 +12,19 @@
 const PUSH_TIMEOUT_MS = 1000
 const MAX_MARKS = 10_000
 
-const PUSH_SCHEMA = Joi.object({
-  marks: Joi.array()
-    .items(
-      Joi.object({
-        workerId: Joi.string().max(128).required(),
-        generation: Joi.number().integer().min(0).required(),
-        source: Joi.string()
-          .valid(...Object.values(LeavingSource))
-          .required(),
-      }),
-    )
-    .max(MAX_MARKS)
+/** Schema of a {@link LeavingMark} from a peer. */
+export const LEAVING_MARK_SCHEMA = Joi.object({
+  workerId: Joi.string().max(128).required(),
+  generation: Joi.number().integer().min(0).required(),
+  source: Joi.string()
+    .valid(...Object.values(LeavingSource))
     .required(),
 })
 
+const PUSH_SCHEMA = Joi.object({
+  marks: Joi.array().items(LEAVING_MARK_SCHEMA).max(MAX_MARKS).required(),
+})
+
 /**
  * Sends the marks that this process learned first-hand to each gateway of its
  * region once. A lost push is made good by the membership exchange.
--- a/src/gateway/regionRouting.ts
+++ b/src/gateway/regionRouting.ts
@@ -6,7 +6,7 @@
   ShiftRecord,
 } from '../configuration/document.js'
 import type { Member, MembershipView } from '../membership/memberRecord.js'
-import { MemberHealth, MemberRole, MemberState } from '../membership/memberRecord.js'
+import { aliveGateways } from '../membership/memberRecord.js'
 import type { OperationGrant } from '../operations/operationPrefix.js'
 import type { RegionLoadView } from '../shift/regionLoad.js'
 import type { GatewayRequest } from './exchange.js'
@@ -57,17 +57,10 @@
   /** Live gateways of a region in a random order per request, without this process. */
   gateways(region: string, requestId: string): Member[] {
     const own = this.#parts.membership.self().memberId
-    const live = this.#parts.membership
-      .members()
-      .filter(
-        (member) =>
-          member.role === MemberRole.Gateway &&
-          member.region === region &&
-          member.state === MemberState.Live &&
-          member.health === MemberHealth.Alive &&
-          member.memberId !== own,
-      )
-    return rendezvousOrder(requestId, live, (member) => member.memberId)
+    const others = aliveGateways(this.#parts.membership.members(), region).filter(
+      ({ memberId }) => memberId !== own,
+    )
+    return rendezvousOrder(requestId, others, ({ memberId }) => memberId)
   }
 
   #mayServe(shift: ShiftRecord, own: string, nowMs: number): boolean {
--- a/src/membership/memberRecord.ts
+++ b/src/membership/memberRecord.ts
@@ -63,3 +63,14 @@
   /** Calls `listener` after each change; returns a function that ends the subscription. */
   subscribe(listener: () => void): () => void
 }
+
+/** Gateways of a region that take new work and that this process does not doubt. */
+export function aliveGateways(members: readonly Member[], region: string): Member[] {
+  return members.filter(
+    (member) =>
+      member.role === MemberRole.Gateway &&
+      member.region === region &&
+      member.state === MemberState.Live &&
+      member.health === MemberHealth.Alive,
+  )
+}
--- a/src/shift/loadAggregation.ts
+++ b/src/shift/loadAggregation.ts
@@ -4,7 +4,7 @@
 import { rendezvousOrder } from '../common/hashing.js'
 import type { RpcCaller, RpcMethodRegistry } from '../common/rpc.js'
 import type { Member, MembershipView } from '../membership/memberRecord.js'
-import { MemberHealth, MemberRole, MemberState } from '../membership/memberRecord.js'
+import { MemberHealth, aliveGateways } from '../membership/memberRecord.js'
 import type { LoadReport, SpreadRequest } from './loadMessages.js'
 import {
   LOAD_REPORT_SCHEMA,
@@ -222,15 +222,7 @@
   }
 
   #gatewaysOf(region: string): readonly Member[] {
-    return this.#members
-      .members()
-      .filter(
-        (member) =>
-          member.role === MemberRole.Gateway &&
-          member.region === region &&
-          member.state === MemberState.Live &&
-          member.health === MemberHealth.Alive,
-      )
+    return aliveGateways(this.#members.members(), region)
   }
 
   /** The aggregators of all zones of a region, by zone. */
