--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -32,3 +32,9 @@
     signal?.addEventListener('abort', finish, { once: true })
   })
 }
+
+/**
+ * Milliseconds of the steady clock. It never steps, so every duration and
+ * deadline of an entry instance is measured with it; it means nothing to other processes.
+ */
+export const steadyClock: Clock = () => performance.now()
--- /dev/null
+++ b/src/entry/callerServer.ts
@@ -0,0 +1,250 @@
+/** HTTP server for callers of an entry instance. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Clock } from '../common/clock.js'
+import type { HeaderPair } from '../common/exchange.js'
+import { headerOf, pairsOf } from '../common/exchange.js'
+import type { CallerAnswer, CallerRequest } from './callerRequest.js'
+import type { CallerLimits } from './routingConfiguration.js'
+
+/** Names of the headers that callers use, in lower case. */
+export interface CallerHeaders {
+  readonly requestId: string
+  /** Milliseconds that the caller waits. */
+  readonly patience: string
+  /** Cookie whose value is the object of the request. */
+  readonly objectCookie: string
+  /** Headers that only this system sets; they are dropped from callers' requests. */
+  readonly reserved: ReadonlySet<string>
+}
+
+/** What the server needs. */
+export interface CallerServerParts {
+  readonly headers: CallerHeaders
+  readonly clock: Clock
+  readonly limits: () => CallerLimits | undefined
+  readonly run: (request: CallerRequest) => Promise<CallerAnswer>
+}
+
+/** Bound on heads before a configuration states one, in bytes; Node.js refuses larger ones itself. */
+const MAX_HEAD_BYTES = 64 * 1024
+/** Callers reuse connections up to their idle limit; this side closes later than that, in ms. */
+const IDLE_MARGIN_MS = 1000
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'content-length',
+  'expect',
+])
+
+/** Reads requests, runs them, and writes answers in the order of the requests. */
+export class CallerServer {
+  readonly #parts: CallerServerParts
+  readonly #server: Server
+  /** Requests per connection that were read and are not answered yet. */
+  readonly #open = new Map<Socket, number>()
+  /** Connections on which an answer said that they end. */
+  readonly #closing = new WeakSet<Socket>()
+  #isLeaving = false
+
+  constructor(parts: CallerServerParts) {
+    this.#parts = parts
+    this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, requireHostHeader: false })
+    this.#server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      this.#received(request, response)
+    })
+    this.#server.on('clientError', (error: Error & { code?: string }, socket) => {
+      const isWritable = socket.writable && error.code !== 'ECONNRESET'
+      const isBehindOthers = (this.#open.get(socket as Socket) ?? 0) > 0
+      if (!isWritable || isBehindOthers) socket.destroy()
+      else socket.end(`HTTP/1.1 ${statusOfParserError(error.code)}\r\nConnection: close\r\n\r\n`)
+    })
+  }
+
+  /** Requests that were read and are not answered yet. */
+  get openRequests(): number {
+    let open = 0
+    for (const count of this.#open.values()) open += count
+    return open
+  }
+
+  async start(host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, host, resolve)
+    })
+  }
+
+  /** Applies the limits of a new configuration. */
+  applyLimits(limits: CallerLimits): void {
+    this.#server.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+  }
+
+  /** Asks callers to leave with their next answer. */
+  startLeaving(): void {
+    this.#isLeaving = true
+  }
+
+  /** Ends idle connections and accepts no new ones. */
+  stop(): void {
+    this.#server.close()
+    this.#server.closeIdleConnections()
+  }
+
+  #received(message: IncomingMessage, response: ServerResponse): void {
+    const arrivedAtMs = this.#parts.clock()
+    const { socket } = message
+    if (this.#closing.has(socket)) return
+    this.#open.set(socket, (this.#open.get(socket) ?? 0) + 1)
+    const away = new AbortController()
+    response.once('close', () => {
+      const left = (this.#open.get(socket) ?? 1) - 1
+      if (left > 0) this.#open.set(socket, left)
+      else this.#open.delete(socket)
+      if (!response.writableFinished) away.abort()
+    })
+    const fault = this.#faultOf(message)
+    if (fault !== undefined) {
+      this.#write(socket, response, fault, true)
+      return
+    }
+    this.#readBody(message, response, (body) => {
+      const request = this.#requestOf(message, body, arrivedAtMs, away.signal)
+      void this.#parts.run(request).then((answer) => {
+        this.#write(socket, response, answer, false)
+      })
+    })
+  }
+
+  #readBody(
+    message: IncomingMessage,
+    response: ServerResponse,
+    onBody: (body: Buffer) => void,
+  ): void {
+    const limit = this.#parts.limits()?.bodyBytes ?? Number.POSITIVE_INFINITY
+    const chunks: Buffer[] = []
+    let size = 0
+    message.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= limit) chunks.push(chunk)
+      else if (!response.headersSent) {
+        this.#write(message.socket, response, faultAnswer(413, 'body too large'), true)
+      }
+    })
+    message.on('end', () => {
+      if (size <= limit) onBody(chunks.length === 1 ? (chunks[0] ?? EMPTY) : Buffer.concat(chunks))
+    })
+    message.on('error', () => {
+      // The caller broke off while sending; 'close' of the response tells the rest.
+      chunks.length = 0
+    })
+  }
+
+  #faultOf(message: IncomingMessage): CallerAnswer | undefined {
+    const limit = this.#parts.limits()?.headerBytes
+    if (limit !== undefined && headBytes(message) > limit) {
+      return faultAnswer(431, 'headers too large')
+    }
+    if (message.headers.host === undefined) return faultAnswer(400, 'Host is missing')
+    if (message.url?.startsWith('/') !== true) return faultAnswer(400, 'target is not a path')
+    if (message.headers[this.#parts.headers.requestId] === undefined) {
+      return faultAnswer(400, `${this.#parts.headers.requestId} is missing`)
+    }
+    return undefined
+  }
+
+  #requestOf(
+    message: IncomingMessage,
+    body: Buffer,
+    arrivedAtMs: number,
+    signal: AbortSignal,
+  ): CallerRequest {
+    const { headers } = this.#parts
+    const all = pairsOf(message.rawHeaders)
+    const patience = Number(headerOf(all, headers.patience) ?? Number.NaN)
+    return {
+      requestId: headerOf(all, headers.requestId) ?? '',
+      method: message.method ?? 'GET',
+      host: message.headers.host ?? '',
+      target: message.url ?? '/',
+      headers: this.#passedOn(all),
+      body,
+      object: cookieOf(message.headers.cookie, headers.objectCookie),
+      patienceMs: Number.isFinite(patience) && patience >= 0 ? patience : undefined,
+      arrivedAtMs,
+      signal,
+    }
+  }
+
+  #passedOn(all: readonly HeaderPair[]): HeaderPair[] {
+    const { patience, reserved } = this.#parts.headers
+    const named = connectionOptions(all)
+    return all.filter(([name]) => {
+      const lower = name.toLowerCase()
+      if (lower === patience || reserved.has(lower)) return false
+      return !HOP_BY_HOP.has(lower) && !named.has(lower)
+    })
+  }
+
+  #write(socket: Socket, response: ServerResponse, answer: CallerAnswer, close: boolean): void {
+    if (response.headersSent || response.destroyed) return
+    // Closing behind requests that were read already would cut them.
+    const isLast = (this.#open.get(socket) ?? 1) <= 1
+    const isClosing = close || (this.#isLeaving && isLast)
+    const flat = answer.headers.flatMap(([name, value]) => [name, value])
+    if (headerOf(answer.headers, 'date') !== undefined) response.sendDate = false
+    if (!STATUS_WITHOUT_BODY.has(answer.status)) {
+      flat.push('Content-Length', String(answer.body.length))
+    }
+    if (isClosing) {
+      this.#closing.add(socket)
+      flat.push('Connection', 'close')
+    }
+    if (answer.statusText === undefined) response.writeHead(answer.status, flat)
+    else response.writeHead(answer.status, answer.statusText, flat)
+    response.end(answer.body)
+  }
+}
+
+const EMPTY = Buffer.alloc(0)
+const STATUS_WITHOUT_BODY = new Set([204, 304])
+
+function faultAnswer(status: number, text: string): CallerAnswer {
+  return { status, headers: [['Content-Type', 'text/plain']], body: Buffer.from(`${text}\n`) }
+}
+
+function headBytes(message: IncomingMessage): number {
+  let bytes = (message.url ?? '').length + (message.method ?? '').length
+  for (const part of message.rawHeaders) bytes += part.length + 2
+  return bytes
+}
+
+function connectionOptions(headers: readonly HeaderPair[]): ReadonlySet<string> {
+  const value = headerOf(headers, 'connection')
+  if (value === undefined) return NO_OPTIONS
+  return new Set(value.split(',').map((option) => option.trim().toLowerCase()))
+}
+
+const NO_OPTIONS: ReadonlySet<string> = new Set()
+
+function cookieOf(header: string | undefined, name: string): string {
+  if (header === undefined) return ''
+  for (const part of header.split(';')) {
+    const [given, ...value] = part.trim().split('=')
+    if (given?.toLowerCase() === name) return value.join('=')
+  }
+  return ''
+}
+
+function statusOfParserError(code: string | undefined): string {
+  if (code === 'HPE_HEADER_OVERFLOW') return '431 Request Header Fields Too Large'
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return '408 Request Timeout'
+  return '400 Bad Request'
+}
--- /dev/null
+++ b/src/entry/coordination.ts
@@ -0,0 +1,220 @@
+/** The coordinators of this instance: one per service that is asked of it, for peers and for itself. */
+import type { BackendServerRegistry, KnownBackendServer } from './backendServerRegistry.js'
+import type { InstanceTable } from './instanceTable.js'
+import { coordinatorOrder } from './instanceTable.js'
+import type { LoadReport } from './loadReport.js'
+import type { AdoptedUse, AskMessage, DemandMessage, LendMessage } from './peerMessages.js'
+import { PeerMessageKind, SlotUse } from './peerMessages.js'
+import type { ServiceSettings } from './routingConfiguration.js'
+import type { CoordinatedServer } from './serverState.js'
+import type { CoordinatorFigures } from './serviceCoordinator.js'
+import { ServiceCoordinator } from './serviceCoordinator.js'
+import type { LocalCoordinators, PeerSender } from './slotClient.js'
+import type { RegionDemand } from './slotLending.js'
+import { slotsToLend } from './slotLending.js'
+import type { Waiter } from './waitingLine.js'
+
+/** Interval of the exchange of demand and lent slots between regions, in milliseconds. */
+const EXCHANGE_MS = 400
+/** Demand of a region counts for this long, in milliseconds; five exchanges. */
+const DEMAND_LIFE_MS = 2000
+/** A coordinator that was not asked for this long no longer speaks for its service. */
+const IDLE_COORDINATOR_MS = 10_000
+
+/** What the coordination needs. */
+export interface CoordinationParts {
+  readonly table: InstanceTable
+  readonly registry: BackendServerRegistry
+  readonly peers: PeerSender
+  readonly random: () => number
+  readonly regionOfZone: (zone: string) => string | undefined
+  readonly service: (name: string) => ServiceSettings | undefined
+  /** Duration to assume for a route before any was observed, in milliseconds. */
+  readonly usualDurationMs: (route: string) => number | undefined
+}
+
+interface Coordinated {
+  readonly coordinator: ServiceCoordinator
+  readonly demands: Map<string, { readonly demand: RegionDemand; readonly atMs: number }>
+  usedAtMs: number
+  generation: number
+}
+
+/** Cold phase assumed for a service that the configuration does not describe. */
+const UNKNOWN_COLD_RATE = 1
+
+/** Creates coordinators on demand, because any instance may become one at any moment. */
+export class Coordination implements LocalCoordinators {
+  readonly #parts: CoordinationParts
+  readonly #services = new Map<string, Coordinated>()
+  #exchangedAtMs = Number.NEGATIVE_INFINITY
+
+  constructor(parts: CoordinationParts) {
+    this.#parts = parts
+  }
+
+  ask(waiter: Waiter, nowMs: number): void {
+    const { service, route } = waiter.ask
+    const coordinated = this.#of(service, nowMs)
+    coordinated.usedAtMs = nowMs
+    const usualMs = this.#parts.usualDurationMs(route)
+    if (usualMs !== undefined) coordinated.coordinator.setUsualDuration(route, usualMs)
+    coordinated.coordinator.ask(waiter, nowMs)
+  }
+
+  cancel(service: string, key: string): void {
+    this.#services.get(service)?.coordinator.cancel(key)
+  }
+
+  done(
+    service: string,
+    key: string,
+    use: SlotUse,
+    durationMs: number,
+    report: LoadReport | null,
+    nowMs: number,
+  ): void {
+    this.#services.get(service)?.coordinator.done(key, use, durationMs, report, nowMs)
+  }
+
+  adopt(service: string, instance: string, uses: readonly AdoptedUse[], nowMs: number): void {
+    this.#of(service, nowMs).coordinator.adopt(instance, uses, nowMs)
+  }
+
+  /** A peer asks for a slot. */
+  askedBy(peer: string, { ask }: AskMessage, nowMs: number): void {
+    const zone = this.#parts.table.find(peer)?.zone ?? ''
+    const { peers } = this.#parts
+    const { askId } = ask
+    this.ask(
+      {
+        key: `${peer}/${askId}`,
+        ask,
+        zone,
+        arrivedAtMs: nowMs,
+        targetAtMs: nowMs + ask.targetInMs,
+        deadlineAtMs: nowMs + ask.deadlineInMs,
+        granted: (serverId) => {
+          peers.send(peer, { kind: PeerMessageKind.Grant, askId, serverId })
+        },
+        refused: (reason, retryAfterMs) => {
+          peers.send(peer, { kind: PeerMessageKind.Refuse, askId, reason, retryAfterMs })
+        },
+      },
+      nowMs,
+    )
+  }
+
+  /** A peer withdraws a wish, which may have been granted meanwhile. */
+  cancelledBy(peer: string, service: string, askId: number, nowMs: number): void {
+    const key = `${peer}/${askId}`
+    this.cancel(service, key)
+    this.done(service, key, SlotUse.Abandoned, 0, null, nowMs)
+  }
+
+  peerLost(peer: string, nowMs: number): void {
+    for (const { coordinator } of this.#services.values()) coordinator.forgetInstance(peer, nowMs)
+  }
+
+  demanded(message: DemandMessage, nowMs: number): void {
+    const { service, region, neededSlots, slots } = message
+    const demand = { region, neededSlots, slots }
+    const coordinated = this.#of(service, nowMs)
+    coordinated.usedAtMs = nowMs
+    coordinated.demands.set(region, { demand, atMs: nowMs })
+  }
+
+  lent(message: LendMessage, nowMs: number): void {
+    this.#of(message.service, nowMs).coordinator.borrow(message.region, message.slots, nowMs)
+  }
+
+  /** Periodic work of all coordinators. */
+  tick(nowMs: number): void {
+    this.#parts.registry.expire(nowMs)
+    for (const [service, coordinated] of this.#services) {
+      this.#refresh(service, coordinated, nowMs)
+      coordinated.coordinator.tick(nowMs)
+    }
+    if (nowMs - this.#exchangedAtMs < EXCHANGE_MS) return
+    this.#exchangedAtMs = nowMs
+    for (const [service, coordinated] of this.#services) {
+      if (nowMs - coordinated.usedAtMs < IDLE_COORDINATOR_MS) {
+        this.#exchange(service, coordinated, nowMs)
+      }
+    }
+  }
+
+  figures(nowMs: number): CoordinatorFigures[] {
+    return [...this.#services.values()].map(({ coordinator }) => coordinator.figures(nowMs))
+  }
+
+  #of(service: string, nowMs: number): Coordinated {
+    const known = this.#services.get(service)
+    if (known !== undefined) {
+      this.#refresh(service, known, nowMs)
+      return known
+    }
+    const { random, table } = this.#parts
+    const created: Coordinated = {
+      coordinator: new ServiceCoordinator(service, table.self.region, random, nowMs),
+      demands: new Map(),
+      usedAtMs: nowMs,
+      generation: -1,
+    }
+    this.#services.set(service, created)
+    this.#refresh(service, created, nowMs)
+    return created
+  }
+
+  /** Takes over a change of the usable servers before the next decision. */
+  #refresh(service: string, coordinated: Coordinated, nowMs: number): void {
+    const { registry, table } = this.#parts
+    if (coordinated.generation === registry.generation) return
+    coordinated.generation = registry.generation
+    const own = registry
+      .usable()
+      .filter((server) => server.service === service)
+      .map((server) => this.#coordinated(server))
+      .filter((server) => server.region === table.self.region)
+    const find = (id: string): CoordinatedServer | undefined => {
+      const server = registry.find(id)
+      const isUsable = server !== undefined && registry.isUsable(id) && server.service === service
+      return isUsable ? this.#coordinated(server) : undefined
+    }
+    coordinated.coordinator.assign(own, find, nowMs)
+  }
+
+  #coordinated(server: KnownBackendServer): CoordinatedServer {
+    const { service, regionOfZone } = this.#parts
+    return {
+      id: server.id,
+      region: regionOfZone(server.zone) ?? '',
+      zone: server.zone,
+      slots: server.slots,
+      coldUntilMs: server.coldUntilMs,
+      coldRequestsPerSecond: service(server.service)?.coldRequestsPerSecond ?? UNKNOWN_COLD_RATE,
+    }
+  }
+
+  /** Tells the coordinators of other regions the demand here, and what is lent to them. */
+  #exchange(service: string, coordinated: Coordinated, nowMs: number): void {
+    const { table, peers } = this.#parts
+    const own = coordinated.coordinator.demand(nowMs)
+    for (const [region, { atMs }] of coordinated.demands) {
+      if (nowMs - atMs > DEMAND_LIFE_MS) coordinated.demands.delete(region)
+    }
+    const others = [...coordinated.demands.values()].map(({ demand }) => demand)
+    const counts = slotsToLend(own.region, [own, ...others])
+    const lent = coordinated.coordinator.lend(counts, nowMs)
+    const regions = new Set(table.others().map(({ region }) => region))
+    regions.delete(own.region)
+    for (const region of regions) {
+      const [first] = coordinatorOrder(service, table.live(region, nowMs))
+      if (first === undefined) continue
+      peers.send(first.name, { kind: PeerMessageKind.Demand, service, ...own })
+      const slots = lent.get(region)
+      if (slots === undefined) continue
+      peers.send(first.name, { kind: PeerMessageKind.Lend, service, region: own.region, slots })
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/entryDaemon.ts
@@ -0,0 +1,470 @@
+/** One entry instance: takes callers' requests, coordinates services, follows the store. */
+import type { Server } from 'node:http'
+import type { Clock } from '../common/clock.js'
+import { sleep } from '../common/clock.js'
+import { BackendServerRegistry } from './backendServerRegistry.js'
+import type { ServerUpdate } from './backendServerRegistry.js'
+import type { CallerHeaders } from './callerServer.js'
+import { CallerServer } from './callerServer.js'
+import { ConnectionPool } from './connectionPool.js'
+import { Coordination } from './coordination.js'
+import { entriesFor } from './entryDirectory.js'
+import type { EntryLog } from './entryLog.js'
+import { EntryMetrics } from './entryMetrics.js'
+import type { InstanceRecord } from './instanceRecord.js'
+import { parseInstanceRecord } from './instanceRecord.js'
+import { INSTANCE_PREFIX, InstanceRegistration } from './instanceRegistration.js'
+import { coordinatorOrder, InstanceTable } from './instanceTable.js'
+import type { MetadataStore } from './metadataStore.js'
+import type { PeerMessage } from './peerMessages.js'
+import { PeerMessageKind } from './peerMessages.js'
+import { PeerMesh } from './peerMesh.js'
+import { RequestRunner } from './requestRunner.js'
+import type { RoutingConfiguration } from './routingConfiguration.js'
+import { RoutingView } from './routingView.js'
+import type { ServerHeaders } from './serverExchange.js'
+import type { RetryBounds } from './sharedRetryBudget.js'
+import { SharedRetryBudget } from './sharedRetryBudget.js'
+import { SlotClient } from './slotClient.js'
+import type { SmallAnswer } from './smallHttpServer.js'
+import { startSmallServer } from './smallHttpServer.js'
+import { StoreContact } from './storeContact.js'
+import { StoreFollower } from './storeFollower.js'
+import { StoreMirror } from './storeMirror.js'
+
+/** A place to listen at. */
+export interface ListenAddress {
+  readonly host: string
+  readonly port: number
+}
+
+/** Settings of one instance. */
+export interface EntrySettings {
+  readonly record: InstanceRecord
+  readonly regionOfZone: ReadonlyMap<string, string>
+  readonly callers: ListenAddress
+  readonly readiness: ListenAddress
+  readonly directory: ListenAddress
+  readonly peers: ListenAddress
+  readonly metrics: ListenAddress
+  /** Peer addresses of some instances, which may be stale. */
+  readonly seeds: readonly string[]
+  readonly retryBounds: RetryBounds
+  /** Time between the signal to end and the end, in milliseconds. */
+  readonly graceMs: number
+}
+
+/** What a stored item means. */
+export type StoredFact =
+  | { readonly kind: 'configuration'; readonly configuration: RoutingConfiguration | undefined }
+  | { readonly kind: 'server'; readonly update: ServerUpdate }
+  | { readonly kind: 'serverRemoved'; readonly id: string }
+  | { readonly kind: 'evacuation'; readonly zone: string; readonly isOn: boolean }
+  | { readonly kind: 'other' }
+
+/** The platform behind the instance. */
+export interface EntryPlatform {
+  readonly store: MetadataStore
+  readonly callerHeaders: CallerHeaders
+  readonly serverHeaders: ServerHeaders
+  /** Prefixes of the platform's items. */
+  readonly prefixes: readonly string[]
+  /** Decodes an item; `value` is undefined when it was removed. */
+  decode(key: string, value: Buffer | undefined, revision: number): StoredFact
+  readonly readinessPath: string
+  readonly directoryPath: string
+  /** Reads a caller's question to the directory. */
+  directoryQuestion(url: URL): { host: string; region: string; zone: string }
+  directoryAnswer(addresses: readonly string[]): SmallAnswer
+}
+
+/** Interval of periodic decisions, in ms; a waiting request is reviewed this often. */
+const TICK_MS = 25
+/** Interval of slower housekeeping, in milliseconds. */
+const HOUSEKEEPING_MS = 500
+/** Time for which an instance that is gone is still counted in budgets, in milliseconds. */
+const FORGET_LOST_MS = 30_000
+/** Time after the signal to end during which requests are still taken, in ms; callers' lists lag. */
+const TAKE_WHILE_LEAVING_MS = 4000
+/** Part of the grace period that is left when the process ends by itself, in milliseconds. */
+const END_BEFORE_KILL_MS = 350
+/** Shortest time for which a leaving instance stays, so that directories have dropped it, in ms. */
+const MIN_LEAVE_MS = 2500
+
+/** Assembles the parts and owns their life. */
+export class EntryDaemon {
+  readonly #settings: EntrySettings
+  readonly #platform: EntryPlatform
+  readonly #clock: Clock
+  readonly #log: EntryLog
+  readonly #table: InstanceTable
+  readonly #registry = new BackendServerRegistry()
+  readonly #routing = new RoutingView()
+  readonly #contact: StoreContact
+  readonly #mirror: StoreMirror
+  readonly #follower: StoreFollower
+  readonly #registration: InstanceRegistration
+  readonly #mesh: PeerMesh
+  readonly #coordination: Coordination
+  readonly #slots: SlotClient
+  readonly #pool: ConnectionPool
+  readonly #callers: CallerServer
+  readonly #metrics: EntryMetrics
+  readonly #evacuatedZones = new Set<string>()
+  readonly #smallServers: Server[] = []
+  readonly #timers: NodeJS.Timeout[] = []
+  #isLeaving = false
+  #wasAway = false
+
+  constructor(
+    settings: EntrySettings,
+    platform: EntryPlatform,
+    clock: Clock,
+    log: EntryLog,
+    droppedLogLines: () => number,
+  ) {
+    this.#settings = settings
+    this.#platform = platform
+    this.#clock = clock
+    this.#log = log
+    this.#table = new InstanceTable(settings.record)
+    this.#contact = new StoreContact(clock())
+    this.#mirror = new StoreMirror((key, value, revision) => {
+      this.#learn(key, value === undefined ? undefined : Buffer.from(value, 'base64'), revision)
+    })
+    this.#mesh = new PeerMesh({
+      table: this.#table,
+      clock,
+      log,
+      revision: () => this.#mirror.revision,
+      storeAgeMs: () => this.#contact.ownAgeMs(clock()),
+      listener: {
+        greeted: (peer, hello) => {
+          this.#greeted(peer, hello.revision)
+        },
+        received: (peer, message) => {
+          this.#received(peer, message)
+        },
+        lost: (peer) => {
+          this.#coordination.peerLost(peer, clock())
+          this.#slots.peerLost(peer)
+        },
+      },
+    })
+    this.#coordination = new Coordination({
+      table: this.#table,
+      registry: this.#registry,
+      peers: this.#mesh,
+      random: Math.random,
+      regionOfZone: (zone) => settings.regionOfZone.get(zone),
+      service: (name) => this.#routing.current?.services.get(name),
+      usualDurationMs: (route) => this.#routing.targetLatencyMs(route),
+    })
+    this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
+    this.#pool = new ConnectionPool(platform.serverHeaders, clock)
+    this.#metrics = new EntryMetrics(() => ({
+      ...this.#slots.figures,
+      storeAgeMs: this.#contact.ageMs(clock()),
+      droppedLogLines: droppedLogLines(),
+      openedConnections: this.#pool.opened,
+      version: this.#routing.current?.version ?? 0,
+    }))
+    const runner = new RequestRunner({
+      clock,
+      log,
+      metrics: this.#metrics,
+      routing: this.#routing,
+      registry: this.#registry,
+      table: this.#table,
+      slots: this.#slots,
+      pool: this.#pool,
+      budget: new SharedRetryBudget(settings.retryBounds),
+      headers: platform.serverHeaders,
+      regionOfZone: (zone) => settings.regionOfZone.get(zone),
+    })
+    this.#callers = new CallerServer({
+      headers: platform.callerHeaders,
+      clock,
+      limits: () => this.#routing.current?.limits,
+      run: (request) => runner.run(request),
+    })
+    this.#follower = new StoreFollower({
+      store: platform.store,
+      prefixes: [...platform.prefixes, INSTANCE_PREFIX],
+      mirror: this.#mirror,
+      contact: this.#contact,
+      clock,
+      log,
+      place: () => this.#readingPlace(),
+      publish: (news) => {
+        this.#mesh.broadcast(news, settings.record.region)
+      },
+    })
+    this.#registration = new InstanceRegistration(platform.store, settings.record, log)
+  }
+
+  /** Listens everywhere; the instance is ready once it knows a configuration. */
+  async start(): Promise<void> {
+    const { peers, callers, readiness, directory, metrics, seeds, record } = this.#settings
+    await this.#mesh.start(peers.host, peers.port)
+    for (const seed of seeds) if (seed !== record.peerAddress) this.#mesh.dialSeed(seed)
+    void this.#follower.run()
+    void this.#registration.run()
+    await this.#callers.start(callers.host, callers.port)
+    this.#smallServers.push(
+      await startSmallServer(readiness.host, readiness.port, (url) => this.#readiness(url)),
+      await startSmallServer(directory.host, directory.port, (url, request) =>
+        this.#directory(url, request.socket.remoteAddress ?? ''),
+      ),
+      await startSmallServer(metrics.host, metrics.port, (url) => this.#metricsPage(url)),
+    )
+    this.#timers.push(
+      setInterval(() => {
+        this.#coordination.tick(this.#clock())
+      }, TICK_MS),
+      setInterval(() => {
+        this.#housekeeping(this.#clock())
+      }, HOUSEKEEPING_MS),
+    )
+    this.#log.event('started', {
+      region: record.region,
+      zone: record.zone,
+      incarnation: record.incarnation,
+    })
+  }
+
+  /** Leaves without cutting a request: out of the directory, open requests end, then everything. */
+  async stop(): Promise<void> {
+    if (this.#isLeaving) return
+    this.#isLeaving = true
+    const startedAtMs = this.#clock()
+    this.#log.event('leaving', { openRequests: this.#callers.openRequests })
+    this.#table.leaveSelf()
+    const { incarnation } = this.#settings.record
+    this.#mesh.broadcast({ kind: PeerMessageKind.Leaving, incarnation })
+    this.#callers.startLeaving()
+    void this.#registration.stop()
+    const endAtMs = startedAtMs + this.#settings.graceMs - END_BEFORE_KILL_MS
+    for (;;) {
+      await sleep(TICK_MS)
+      const nowMs = this.#clock()
+      const elapsedMs = nowMs - startedAtMs
+      if (elapsedMs >= TAKE_WHILE_LEAVING_MS) this.#callers.stop()
+      const isDone = this.#callers.openRequests === 0 && elapsedMs >= MIN_LEAVE_MS
+      if (isDone || nowMs >= endAtMs) break
+    }
+    this.#callers.stop()
+    this.#follower.stop()
+    for (const timer of this.#timers) clearInterval(timer)
+    this.#mesh.stop()
+    this.#pool.close()
+    for (const server of this.#smallServers) server.close()
+    this.#log.event('stopped', { openRequests: this.#callers.openRequests })
+  }
+
+  /** Place of this instance among those of its region that read the store. */
+  #readingPlace(): number {
+    const { region, name } = this.#settings.record
+    const line = coordinatorOrder('store reader', this.#table.live(region, this.#clock()))
+    return Math.max(
+      0,
+      line.findIndex((instance) => instance.name === name),
+    )
+  }
+
+  #greeted(peer: InstanceRecord, peerRevision: number): void {
+    const { revision } = this.#mirror
+    if (revision <= peerRevision) return
+    const isNear = peer.region === this.#settings.record.region
+    if (!isNear && peerRevision > 0) return
+    this.#mesh.send(peer.name, {
+      kind: PeerMessageKind.News,
+      items: this.#mirror.items(),
+      revision,
+      isComplete: true,
+    })
+  }
+
+  #received(peer: string, message: PeerMessage): void {
+    const nowMs = this.#clock()
+    const handler = HANDLERS[message.kind] as (parts: HandlerParts, message: PeerMessage) => void
+    handler(
+      {
+        peer,
+        nowMs,
+        table: this.#table,
+        slots: this.#slots,
+        coordination: this.#coordination,
+        contact: this.#contact,
+        mirror: this.#mirror,
+      },
+      message,
+    )
+  }
+
+  #learn(key: string, value: Buffer | undefined, revision: number): void {
+    const nowMs = this.#clock()
+    if (key.startsWith(INSTANCE_PREFIX)) {
+      this.#learnInstance(key.slice(INSTANCE_PREFIX.length), value, nowMs)
+      return
+    }
+    const fact = this.#platform.decode(key, value, revision)
+    switch (fact.kind) {
+      case 'configuration':
+        this.#learnConfiguration(fact.configuration, revision)
+        break
+      case 'server':
+        this.#registry.apply(fact.update, nowMs)
+        this.#log.event('server', {
+          id: fact.update.id,
+          revision,
+          isDraining: fact.update.server?.isDraining,
+          zone: fact.update.server?.zone,
+          coldForMs: fact.update.server?.coldForMs,
+          isReadable: fact.update.server !== undefined,
+        })
+        break
+      case 'serverRemoved': {
+        const isGone = this.#registry.remove(fact.id, revision, nowMs)
+        this.#log.event('serverRemoved', { id: fact.id, revision, isGone })
+        break
+      }
+      case 'evacuation':
+        if (fact.isOn) this.#evacuatedZones.add(fact.zone)
+        else this.#evacuatedZones.delete(fact.zone)
+        this.#registry.evacuate(new Set(this.#evacuatedZones))
+        this.#log.event('evacuation', { zone: fact.zone, isOn: fact.isOn, revision })
+        break
+      case 'other':
+        break
+    }
+  }
+
+  #learnConfiguration(configuration: RoutingConfiguration | undefined, revision: number): void {
+    if (configuration === undefined) return
+    const isAccepted = this.#routing.accept(configuration)
+    this.#log.event('configuration', { version: configuration.version, revision, isAccepted })
+    if (isAccepted) this.#callers.applyLimits(configuration.limits)
+  }
+
+  #learnInstance(name: string, value: Buffer | undefined, nowMs: number): void {
+    if (value === undefined) {
+      this.#table.noteLapsed(name, nowMs)
+      this.#log.event('instanceLapsed', { name })
+      return
+    }
+    const record = parseInstanceRecord(parseJson(value))
+    if (record === undefined) {
+      this.#log.event('unreadableInstance', { name })
+      return
+    }
+    if (this.#mesh.isUp(name)) return
+    this.#table.learn(record, nowMs)
+  }
+
+  #housekeeping(nowMs: number): void {
+    const isAway = this.#contact.isAway(nowMs)
+    if (isAway || this.#wasAway) this.#registry.noteStoreTrouble(nowMs)
+    if (isAway !== this.#wasAway) {
+      this.#log.event(isAway ? 'storeAway' : 'storeBack', { ageMs: this.#contact.ageMs(nowMs) })
+    }
+    this.#wasAway = isAway
+    this.#table.forgetLost(nowMs, FORGET_LOST_MS)
+    this.#pool.sweep(nowMs)
+    for (const figures of this.#coordination.figures(nowMs)) {
+      if (figures.arrivalsPerSecond < 0.5) continue
+      this.#log.event('coordinating', {
+        ...figures,
+        arrivalsPerSecond: Math.round(figures.arrivalsPerSecond),
+        remoteShare: Math.round(figures.remoteShare * 1000) / 1000,
+      })
+    }
+  }
+
+  #readiness(url: URL): SmallAnswer | undefined {
+    if (url.pathname !== this.#platform.readinessPath) return undefined
+    const isReady = !this.#isLeaving && this.#routing.current !== undefined
+    return { status: isReady ? 200 : 503, contentType: 'text/plain', body: `${isReady}\n` }
+  }
+
+  #directory(url: URL, caller: string): SmallAnswer | undefined {
+    if (url.pathname !== this.#platform.directoryPath) return undefined
+    const { host, region, zone } = this.#platform.directoryQuestion(url)
+    const routes = this.#routing.current?.index.ofHost(host) ?? []
+    const regions = [...new Set(this.#settings.regionOfZone.values())]
+    const question = { region, zone, caller, routes }
+    return this.#platform.directoryAnswer(
+      entriesFor(this.#table, question, regions, this.#clock()),
+    )
+  }
+
+  async #metricsPage(url: URL): Promise<SmallAnswer | undefined> {
+    if (url.pathname !== '/metrics') return undefined
+    return { status: 200, contentType: 'text/plain', body: await this.#metrics.text() }
+  }
+}
+
+function parseJson(value: Buffer): unknown {
+  try {
+    return JSON.parse(value.toString('utf8'))
+  } catch {
+    // The caller logs that the record can't be read.
+    return undefined
+  }
+}
+
+interface HandlerParts {
+  readonly peer: string
+  readonly nowMs: number
+  readonly table: InstanceTable
+  readonly slots: SlotClient
+  readonly coordination: Coordination
+  readonly contact: StoreContact
+  readonly mirror: StoreMirror
+}
+
+type Handlers = {
+  readonly [Kind in PeerMessageKind]: (
+    parts: HandlerParts,
+    message: Extract<PeerMessage, { kind: Kind }>,
+  ) => void
+}
+
+const HANDLERS: Handlers = {
+  [PeerMessageKind.Hello]: () => undefined,
+  [PeerMessageKind.Beat]: ({ contact, nowMs }, { storeAgeMs }) => {
+    contact.notePeer(storeAgeMs, nowMs)
+  },
+  [PeerMessageKind.Leaving]: ({ table, peer }, { incarnation }) => {
+    table.noteLeaving(peer, incarnation)
+  },
+  [PeerMessageKind.Ask]: ({ coordination, peer, nowMs }, message) => {
+    coordination.askedBy(peer, message, nowMs)
+  },
+  [PeerMessageKind.Cancel]: ({ coordination, peer, nowMs }, { service, askId }) => {
+    coordination.cancelledBy(peer, service, askId, nowMs)
+  },
+  [PeerMessageKind.Grant]: ({ slots, peer }, message) => {
+    slots.granted(peer, message)
+  },
+  [PeerMessageKind.Refuse]: ({ slots, peer }, message) => {
+    slots.refused(peer, message)
+  },
+  [PeerMessageKind.Done]: ({ coordination, peer, nowMs }, message) => {
+    const { service, askId, use, durationMs, report } = message
+    coordination.done(service, `${peer}/${askId}`, use, durationMs, report, nowMs)
+  },
+  [PeerMessageKind.Adopt]: ({ coordination, peer, nowMs }, { service, uses }) => {
+    coordination.adopt(service, peer, uses, nowMs)
+  },
+  [PeerMessageKind.News]: ({ mirror }, { items, revision, isComplete }) => {
+    if (isComplete) mirror.applyComplete(items, revision)
+    else mirror.applyChanges(items, revision)
+  },
+  [PeerMessageKind.Demand]: ({ coordination, nowMs }, message) => {
+    coordination.demanded(message, nowMs)
+  },
+  [PeerMessageKind.Lend]: ({ coordination, nowMs }, message) => {
+    coordination.lent(message, nowMs)
+  },
+}
--- /dev/null
+++ b/src/entry/entryMetrics.ts
@@ -0,0 +1,82 @@
+/** Counters and latency histograms on the metrics address, by `prom-client`. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { FailureKind } from './callerRequest.js'
+
+/** Bucket limits in milliseconds; targets and deadlines of requests lie between them. */
+const LATENCY_BUCKETS_MS = [25, 50, 100, 150, 200, 300, 500, 750, 1000, 1500, 2500, 5000, 10_000]
+
+/** Present figures, read when the metrics are fetched. */
+export interface PresentFigures {
+  readonly waiting: number
+  readonly held: number
+  readonly storeAgeMs: number
+  readonly droppedLogLines: number
+  readonly openedConnections: number
+  readonly version: number
+}
+
+/** Metrics of one process. */
+export class EntryMetrics {
+  readonly #registry = new Registry()
+  readonly #latency: Histogram<'route' | 'status'>
+  readonly #failures: Counter<'kind'>
+  readonly #present: Readonly<Record<keyof PresentFigures, Gauge>>
+
+  constructor(present: () => PresentFigures) {
+    const registers = [this.#registry]
+    this.#latency = new Histogram({
+      name: 'tamarackdrift_request_milliseconds',
+      help: 'Time from the arrival of a request to its answer',
+      labelNames: ['route', 'status'],
+      buckets: LATENCY_BUCKETS_MS,
+      registers,
+    })
+    this.#failures = new Counter({
+      name: 'tamarackdrift_failed_requests_total',
+      help: 'Requests that this instance answered itself, by reason',
+      labelNames: ['kind'],
+      registers,
+    })
+    const gauge = (field: keyof PresentFigures, name: string, help: string): Gauge =>
+      new Gauge({
+        name: `tamarackdrift_${name}`,
+        help,
+        registers,
+        collect() {
+          this.set(present()[field])
+        },
+      })
+    this.#present = {
+      waiting: gauge('waiting', 'waiting_requests', 'Requests that wait for a slot'),
+      held: gauge('held', 'held_slots', 'Slots in use by requests of this instance'),
+      storeAgeMs: gauge('storeAgeMs', 'store_contact_age_milliseconds', 'Age of store news'),
+      droppedLogLines: gauge('droppedLogLines', 'dropped_log_lines', 'Log lines dropped'),
+      openedConnections: gauge(
+        'openedConnections',
+        'opened_connections',
+        'Connections opened to backend servers',
+      ),
+      version: gauge('version', 'configuration_version', 'Configuration in force'),
+    }
+  }
+
+  /** Records an answer to a caller. */
+  answered(route: string, status: number, durationMs: number): void {
+    this.#latency.observe({ route, status: String(status) }, durationMs)
+  }
+
+  /** Records an answer that this instance made itself. */
+  failed(kind: FailureKind): void {
+    this.#failures.inc({ kind })
+  }
+
+  /** Names of the gauges that are computed when fetched. */
+  get presentNames(): string[] {
+    return Object.keys(this.#present)
+  }
+
+  /** All metrics as text. */
+  text(): Promise<string> {
+    return this.#registry.metrics()
+  }
+}
--- /dev/null
+++ b/src/entry/requestRunner.ts
@@ -0,0 +1,364 @@
+/** Runs one caller's request: route, slot, send, and what follows from the outcome. */
+import type { Clock } from '../common/clock.js'
+import type { HeaderPair } from '../common/exchange.js'
+import type { BackendServerRegistry, KnownBackendServer } from './backendServerRegistry.js'
+import type { CallerAnswer, CallerRequest } from './callerRequest.js'
+import { FailureKind, failureAnswer } from './callerRequest.js'
+import type { ConnectionPool } from './connectionPool.js'
+import type { EntryLog } from './entryLog.js'
+import type { EntryMetrics } from './entryMetrics.js'
+import type { InstanceTable } from './instanceTable.js'
+import { SlotUse } from './peerMessages.js'
+import type { RoutingView } from './routingView.js'
+import type { Route } from './routingConfiguration.js'
+import { Repeatability } from './routingConfiguration.js'
+import type { SendOutcome, ServerAnswer, ServerHeaders } from './serverExchange.js'
+import { SendKind } from './serverExchange.js'
+import type { SharedRetryBudget } from './sharedRetryBudget.js'
+import type { SlotClient, SlotGrant } from './slotClient.js'
+
+/** Time kept for the way back to the caller, in milliseconds. */
+const WAY_BACK_MS = 4
+/** Time left below which a further send is useless, in milliseconds. */
+const MIN_SEND_MS = 20
+/** Retry-After when nothing is known about when there will be room, in milliseconds. */
+const DEFAULT_RETRY_AFTER_MS = 150
+/** A request with less than this part of the usual patience left has been here before. */
+const RETURN_PATIENCE_SHARE = 0.97
+
+/** What the runner works with. */
+export interface RequestRunnerParts {
+  readonly clock: Clock
+  readonly log: EntryLog
+  readonly metrics: EntryMetrics
+  readonly routing: RoutingView
+  readonly registry: BackendServerRegistry
+  readonly table: InstanceTable
+  readonly slots: SlotClient
+  readonly pool: ConnectionPool
+  readonly budget: SharedRetryBudget
+  readonly headers: ServerHeaders
+  readonly regionOfZone: (zone: string) => string | undefined
+}
+
+/** State of one request between its sends. */
+interface Run {
+  readonly request: CallerRequest
+  readonly route: Route
+  readonly service: string
+  readonly deadlineAtMs: number
+  readonly targetAtMs: number
+  readonly isReturn: boolean
+  readonly tried: string[]
+  sends: number
+  mayHaveRun: boolean
+}
+
+type SlotResult =
+  | { readonly grant: SlotGrant }
+  | { readonly reason: string; readonly retryAfterMs: number; readonly coordinator: string }
+
+/** Serves requests one by one; holds no state between them but the usual patience per route. */
+export class RequestRunner {
+  readonly #parts: RequestRunnerParts
+  readonly #usualPatienceMs = new Map<string, number>()
+
+  constructor(parts: RequestRunnerParts) {
+    this.#parts = parts
+  }
+
+  /** Returns the answer; never rejects. */
+  async run(request: CallerRequest): Promise<CallerAnswer> {
+    const { routing, metrics, clock } = this.#parts
+    const configuration = routing.current
+    if (configuration === undefined) {
+      return this.#fail(request, undefined, FailureKind.NoConfiguration, DEFAULT_RETRY_AFTER_MS)
+    }
+    const route = configuration.index.find(request.host, request.target)
+    if (route === undefined) return this.#fail(request, undefined, FailureKind.NoRoute, 0)
+    const run = this.#begin(request, route)
+    this.#parts.budget.recordRequest(
+      run.service,
+      this.#parts.table.countForBudgets(),
+      request.arrivedAtMs,
+    )
+    const answer = await this.#serve(run)
+    metrics.answered(route.name, answer.status, clock() - request.arrivedAtMs)
+    return answer
+  }
+
+  #begin(request: CallerRequest, route: Route): Run {
+    const patienceMs = Math.min(request.patienceMs ?? route.timeoutMs, route.timeoutMs)
+    const usualMs = Math.max(this.#usualPatienceMs.get(route.name) ?? 0, request.patienceMs ?? 0)
+    this.#usualPatienceMs.set(route.name, usualMs)
+    // What the caller has waited already counts against the target.
+    const waitedMs = request.patienceMs === undefined ? 0 : usualMs - request.patienceMs
+    return {
+      request,
+      route,
+      service: this.#parts.routing.split.next(route),
+      deadlineAtMs: request.arrivedAtMs + patienceMs,
+      targetAtMs: request.arrivedAtMs + route.targetLatencyMs - waitedMs - WAY_BACK_MS,
+      isReturn: waitedMs > usualMs * (1 - RETURN_PATIENCE_SHARE),
+      tried: [],
+      sends: 0,
+      mayHaveRun: false,
+    }
+  }
+
+  async #serve(run: Run): Promise<CallerAnswer> {
+    const { clock } = this.#parts
+    let lost: SendOutcome | undefined
+    for (;;) {
+      if (run.request.signal.aborted) return this.#fail(run.request, run, FailureKind.Abandoned, 0)
+      const slot = await this.#acquire(run)
+      if (!('grant' in slot)) return this.#turnedAway(run, slot, lost)
+      const server = this.#parts.registry.find(slot.grant.serverId)
+      if (server === undefined || !this.#parts.registry.isUsable(server.id)) {
+        // The coordinator has not heard yet that the server is leaving.
+        slot.grant.release(SlotUse.Abandoned, 0, null)
+        run.tried.push(slot.grant.serverId)
+        if (run.tried.length > MAX_STALE_GRANTS) {
+          return this.#fail(run.request, run, FailureKind.NotRun, DEFAULT_RETRY_AFTER_MS)
+        }
+        continue
+      }
+      const outcome = await this.#send(run, slot.grant, server)
+      const next = NEXT_BY_KIND[outcome.kind](run, outcome)
+      if (next.isFinal) return this.#end(run, outcome, next.failure)
+      lost = next.mayHaveRun ? outcome : lost
+      run.mayHaveRun ||= next.mayHaveRun
+      const nowMs = clock()
+      if (!this.#mayRepeat(run, nowMs)) return this.#giveUp(run, outcome)
+    }
+  }
+
+  #acquire(run: Run): Promise<SlotResult> {
+    const { request, route } = run
+    return new Promise((resolve) => {
+      let withdraw: () => void = () => undefined
+      const leave = (): void => {
+        withdraw()
+        finish({ reason: 'the caller left', retryAfterMs: 0, coordinator: '' })
+      }
+      const timer = setTimeout(
+        () => {
+          withdraw()
+          finish({ reason: 'no slot before the deadline', retryAfterMs: 0, coordinator: '' })
+        },
+        Math.max(0, run.deadlineAtMs - this.#parts.clock() - MIN_SEND_MS),
+      )
+      const finish = (result: SlotResult): void => {
+        clearTimeout(timer)
+        request.signal.removeEventListener('abort', leave)
+        resolve(result)
+      }
+      request.signal.addEventListener('abort', leave, { once: true })
+      withdraw = this.#parts.slots.acquire(
+        {
+          service: run.service,
+          route: route.name,
+          object: route.prefersRecentServer ? request.object : '',
+          priority: route.priority,
+          targetAtMs: run.targetAtMs,
+          deadlineAtMs: run.deadlineAtMs,
+          isReturn: run.isReturn,
+          excludedServers: run.tried,
+          regions: route.homeRegions,
+        },
+        {
+          granted: (grant) => {
+            finish({ grant })
+          },
+          refused: (reason, retryAfterMs, coordinator) => {
+            finish({ reason, retryAfterMs, coordinator })
+          },
+        },
+      )
+    })
+  }
+
+  async #send(run: Run, grant: SlotGrant, server: KnownBackendServer): Promise<SendOutcome> {
+    const { pool, clock, headers, regionOfZone, table, log, routing } = this.#parts
+    const nowMs = clock()
+    const leftMs = run.deadlineAtMs - nowMs
+    const isRemote = regionOfZone(server.zone) !== table.self.region
+    const isRepeatable = run.route.repeatability === Repeatability.Idempotent
+    run.sends += 1
+    run.tried.push(server.id)
+    const outcome = await new Promise<SendOutcome>((resolve) => {
+      const sent: HeaderPair[] = [
+        ...run.request.headers,
+        [headers.deadline, String(Math.max(1, Math.floor(leftMs - WAY_BACK_MS)))],
+        [headers.expectedServer, server.id],
+      ]
+      const leave = (): void => {
+        // What runs at most once is left to end: breaking it off would leave it half done.
+        if (isRepeatable) giveUp(SendKind.Abandoned)
+      }
+      const finish = (result: SendOutcome): void => {
+        clearTimeout(timer)
+        run.request.signal.removeEventListener('abort', leave)
+        resolve(result)
+      }
+      const { requestId, method, target, body } = run.request
+      const { deadlineAtMs } = run
+      const giveUp = pool.send(
+        `${server.id}@${server.address}#${server.startedAtMs}`,
+        server.address,
+        isRemote,
+        { requestId, method, target, headers: sent, body, isRepeatable, deadlineAtMs },
+        (result) => {
+          finish(result)
+        },
+      )
+      const timer = setTimeout(
+        () => {
+          giveUp(SendKind.TimedOut)
+        },
+        Math.max(1, leftMs),
+      )
+      run.request.signal.addEventListener('abort', leave, { once: true })
+    })
+    const durationMs = outcome.kind === SendKind.Unreachable ? -1 : Math.round(outcome.durationMs)
+    grant.release(USE_BY_KIND[outcome.kind](outcome.answer), durationMs, outcome.report)
+    log.decision(run.request.requestId, 'sent', {
+      route: run.route.name,
+      version: routing.current?.version,
+      server: server.id,
+      region: regionOfZone(server.zone),
+      coordinator: grant.coordinator,
+      send: run.sends,
+      waitedMs: Math.round(nowMs - run.request.arrivedAtMs),
+      leftMs: Math.round(leftMs),
+      outcome: outcome.kind,
+      status: outcome.answer?.status,
+      durationMs: Math.round(outcome.durationMs),
+      ...(outcome.detail === '' ? {} : { detail: outcome.detail }),
+      ...(outcome.isReused ? {} : { newConnection: true }),
+    })
+    return outcome
+  }
+
+  #mayRepeat(run: Run, nowMs: number): boolean {
+    const isAllowed = !run.mayHaveRun || run.route.repeatability === Repeatability.Idempotent
+    if (!isAllowed || run.sends >= run.route.maxAttempts) return false
+    if (run.deadlineAtMs - nowMs < MIN_SEND_MS) return false
+    return this.#parts.budget.take(run.service, this.#parts.table.countForBudgets(), nowMs)
+  }
+
+  #turnedAway(
+    run: Run,
+    slot: Extract<SlotResult, { reason: string }>,
+    lost: SendOutcome | undefined,
+  ): CallerAnswer {
+    if (run.request.signal.aborted) return this.#fail(run.request, run, FailureKind.Abandoned, 0)
+    if (lost !== undefined) return this.#giveUp(run, lost)
+    const { reason, retryAfterMs, coordinator } = slot
+    const detail = { reason, coordinator, retryAfterMs }
+    return this.#fail(run.request, run, FailureKind.NoSlot, retryAfterMs, detail)
+  }
+
+  /** No further send: the best truth about what happened. */
+  #giveUp(run: Run, outcome: SendOutcome): CallerAnswer {
+    if (outcome.kind === SendKind.Answered && outcome.answer !== undefined) {
+      return answerOf(outcome.answer, this.#parts.headers)
+    }
+    if (run.mayHaveRun) return this.#fail(run.request, run, FailureKind.AnswerLost, 0)
+    return this.#fail(run.request, run, FailureKind.NotRun, DEFAULT_RETRY_AFTER_MS)
+  }
+
+  #end(run: Run, outcome: SendOutcome, failure: FailureKind | undefined): CallerAnswer {
+    if (failure === undefined && outcome.answer !== undefined) {
+      return answerOf(outcome.answer, this.#parts.headers)
+    }
+    return this.#fail(run.request, run, failure ?? FailureKind.AnswerLost, 0)
+  }
+
+  #fail(
+    request: CallerRequest,
+    run: Run | undefined,
+    kind: FailureKind,
+    retryAfterMs: number,
+    detail: Readonly<Record<string, string | number>> = {},
+  ): CallerAnswer {
+    const { log, metrics, clock, routing } = this.#parts
+    metrics.failed(kind)
+    log.decision(request.requestId, 'failed', {
+      kind,
+      host: request.host,
+      route: run?.route.name,
+      service: run?.service,
+      version: routing.current?.version,
+      isReturn: run?.isReturn,
+      sends: run?.sends,
+      targetInMs: run === undefined ? undefined : Math.round(run.targetAtMs - clock()),
+      heldMs: Math.round(clock() - request.arrivedAtMs),
+      ...(retryAfterMs > 0 ? { retryAfterMs } : {}),
+      ...detail,
+    })
+    return failureAnswer(kind, retryAfterMs)
+  }
+}
+
+/** Grants of servers that are already known to leave, before the request is refused. */
+const MAX_STALE_GRANTS = 4
+
+/** What follows from a send. */
+interface NextStep {
+  readonly isFinal: boolean
+  readonly failure?: FailureKind
+  readonly mayHaveRun: boolean
+}
+
+const NEXT_BY_KIND: Readonly<Record<SendKind, (run: Run, outcome: SendOutcome) => NextStep>> = {
+  [SendKind.Answered]: (run, { answer }) => {
+    const isServerFailure = (answer?.status ?? 0) >= 500
+    const isRepeatable = run.route.repeatability === Repeatability.Idempotent
+    return { isFinal: !(isServerFailure && isRepeatable), mayHaveRun: true }
+  },
+  [SendKind.Declined]: () => ({ isFinal: false, mayHaveRun: false }),
+  [SendKind.Misdirected]: () => ({ isFinal: false, mayHaveRun: false }),
+  [SendKind.Unreachable]: () => ({ isFinal: false, mayHaveRun: false }),
+  [SendKind.Broken]: () => ({ isFinal: false, mayHaveRun: true }),
+  [SendKind.TimedOut]: () => ({
+    isFinal: true,
+    failure: FailureKind.TimedOut,
+    mayHaveRun: true,
+  }),
+  [SendKind.Abandoned]: () => ({
+    isFinal: true,
+    failure: FailureKind.Abandoned,
+    mayHaveRun: true,
+  }),
+}
+
+const USE_BY_KIND: Readonly<Record<SendKind, (answer: ServerAnswer | undefined) => SlotUse>> = {
+  [SendKind.Answered]: (answer) =>
+    (answer?.status ?? 0) >= 500 ? SlotUse.Failed : SlotUse.Completed,
+  [SendKind.Declined]: () => SlotUse.NotRun,
+  [SendKind.Misdirected]: () => SlotUse.NotRun,
+  [SendKind.Unreachable]: () => SlotUse.NotRun,
+  [SendKind.Broken]: () => SlotUse.Broken,
+  [SendKind.TimedOut]: () => SlotUse.Abandoned,
+  [SendKind.Abandoned]: () => SlotUse.Abandoned,
+}
+
+const NOT_PASSED_ON = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'content-length',
+  'trailer',
+  'upgrade',
+  'proxy-connection',
+])
+
+/** The server's answer with its end-to-end headers. */
+function answerOf(answer: ServerAnswer, headers: ServerHeaders): CallerAnswer {
+  const passed = answer.headers.filter(([name]) => {
+    const lower = name.toLowerCase()
+    return !NOT_PASSED_ON.has(lower) && lower !== headers.load
+  })
+  return { status: answer.status, statusText: answer.statusText, headers: passed, body: answer.body }
+}
--- /dev/null
+++ b/src/entry/responseReader.ts
@@ -0,0 +1,124 @@
+/** Reads one answer from the bytes of a connection; strict about what does not belong to it. */
+import { HTTPParser } from 'http-parser-js'
+import type { HeaderPair } from '../common/exchange.js'
+import { pairsOf } from '../common/exchange.js'
+import type { ServerAnswer } from './serverExchange.js'
+
+/** Largest answer that is held in memory, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+/** State after some bytes. */
+export enum ReadState {
+  /** More bytes are needed. */
+  Partial = 'partial',
+  /** One answer is complete. */
+  Complete = 'complete',
+  /** The bytes are no answer. */
+  Malformed = 'malformed',
+}
+
+interface ParserInfo {
+  readonly statusCode: number
+  readonly statusMessage: string
+  readonly headers: string[]
+  readonly shouldKeepAlive: boolean
+}
+
+/** Parser of one answer, or of several when those before it belong to other requests. */
+export class ResponseReader {
+  readonly #parser = new HTTPParser('RESPONSE')
+  readonly #isOurs: (headers: readonly HeaderPair[], status: number) => boolean
+  #chunks: Buffer[] = []
+  #size = 0
+  #info: ParserInfo | undefined
+  #headers: HeaderPair[] = []
+  #answer: ServerAnswer | undefined
+  #isReusable = true
+  #hasBytes = false
+
+  /** @param isOurs tells whether an answer belongs to the request; others are skipped */
+  constructor(isOurs: (headers: readonly HeaderPair[], status: number) => boolean) {
+    this.#isOurs = isOurs
+    this.#parser[HTTPParser.kOnHeadersComplete] = (info: ParserInfo): void => {
+      this.#info = { ...info, headers: [...info.headers] }
+      this.#headers = pairsOf(info.headers)
+      this.#chunks = []
+      this.#size = 0
+    }
+    this.#parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number): void => {
+      this.#size += length
+      this.#chunks.push(chunk.subarray(offset, offset + length))
+    }
+    this.#parser[HTTPParser.kOnMessageComplete] = (): void => {
+      this.#completed()
+    }
+  }
+
+  get answer(): ServerAnswer | undefined {
+    return this.#answer
+  }
+
+  /** Whether the connection may serve another request after the answer. */
+  get isReusable(): boolean {
+    return this.#isReusable
+  }
+
+  get hasBytes(): boolean {
+    return this.#hasBytes
+  }
+
+  /** Takes bytes of the connection. */
+  read(bytes: Buffer): ReadState {
+    this.#hasBytes = true
+    if (this.#answer !== undefined) {
+      this.#isReusable = false
+      return ReadState.Complete
+    }
+    const result = this.#parser.execute(bytes)
+    if (this.#answer !== undefined) return ReadState.Complete
+    if (result instanceof Error || this.#size > MAX_ANSWER_BYTES) return ReadState.Malformed
+    return ReadState.Partial
+  }
+
+  /** The other side ended the connection in good order. */
+  end(): ReadState {
+    this.#isReusable = false
+    if (this.#answer !== undefined) return ReadState.Complete
+    if (this.#info === undefined) return ReadState.Malformed
+    const result: unknown = this.#parser.finish()
+    if (result instanceof Error) return ReadState.Malformed
+    return this.#hasAnswer() ? ReadState.Complete : ReadState.Malformed
+  }
+
+  #hasAnswer(): boolean {
+    return this.#answer !== undefined
+  }
+
+  #completed(): void {
+    const info = this.#info
+    this.#info = undefined
+    if (this.#answer !== undefined || info === undefined) {
+      this.#isReusable = false
+      return
+    }
+    if (info.statusCode < 200) return
+    if (!this.#isOurs(this.#headers, info.statusCode)) {
+      this.#isReusable = false
+      return
+    }
+    this.#answer = {
+      status: info.statusCode,
+      statusText: info.statusMessage,
+      headers: this.#headers,
+      body: this.#chunks.length === 1 ? (this.#chunks[0] ?? EMPTY) : Buffer.concat(this.#chunks),
+    }
+    if (!info.shouldKeepAlive || this.#hasBytesLeft()) this.#isReusable = false
+  }
+
+  #hasBytesLeft(): boolean {
+    const parser = this.#parser as unknown as { offset: number; end: number }
+    return parser.offset < parser.end
+  }
+}
+
+const EMPTY = Buffer.alloc(0)
--- /dev/null
+++ b/src/entry/serverState.ts
@@ -0,0 +1,186 @@
+/** What the coordinator of a service knows of one backend server: its slots, pace, failures and objects. */
+import { TokenBucket } from '../gateway/tokenBucket.js'
+import type { LoadReport } from './loadReport.js'
+import { SlotUse } from './peerMessages.js'
+
+/** A backend server as the coordinator may use it. */
+export interface CoordinatedServer {
+  readonly id: string
+  readonly region: string
+  readonly zone: string
+  /** Slots that this coordinator may fill. */
+  readonly slots: number
+  readonly coldUntilMs: number
+  /** Requests per second that it bears while cold. */
+  readonly coldRequestsPerSecond: number
+}
+
+/** Use of a slot. */
+export interface RunningUse {
+  readonly route: string
+  readonly object: string
+  readonly startedAtMs: number
+  readonly expectedMs: number
+}
+
+/** Objects remembered per server. More than a server keeps warm costs only a wrong preference. */
+const REMEMBERED_OBJECTS = 64
+/** Weight of a new duration in the pace; about the last ten requests count. */
+const PACE_WEIGHT = 0.15
+/** A report counts in full when new and not at all after this time; neighbours change faster. */
+const REPORT_LIFE_MS = 500
+/** Time without grants after the server said that it is full, in ms; about half a short request. */
+const FULL_PAUSE_MS = 60
+/** Time without grants after a refused connection, in milliseconds; a crashed server stays away for seconds. */
+const UNREACHABLE_PAUSE_MS = 1500
+/** Weight of a new outcome in the share of failures. */
+const FAILURE_WEIGHT = 0.1
+/** Bounds of a single observed pace, so that one straggler does not brand the server. */
+const MIN_PACE = 0.3
+const MAX_PACE = 8
+/** Failures cost a request about this many times its duration: the failed run and another one. */
+const FAILURE_COST = 4
+/** Work on a cold server takes about this many times as long. */
+const COLD_FACTOR = 2
+
+/** State of one server. */
+export class ServerState {
+  #server: CoordinatedServer
+  readonly running = new Map<string, RunningUse>()
+  readonly #objects = new Map<string, number>()
+  readonly #coldBucket: TokenBucket
+  #pace = 1
+  #failureShare = 0
+  #report: LoadReport | undefined
+  #reportAtMs = Number.NEGATIVE_INFINITY
+  #blockedUntilMs = Number.NEGATIVE_INFINITY
+
+  constructor(server: CoordinatedServer, nowMs: number) {
+    this.#server = server
+    this.#coldBucket = new TokenBucket(1, nowMs)
+  }
+
+  get server(): CoordinatedServer {
+    return this.#server
+  }
+
+  update(server: CoordinatedServer): void {
+    this.#server = server
+  }
+
+  /** Slots that may be granted now. */
+  freeSlots(nowMs: number): number {
+    if (nowMs < this.#blockedUntilMs) return 0
+    const free = this.#server.slots - this.running.size
+    if (free <= 0 || !this.isCold(nowMs)) return Math.max(0, free)
+    const rate = this.#server.coldRequestsPerSecond
+    this.#coldBucket.refill(rate, Math.max(1, rate / 4), nowMs)
+    return this.#coldBucket.tokens >= 1 ? free : 0
+  }
+
+  isCold(nowMs: number): boolean {
+    return nowMs < this.#server.coldUntilMs
+  }
+
+  /** Whether the server recently handled the object. */
+  knows(object: string): boolean {
+    return object !== '' && this.#objects.has(object)
+  }
+
+  /** Present duration of work relative to the usual one. */
+  paceAt(nowMs: number): number {
+    const reportWeight = Math.max(0, 1 - (nowMs - this.#reportAtMs) / REPORT_LIFE_MS)
+    const reported = this.#report?.pace ?? this.#pace
+    const known = Math.max(this.#pace, this.#overduePace(nowMs))
+    const pace = reportWeight * Math.max(reported, known * 0.5) + (1 - reportWeight) * known
+    return pace * (this.isCold(nowMs) ? COLD_FACTOR : 1) * (1 + FAILURE_COST * this.#failureShare)
+  }
+
+  start(key: string, use: RunningUse, nowMs: number): void {
+    this.running.set(key, use)
+    if (this.isCold(nowMs)) this.#coldBucket.charge(1)
+  }
+
+  /** Ends a use; unknown keys are ignored. */
+  end(
+    key: string,
+    use: SlotUse,
+    durationMs: number,
+    report: LoadReport | null,
+    nowMs: number,
+  ): RunningUse | undefined {
+    const running = this.running.get(key)
+    this.running.delete(key)
+    if (report !== null) {
+      this.#report = report
+      this.#reportAtMs = nowMs
+    }
+    OBSERVE_BY_USE[use](this, running, durationMs, nowMs)
+    return running
+  }
+
+  /** Keeps the server from being granted. */
+  block(untilMs: number): void {
+    this.#blockedUntilMs = Math.max(this.#blockedUntilMs, untilMs)
+  }
+
+  observeCompletion(running: RunningUse | undefined, durationMs: number, nowMs: number): void {
+    this.observeFailure(0)
+    if (running === undefined) return
+    this.#remember(running.object, nowMs)
+    const ratio = durationMs / Math.max(1, running.expectedMs)
+    const bounded = Math.min(MAX_PACE, Math.max(MIN_PACE, ratio))
+    this.#pace += (bounded - this.#pace) * PACE_WEIGHT
+  }
+
+  /** @param failed 1 for a failure, 0 for a success */
+  observeFailure(failed: number): void {
+    this.#failureShare += (failed - this.#failureShare) * FAILURE_WEIGHT
+  }
+
+  /** Pace that requests still running prove already. */
+  #overduePace(nowMs: number): number {
+    let overdue = 0
+    for (const use of this.running.values()) {
+      const ratio = (nowMs - use.startedAtMs) / Math.max(1, use.expectedMs)
+      if (ratio > 2) overdue += 1
+    }
+    // One straggler is normal; several at once are a slow server.
+    return overdue >= 2 ? 1 + overdue : 0
+  }
+
+  #remember(object: string, nowMs: number): void {
+    if (object === '') return
+    this.#objects.delete(object)
+    this.#objects.set(object, nowMs)
+    if (this.#objects.size <= REMEMBERED_OBJECTS) return
+    const oldest = this.#objects.keys().next().value
+    if (oldest !== undefined) this.#objects.delete(oldest)
+  }
+}
+
+type Observation = (
+  state: ServerState,
+  running: RunningUse | undefined,
+  durationMs: number,
+  nowMs: number,
+) => void
+
+const OBSERVE_BY_USE: Readonly<Record<SlotUse, Observation>> = {
+  [SlotUse.Completed]: (state, running, durationMs, nowMs) => {
+    state.observeCompletion(running, durationMs, nowMs)
+  },
+  [SlotUse.Failed]: (state) => {
+    state.observeFailure(1)
+  },
+  [SlotUse.NotRun]: (state, _running, durationMs, nowMs) => {
+    // A full server answers at once; connecting to one that is gone takes longer or is refused.
+    const isUnreachable = durationMs < 0
+    state.block(nowMs + (isUnreachable ? UNREACHABLE_PAUSE_MS : FULL_PAUSE_MS))
+    if (!isUnreachable) state.observeFailure(1)
+  },
+  [SlotUse.Broken]: (state) => {
+    state.observeFailure(1)
+  },
+  [SlotUse.Abandoned]: () => undefined,
+}
--- /dev/null
+++ b/src/entry/serviceCoordinator.ts
@@ -0,0 +1,386 @@
+/**
+ * One queue for one service in one region, with full knowledge of the slots in use.
+ *
+ * Load pattern: many small entry instances send to the same backend servers. If
+ * each guessed the load of the others, requests would wait unseen at the
+ * servers, where nothing can be reordered or refused in time. So all instances
+ * of a region ask one of them, which fills each server up to its slots.
+ */
+import { hashText } from '../common/hashing.js'
+import type { QueueState, RequestNeed } from './admission.js'
+import { AdmissionKind, admit, retryAfterMs } from './admission.js'
+import { DurationEstimates } from './durationEstimates.js'
+import type { LoadReport } from './loadReport.js'
+import { DecayingRate, MovingMean } from './movingMean.js'
+import type { AdoptedUse, LentSlots } from './peerMessages.js'
+import { SlotUse } from './peerMessages.js'
+import { RemoteShare, wantedRemoteShare } from './regionShare.js'
+import type { CoordinatedServer } from './serverState.js'
+import { ServerState } from './serverState.js'
+import type { RegionDemand } from './slotLending.js'
+import { chooseLentSlots } from './slotLending.js'
+import type { Waiter } from './waitingLine.js'
+import { WaitingLine } from './waitingLine.js'
+
+/** Time over which arrivals are counted, in ms; short enough to follow a burst of some seconds. */
+const ARRIVAL_WINDOW_MS = 1500
+/** Weight of a new duration in the mean time for which a slot is held. */
+const HOLD_WEIGHT = 0.03
+/** Slots that other regions lent count for this long without a renewal, in ms; four renewals. */
+const LENT_LIFE_MS = 2000
+/** Extra cost of a server in another zone, in milliseconds: the way there and back. */
+const OTHER_ZONE_COST_MS = 4
+/** Weight of the load of a server relative to the usual duration; spreads work over servers. */
+const LOAD_WEIGHT = 0.1
+/** Weight of the fixed preference of an object for servers, so that instances agree on it. */
+const OBJECT_PREFERENCE_WEIGHT = 0.15
+
+/** Asked for by operators and for tests. */
+export interface CoordinatorFigures {
+  readonly service: string
+  readonly slots: number
+  readonly running: number
+  readonly waiting: number
+  readonly arrivalsPerSecond: number
+  readonly remoteShare: number
+}
+
+/** Aggregate over the slots, the queue and the estimates of one service. */
+export class ServiceCoordinator {
+  readonly #service: string
+  readonly #region: string
+  readonly #random: () => number
+  readonly #servers = new Map<string, ServerState>()
+  /** Uses whose server is gone from the list; their ends are still accepted. */
+  readonly #estimates = new DurationEstimates()
+  readonly #line = new WaitingLine()
+  readonly #arrivals: DecayingRate
+  readonly #holdMs = new MovingMean(HOLD_WEIGHT)
+  readonly #remoteShare: RemoteShare
+  readonly #lentOut = new Map<string, readonly LentSlots[]>()
+  readonly #lentIn = new Map<
+    string,
+    { readonly slots: readonly LentSlots[]; readonly untilMs: number }
+  >()
+  #own: readonly CoordinatedServer[] = []
+  #findServer: (id: string) => CoordinatedServer | undefined = () => undefined
+
+  /** @param random uniform in [0, 1) */
+  constructor(service: string, region: string, random: () => number, nowMs: number) {
+    this.#service = service
+    this.#region = region
+    this.#random = random
+    this.#arrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
+    this.#remoteShare = new RemoteShare(nowMs)
+  }
+
+  /**
+   * Replaces the usable servers.
+   * @param own usable servers of this region
+   * @param find looks up a usable server of any region, for slots that were lent
+   */
+  assign(
+    own: readonly CoordinatedServer[],
+    find: (id: string) => CoordinatedServer | undefined,
+    nowMs: number,
+  ): void {
+    this.#own = own
+    this.#findServer = find
+    this.#rebuild(nowMs)
+    this.#pump(nowMs)
+  }
+
+  /** Grants at once, waits, or refuses. Calls back before it returns in the first and last case. */
+  ask(waiter: Waiter, nowMs: number): void {
+    const { ask } = waiter
+    if (ask.excludedServers.length === 0) this.#arrivals.add(1, nowMs)
+    const isFirst = this.#line.length === 0
+    if (isFirst && this.#tryGrant(waiter, nowMs)) return
+    if (!this.#hasServerFor(waiter)) {
+      const need = this.#needOf(waiter, nowMs)
+      waiter.refused('no backend server', retryAfterMs(need.deadlineInMs, need, this.#random()))
+      return
+    }
+    const need = this.#needOf(waiter, nowMs)
+    const admission = admit(this.#queueState(waiter, nowMs), need)
+    if (admission.kind === AdmissionKind.Refused) {
+      const returnMs = retryAfterMs(admission.waitMs, need, this.#random())
+      waiter.refused('no slot in useful time', returnMs)
+      return
+    }
+    this.#line.add(waiter)
+    this.#pump(nowMs)
+  }
+
+  /** Withdraws a waiting request. */
+  cancel(key: string): void {
+    this.#line.remove(key)
+  }
+
+  /** Ends the use of a slot. */
+  done(
+    key: string,
+    use: SlotUse,
+    durationMs: number,
+    report: LoadReport | null,
+    nowMs: number,
+  ): void {
+    for (const state of this.#servers.values()) {
+      const running = state.running.get(key)
+      if (running === undefined) continue
+      const isKnown = state.knows(running.object)
+      state.end(key, use, durationMs, report, nowMs)
+      if (use === SlotUse.Completed) {
+        this.#estimates.add(running.route, state.server.region, isKnown, durationMs)
+        this.#holdMs.add(nowMs - running.startedAtMs)
+      }
+      break
+    }
+    this.#pump(nowMs)
+  }
+
+  /** Takes over uses that another coordinator granted. */
+  adopt(instance: string, uses: readonly AdoptedUse[], nowMs: number): void {
+    for (const { askId, serverId, route, forMs } of uses) {
+      const state = this.#servers.get(serverId)
+      const expectedMs = this.#estimates.expectedMs(route, this.#region, true)
+      const startedAtMs = nowMs - forMs
+      state?.start(`${instance}/${askId}`, { route, object: '', startedAtMs, expectedMs }, nowMs)
+    }
+  }
+
+  /** Ends everything that an instance had here, because it or the way to it is lost. */
+  forgetInstance(instance: string, nowMs: number): void {
+    const prefix = `${instance}/`
+    for (const waiter of this.#line.all()) {
+      if (waiter.key.startsWith(prefix)) this.#line.remove(waiter.key)
+    }
+    for (const state of this.#servers.values()) {
+      for (const key of [...state.running.keys()]) {
+        if (key.startsWith(prefix)) state.running.delete(key)
+      }
+    }
+    this.#pump(nowMs)
+  }
+
+  /** Takes note of slots that another region lends. */
+  borrow(region: string, slots: readonly LentSlots[], nowMs: number): void {
+    this.#lentIn.set(region, { slots, untilMs: nowMs + LENT_LIFE_MS })
+    this.#rebuild(nowMs)
+  }
+
+  /** Lends slots to other regions and returns what to tell them. */
+  lend(counts: ReadonlyMap<string, number>, nowMs: number): ReadonlyMap<string, readonly LentSlots[]> {
+    const taken = new Map<string, number>()
+    this.#lentOut.clear()
+    const warm = this.#own.filter((server) => server.coldUntilMs <= nowMs)
+    for (const [region, count] of counts) {
+      const chosen = chooseLentSlots(region, count, warm, taken)
+      for (const { serverId, slots } of chosen) {
+        taken.set(serverId, (taken.get(serverId) ?? 0) + slots)
+      }
+      this.#lentOut.set(region, chosen)
+    }
+    this.#rebuild(nowMs)
+    return this.#lentOut
+  }
+
+  /** Demand and capacity of this region. */
+  demand(nowMs: number): RegionDemand {
+    const slots = this.#own.reduce((sum, server) => sum + server.slots, 0)
+    return { region: this.#region, neededSlots: this.#neededSlots(nowMs), slots }
+  }
+
+  /** Periodic work: late requests, slots that became usable, the share of other regions. */
+  tick(nowMs: number): void {
+    const lapsed = [...this.#lentIn].filter(([, { untilMs }]) => untilMs <= nowMs)
+    for (const [region] of lapsed) this.#lentIn.delete(region)
+    if (lapsed.length > 0) this.#rebuild(nowMs)
+    const lent = [...this.#servers.values()]
+      .filter(({ server }) => server.region !== this.#region)
+      .reduce((sum, { server }) => sum + server.slots, 0)
+    const { neededSlots, slots } = this.demand(nowMs)
+    this.#remoteShare.steer(wantedRemoteShare(neededSlots, slots, lent), nowMs)
+    this.#pump(nowMs)
+    this.#refuseHopeless(nowMs)
+  }
+
+  setUsualDuration(route: string, durationMs: number): void {
+    this.#estimates.setDefault(route, durationMs)
+  }
+
+  figures(nowMs: number): CoordinatorFigures {
+    let slots = 0
+    let running = 0
+    for (const state of this.#servers.values()) {
+      slots += state.server.slots
+      running += state.running.size
+    }
+    return {
+      service: this.#service,
+      slots,
+      running,
+      waiting: this.#line.length,
+      arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
+      remoteShare: this.#remoteShare.share,
+    }
+  }
+
+  #rebuild(nowMs: number): void {
+    const lentOut = new Map<string, number>()
+    for (const slots of this.#lentOut.values()) {
+      for (const { serverId, slots: count } of slots) {
+        lentOut.set(serverId, (lentOut.get(serverId) ?? 0) + count)
+      }
+    }
+    const next = new Map<string, CoordinatedServer>()
+    for (const server of this.#own) {
+      const slots = Math.max(0, server.slots - (lentOut.get(server.id) ?? 0))
+      next.set(server.id, { ...server, slots })
+    }
+    for (const { slots } of this.#lentIn.values()) {
+      for (const { serverId, slots: count } of slots) {
+        const server = this.#findServer(serverId)
+        if (server !== undefined) next.set(serverId, { ...server, slots: count })
+      }
+    }
+    for (const [id, state] of this.#servers) {
+      const server = next.get(id)
+      if (server !== undefined) state.update(server)
+      else if (state.running.size === 0) this.#servers.delete(id)
+      else state.update({ ...state.server, slots: 0 })
+    }
+    for (const [id, server] of next) {
+      if (!this.#servers.has(id)) this.#servers.set(id, new ServerState(server, nowMs))
+    }
+  }
+
+  #pump(nowMs: number): void {
+    if (this.#line.length === 0) return
+    const ordered = this.#line.ordered((waiter) => this.#latestStart(waiter), nowMs)
+    for (const waiter of ordered) {
+      if (!this.#hasFreeSlot(nowMs)) return
+      // The waiter leaves the line first: granting it may call back into this aggregate.
+      if (this.#line.remove(waiter.key) === undefined) continue
+      if (!this.#tryGrant(waiter, nowMs)) this.#line.add(waiter)
+    }
+  }
+
+  #hasFreeSlot(nowMs: number): boolean {
+    for (const state of this.#servers.values()) if (state.freeSlots(nowMs) > 0) return true
+    return false
+  }
+
+  #tryGrant(waiter: Waiter, nowMs: number): boolean {
+    const state = this.#pick(waiter, nowMs)
+    if (state === undefined) return false
+    const { route, object } = waiter.ask
+    const { id, region } = state.server
+    const expectedMs = this.#estimates.expectedMs(route, region, state.knows(object))
+    state.start(waiter.key, { route, object, startedAtMs: nowMs, expectedMs }, nowMs)
+    this.#remoteShare.count(region !== this.#region, nowMs)
+    waiter.granted(id)
+    return true
+  }
+
+  #pick(waiter: Waiter, nowMs: number): ServerState | undefined {
+    const here = this.#best(waiter, true, nowMs)
+    if (here !== undefined && !this.#remoteShare.mustGoAway(nowMs)) return here
+    const isBound = !this.#isAllowed(waiter, this.#region)
+    const mayLeave = isBound || here !== undefined || this.#remoteShare.mayGoAway(nowMs)
+    if (!mayLeave) return undefined
+    return this.#best(waiter, false, nowMs) ?? here
+  }
+
+  #best(waiter: Waiter, isHere: boolean, nowMs: number): ServerState | undefined {
+    let best: ServerState | undefined
+    let bestCost = Number.POSITIVE_INFINITY
+    for (const state of this.#servers.values()) {
+      const { id, region } = state.server
+      if ((region === this.#region) !== isHere || state.freeSlots(nowMs) <= 0) continue
+      if (waiter.ask.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
+      const cost = this.#cost(waiter, state, nowMs)
+      if (cost < bestCost) {
+        best = state
+        bestCost = cost
+      }
+    }
+    return best
+  }
+
+  /** Expected duration of the request on the server, with small terms that spread the work. */
+  #cost(waiter: Waiter, state: ServerState, nowMs: number): number {
+    const { route, object } = waiter.ask
+    const { id, region, zone, slots } = state.server
+    const isKnown = state.knows(object)
+    const usualMs = this.#estimates.expectedMs(route, region, isKnown)
+    const load = state.running.size / Math.max(1, slots)
+    const preference = object === '' ? 0 : hashText(`${object}\n${id}`) / 2 ** 32
+    return (
+      usualMs * state.paceAt(nowMs) +
+      usualMs * (LOAD_WEIGHT * load + OBJECT_PREFERENCE_WEIGHT * preference) +
+      (zone === waiter.zone ? 0 : OTHER_ZONE_COST_MS)
+    )
+  }
+
+  #isAllowed(waiter: Waiter, region: string): boolean {
+    const { regions } = waiter.ask
+    return regions.length === 0 || regions.includes(region)
+  }
+
+  #hasServerFor(waiter: Waiter): boolean {
+    for (const { server } of this.#servers.values()) {
+      if (server.slots > 0 && this.#isAllowed(waiter, server.region)) return true
+    }
+    return false
+  }
+
+  #needOf(waiter: Waiter, nowMs: number): RequestNeed {
+    return {
+      serviceMs: this.#estimates.expectedMs(waiter.ask.route, this.#region, true),
+      targetInMs: waiter.targetAtMs - nowMs,
+      deadlineInMs: waiter.deadlineAtMs - nowMs,
+      isReturn: waiter.ask.isReturn,
+    }
+  }
+
+  #latestStart(waiter: Waiter): number {
+    return (
+      waiter.targetAtMs - this.#estimates.expectedMs(waiter.ask.route, this.#region, true)
+    )
+  }
+
+  #queueState(waiter: Waiter, nowMs: number): QueueState {
+    const ahead = this.#line.countAhead(waiter.ask, (other) => this.#latestStart(other), nowMs)
+    return {
+      aheadInTime: ahead.inTime,
+      aheadLate: ahead.late,
+      completionsPerSecond: this.#completionsPerSecond(),
+      arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
+    }
+  }
+
+  #completionsPerSecond(): number {
+    let slots = 0
+    for (const { server } of this.#servers.values()) slots += server.slots
+    return (slots * 1000) / this.#meanHoldMs()
+  }
+
+  #meanHoldMs(): number {
+    return this.#holdMs.value ?? this.#estimates.expectedMs('', this.#region, true)
+  }
+
+  #neededSlots(nowMs: number): number {
+    return (this.#arrivals.perSecond(nowMs) * this.#meanHoldMs()) / 1000
+  }
+
+  /** Refuses waiting requests that can't end within their deadline any more. */
+  #refuseHopeless(nowMs: number): void {
+    for (const waiter of this.#line.all()) {
+      const need = this.#needOf(waiter, nowMs)
+      if (need.deadlineInMs > need.serviceMs) continue
+      this.#line.remove(waiter.key)
+      waiter.refused('no slot before the deadline', 0)
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/slotLending.ts
@@ -0,0 +1,81 @@
+/** Which of a region's slots other regions may use: worked out from demand and capacity of all. */
+import { hashText } from '../common/hashing.js'
+import type { LentSlots } from './peerMessages.js'
+
+/** Demand and capacity of one region for one service. */
+export interface RegionDemand {
+  readonly region: string
+  /** Mean number of slots that its requests need. */
+  readonly neededSlots: number
+  readonly slots: number
+}
+
+/** Slots per needed slot beyond which more room is of no use. */
+const AMPLE_ROOM = 1.5
+
+/**
+ * Slots that region `lender` lends to each other region. Every region gets room
+ * in proportion to its need, up to ample room; what a region has beyond its own
+ * part is lent to those below theirs. All regions compute the same from the
+ * same figures, and only the lender's result counts.
+ */
+export function slotsToLend(
+  lender: string,
+  demands: readonly RegionDemand[],
+): ReadonlyMap<string, number> {
+  const lent = new Map<string, number>()
+  const totalSlots = demands.reduce((sum, { slots }) => sum + slots, 0)
+  const totalNeed = demands.reduce((sum, { neededSlots }) => sum + neededSlots, 0)
+  if (totalNeed <= 0) return lent
+  const room = Math.min(totalSlots / totalNeed, AMPLE_ROOM)
+  const excess = demands.map((demand) => ({
+    region: demand.region,
+    slots: demand.slots - demand.neededSlots * room,
+  }))
+  const own = excess.find(({ region }) => region === lender)?.slots ?? 0
+  const surplus = excess.reduce((sum, { slots }) => sum + Math.max(0, slots), 0)
+  if (own <= 0 || surplus <= 0) return lent
+  for (const { region, slots } of excess) {
+    if (slots >= 0) continue
+    const part = Math.floor((-slots * own) / surplus + 0.25)
+    if (part > 0) lent.set(region, part)
+  }
+  return lent
+}
+
+/** A backend server whose slots may be lent. */
+export interface LendableServer {
+  readonly id: string
+  readonly slots: number
+}
+
+/**
+ * Chooses the slots: one of each server in turn, in an order that depends only on the
+ * borrower and the server, so that a change of the number moves few slots.
+ */
+export function chooseLentSlots(
+  borrower: string,
+  count: number,
+  servers: readonly LendableServer[],
+  taken: ReadonlyMap<string, number>,
+): LentSlots[] {
+  const ordered = servers
+    .map((server) => ({ server, order: hashText(`${borrower}\n${server.id}`) }))
+    .sort((left, right) => left.order - right.order)
+    .map(({ server }) => ({ id: server.id, left: server.slots - 1 - (taken.get(server.id) ?? 0) }))
+  const chosen = new Map<string, number>()
+  let open = count
+  while (open > 0) {
+    let isAnyLeft = false
+    for (const server of ordered) {
+      if (open === 0) break
+      if (server.left <= 0) continue
+      server.left -= 1
+      open -= 1
+      isAnyLeft = true
+      chosen.set(server.id, (chosen.get(server.id) ?? 0) + 1)
+    }
+    if (!isAnyLeft) break
+  }
+  return [...chosen].map(([serverId, slots]) => ({ serverId, slots }))
+}
--- /dev/null
+++ b/src/entry/smallHttpServer.ts
@@ -0,0 +1,42 @@
+/** HTTP server for short questions without a body: readiness, directory, metrics. */
+import type { IncomingMessage, Server } from 'node:http'
+import { createServer } from 'node:http'
+
+/** Answer to a question. */
+export interface SmallAnswer {
+  readonly status: number
+  readonly contentType: string
+  readonly body: string
+}
+
+/** Answers one question; `undefined`: no such path. */
+export type SmallHandler = (
+  url: URL,
+  request: IncomingMessage,
+) => SmallAnswer | undefined | Promise<SmallAnswer | undefined>
+
+/** Starts a server; resolves once it listens. */
+export async function startSmallServer(
+  host: string,
+  port: number,
+  handle: SmallHandler,
+): Promise<Server> {
+  const server = createServer((request, response) => {
+    const url = new URL(request.url ?? '/', 'http://instance')
+    void Promise.resolve(handle(url, request)).then((answer) => {
+      const { status, contentType, body } = answer ?? NOT_FOUND
+      response.writeHead(status, {
+        'Content-Type': contentType,
+        'Content-Length': Buffer.byteLength(body),
+      })
+      response.end(body)
+    })
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return server
+}
+
+const NOT_FOUND: SmallAnswer = { status: 404, contentType: 'text/plain', body: 'no such path\n' }
--- /dev/null
+++ b/src/entry/storeFollower.ts
@@ -0,0 +1,112 @@
+/** Task that keeps the mirror up to date from the store, while it is this instance's turn to read. */
+import { sleep } from '../common/clock.js'
+import type { Clock } from '../common/clock.js'
+import type { EntryLog } from './entryLog.js'
+import type { MetadataStore, StoreItem } from './metadataStore.js'
+import { HISTORY_GONE } from './metadataStore.js'
+import type { NewsItem, NewsMessage } from './peerMessages.js'
+import { PeerMessageKind } from './peerMessages.js'
+import type { StoreContact } from './storeContact.js'
+import type { StoreMirror } from './storeMirror.js'
+
+/** Longest wait of a watch, in ms. A silent connection is noticed after this and the call's grace. */
+const WATCH_WAIT_MS = 1000
+/** Pause after a failed call, in milliseconds: a second of outage costs each reader two calls. */
+const RETRY_PAUSE_MS = 500
+/** Interval at which an instance that need not read looks whether it must, in milliseconds. */
+const IDLE_PAUSE_MS = 150
+
+/** What the follower works on. */
+export interface StoreFollowerParts {
+  readonly store: MetadataStore
+  readonly prefixes: readonly string[]
+  readonly mirror: StoreMirror
+  readonly contact: StoreContact
+  readonly clock: Clock
+  readonly log: EntryLog
+  /** This instance's place in the region's line of readers. */
+  readonly place: () => number
+  /** Passes news on to the peers of the region. */
+  readonly publish: (news: NewsMessage) => void
+}
+
+/** Reads by list and watch; survives outages, lost history and silent connections. */
+export class StoreFollower {
+  readonly #parts: StoreFollowerParts
+  readonly #abort = new AbortController()
+  #isOutOfStep = true
+  #isFailing = false
+
+  constructor(parts: StoreFollowerParts) {
+    this.#parts = parts
+  }
+
+  /** Runs until {@link stop}. */
+  async run(): Promise<void> {
+    const { contact, clock, place } = this.#parts
+    while (!this.#abort.signal.aborted) {
+      if (!contact.shouldRead(place(), clock())) {
+        await sleep(IDLE_PAUSE_MS, this.#abort.signal)
+        continue
+      }
+      const isOk = this.#isOutOfStep || this.#parts.mirror.revision === 0
+        ? await this.#listAll()
+        : await this.#watch()
+      if (!isOk) await sleep(RETRY_PAUSE_MS, this.#abort.signal)
+    }
+  }
+
+  stop(): void {
+    this.#abort.abort()
+  }
+
+  async #listAll(): Promise<boolean> {
+    const items: StoreItem[] = []
+    let revision = Number.POSITIVE_INFINITY
+    for (const prefix of this.#parts.prefixes) {
+      const listing = await this.#parts.store.list(prefix)
+      if (listing.err) return this.#failed('list', listing.val.message)
+      items.push(...listing.val.items)
+      revision = Math.min(revision, listing.val.revision)
+    }
+    const applied = this.#parts.mirror.applyComplete(items.map(newsOf), revision)
+    this.#isOutOfStep = false
+    this.#succeeded(applied, revision)
+    return true
+  }
+
+  async #watch(): Promise<boolean> {
+    const { store, mirror } = this.#parts
+    const changes = await store.watch('', mirror.revision, WATCH_WAIT_MS)
+    if (changes.err) return this.#failed('watch', changes.val.message)
+    if (changes.val === HISTORY_GONE) {
+      this.#parts.log.event('storeHistoryGone', { revision: mirror.revision })
+      this.#isOutOfStep = true
+      return true
+    }
+    const { events, revision } = changes.val
+    const wanted = events.filter(({ key }) => this.#parts.prefixes.some((prefix) => key.startsWith(prefix)))
+    const applied = mirror.applyChanges(wanted.map(newsOf), revision)
+    this.#succeeded(applied, revision)
+    return true
+  }
+
+  #succeeded(applied: readonly NewsItem[], revision: number): void {
+    const { contact, clock, log, publish } = this.#parts
+    contact.noteOwn(clock())
+    if (this.#isFailing) log.event('storeRegained', { revision })
+    this.#isFailing = false
+    if (applied.length === 0) return
+    publish({ kind: PeerMessageKind.News, items: applied, revision, isComplete: false })
+  }
+
+  #failed(call: string, reason: string): boolean {
+    if (!this.#isFailing) this.#parts.log.event('storeLost', { call, reason })
+    this.#isFailing = true
+    return false
+  }
+}
+
+function newsOf(item: { key: string; revision: number; value: Buffer | undefined }): NewsItem {
+  return { key: item.key, revision: item.revision, value: item.value?.toString('base64') ?? null }
+}
--- /dev/null
+++ b/src/entry/waitingLine.ts
@@ -0,0 +1,75 @@
+/** Requests that wait for a slot of one service, in the order in which they should be served. */
+import type { SlotAsk } from './peerMessages.js'
+
+/** A request at the coordinator. Times are of the coordinator's steady clock. */
+export interface Waiter {
+  /** Unique at the coordinator. */
+  readonly key: string
+  readonly ask: SlotAsk
+  /** Availability zone of the entry instance that asks. */
+  readonly zone: string
+  readonly arrivedAtMs: number
+  readonly targetAtMs: number
+  readonly deadlineAtMs: number
+  /** Called at most once. */
+  granted(serverId: string): void
+  /** Called at most once, and not after {@link granted}. */
+  refused(reason: string, retryAfterMs: number): void
+}
+
+/** Set of waiters, ordered anew at each use because lateness changes with time. */
+export class WaitingLine {
+  readonly #waiters = new Map<string, Waiter>()
+
+  get length(): number {
+    return this.#waiters.size
+  }
+
+  add(waiter: Waiter): void {
+    this.#waiters.set(waiter.key, waiter)
+  }
+
+  remove(key: string): Waiter | undefined {
+    const waiter = this.#waiters.get(key)
+    this.#waiters.delete(key)
+    return waiter
+  }
+
+  all(): Waiter[] {
+    return [...this.#waiters.values()]
+  }
+
+  /**
+   * Waiters in order of service: those that can still be answered within their
+   * target first, then by priority, then those that came back after a refusal,
+   * then by target.
+   * @param latestStart latest start at which a waiter still meets its target
+   */
+  ordered(latestStart: (waiter: Waiter) => number, nowMs: number): Waiter[] {
+    return this.all()
+      .map((waiter) => ({ waiter, isLate: latestStart(waiter) < nowMs }))
+      .sort(
+        (left, right) =>
+          Number(left.isLate) - Number(right.isLate) ||
+          left.waiter.ask.priority - right.waiter.ask.priority ||
+          Number(right.waiter.ask.isReturn) - Number(left.waiter.ask.isReturn) ||
+          left.waiter.targetAtMs - right.waiter.targetAtMs,
+      )
+      .map(({ waiter }) => waiter)
+  }
+
+  /** Waiters that would be served before a request with this priority. */
+  countAhead(
+    ask: SlotAsk,
+    latestStart: (waiter: Waiter) => number,
+    nowMs: number,
+  ): { readonly inTime: number; readonly late: number } {
+    let inTime = 0
+    let late = 0
+    for (const waiter of this.#waiters.values()) {
+      if (latestStart(waiter) < nowMs) late += 1
+      else if (waiter.ask.priority <= ask.priority) inTime += 1
+    }
+    return { inTime, late }
+  }
+}
--- a/src/platform/httpJsonClient.ts
+++ b/src/platform/httpJsonClient.ts
@@ -28,6 +28,8 @@
   /** Time from the start of the call to the end of the answer's body, in milliseconds. */
   readonly timeoutMs: number
   readonly signal?: AbortSignal
+  /** GET without and POST with a payload unless stated. */
+  readonly method?: 'DELETE' | 'POST'
 }
 
 const NOT_SENT_CODES = new Set([
@@ -62,7 +64,7 @@
     if (signal?.aborted === true) return notSent('the caller cancelled it')
     const startedAt = performance.now()
     const pending = this.#client.request(
-      payload === undefined ? 'GET' : 'POST',
+      options.method ?? (payload === undefined ? 'GET' : 'POST'),
       `${this.#baseUrl}${path}`,
       {
         timeout: options.timeoutMs,
@@ -81,10 +83,8 @@
         timeout: remainingMs,
         maxBytes: MAX_ANSWER_BYTES,
       })
-      return {
-        status: response.statusCode ?? 0,
-        body: JSON.parse(body.toString('utf8')) as unknown,
-      }
+      const status = response.statusCode ?? 0
+      return { status, body: parseBody(body, status) }
     } catch (error) {
       return classify(error)
     } finally {
@@ -98,6 +98,17 @@
   }
 }
 
+/** Refusals may come without a JSON body; a success without one is no answer. */
+function parseBody(body: Buffer, status: number): unknown {
+  const text = body.toString('utf8')
+  if (status < 400) return JSON.parse(text)
+  try {
+    return JSON.parse(text)
+  } catch {
+    return { text }
+  }
+}
+
 /** Tells an answer from its absence. */
 export function isAnswer(outcome: HttpAnswer | HttpFailure): outcome is HttpAnswer {
   return 'status' in outcome
