--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -28,6 +28,8 @@
   readonly statusText?: string
   readonly headers: readonly HeaderPair[]
   readonly body: Buffer
+  /** Whether the body's end is known only from the end of the connection. */
+  readonly isDelimitedByClose?: boolean
 }
 
 /** Why a request has no answer of a backend server. */
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -6,6 +6,7 @@
 import type { HeaderPair } from '../common/exchange.js'
 import { headerOf, pairsOf } from '../common/exchange.js'
 import type { CallerAnswer, CallerRequest } from './callerRequest.js'
+import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { CallerLimits } from './routingConfiguration.js'
 
 /** Names of the headers that callers use, in lower case. */
@@ -193,14 +194,19 @@
     })
   }
 
-  #write(socket: Socket, response: ServerResponse, answer: CallerAnswer, close: boolean): void {
+  #write(socket: Socket, response: ServerResponse, given: CallerAnswer, close: boolean): void {
     if (response.headersSent || response.destroyed) return
     // Closing behind requests that were read already would cut them.
     const isLast = (this.#open.get(socket) ?? 1) <= 1
-    const isClosing = close || (this.#isLeaving && isLast)
+    // A body that may have been cut must not get a length that makes it look complete.
+    const isOpenEnded = given.isDelimitedByClose === true && isLast
+    const isUnprovable = given.isDelimitedByClose === true && !isLast
+    const answer = isUnprovable ? failureAnswer(FailureKind.AnswerLost, 0) : given
+    const isClosing = close || isOpenEnded || (this.#isLeaving && isLast)
     const flat = answer.headers.flatMap(([name, value]) => [name, value])
     if (headerOf(answer.headers, 'date') !== undefined) response.sendDate = false
-    if (!STATUS_WITHOUT_BODY.has(answer.status)) {
+    if (isOpenEnded) response.useChunkedEncodingByDefault = false
+    else if (!STATUS_WITHOUT_BODY.has(answer.status)) {
       flat.push('Content-Length', String(answer.body.length))
     }
     if (isClosing) {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -8,6 +8,7 @@
 import { CallerServer } from './callerServer.js'
 import { ConnectionPool } from './connectionPool.js'
 import { Coordination } from './coordination.js'
+import { Departure } from './departure.js'
 import { entriesFor } from './entryDirectory.js'
 import type { EntryLog } from './entryLog.js'
 import { EntryMetrics } from './entryMetrics.js'
@@ -84,7 +85,7 @@
 const HOUSEKEEPING_MS = 500
 /** Time for which an instance that is gone is still counted in budgets, in milliseconds. */
 const FORGET_LOST_MS = 30_000
-/** Time after the signal to end during which requests are still taken, in ms; callers' lists lag. */
+/** Time after the signal to end during which connections are still taken, in ms; callers' lists lag. */
 const TAKE_WHILE_LEAVING_MS = 4000
 /** Part of the grace period that is left when the process ends by itself, in milliseconds. */
 const END_BEFORE_KILL_MS = 350
@@ -113,7 +114,7 @@
   readonly #evacuatedZones = new Set<string>()
   readonly #smallServers: Server[] = []
   readonly #timers: NodeJS.Timeout[] = []
-  #isLeaving = false
+  #departure: Departure | undefined
   #wasAway = false
 
   constructor(
@@ -186,7 +187,7 @@
       headers: platform.callerHeaders,
       clock,
       limits: () => this.#routing.current?.limits,
-      run: (request) => runner.run(request),
+      run: (request) => runner.run(request, this.#departure),
     })
     this.#follower = new StoreFollower({
       store: platform.store,
@@ -235,16 +236,16 @@
 
   /** Leaves without cutting a request: out of the directory, open requests end, then everything. */
   async stop(): Promise<void> {
-    if (this.#isLeaving) return
-    this.#isLeaving = true
+    if (this.#departure !== undefined) return
     const startedAtMs = this.#clock()
+    const endAtMs = startedAtMs + this.#settings.graceMs - END_BEFORE_KILL_MS
+    this.#departure = new Departure(startedAtMs, endAtMs)
     this.#log.event('leaving', { openRequests: this.#callers.openRequests })
     this.#table.leaveSelf()
     const { incarnation } = this.#settings.record
     this.#mesh.broadcast({ kind: PeerMessageKind.Leaving, incarnation })
     this.#callers.startLeaving()
     void this.#registration.stop()
-    const endAtMs = startedAtMs + this.#settings.graceMs - END_BEFORE_KILL_MS
     for (;;) {
       await sleep(TICK_MS)
       const nowMs = this.#clock()
@@ -383,7 +384,7 @@
 
   #readiness(url: URL): SmallAnswer | undefined {
     if (url.pathname !== this.#platform.readinessPath) return undefined
-    const isReady = !this.#isLeaving && this.#routing.current !== undefined
+    const isReady = this.#departure === undefined && this.#routing.current !== undefined
     return { status: isReady ? 200 : 503, contentType: 'text/plain', body: `${isReady}\n` }
   }
 
@@ -432,8 +433,9 @@
 
 const HANDLERS: Handlers = {
   [PeerMessageKind.Hello]: () => undefined,
-  [PeerMessageKind.Beat]: ({ contact, nowMs }, { storeAgeMs }) => {
-    contact.notePeer(storeAgeMs, nowMs)
+  [PeerMessageKind.Beat]: ({ contact, table, peer, nowMs }, { storeAgeMs }) => {
+    const isNear = table.find(peer)?.region === table.self.region
+    if (isNear) contact.notePeer(storeAgeMs, nowMs)
   },
   [PeerMessageKind.Leaving]: ({ table, peer }, { incarnation }) => {
     table.noteLeaving(peer, incarnation)
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -5,6 +5,7 @@
 import type { CallerAnswer, CallerRequest } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { ConnectionPool } from './connectionPool.js'
+import type { Departure } from './departure.js'
 import type { EntryLog } from './entryLog.js'
 import type { EntryMetrics } from './entryMetrics.js'
 import type { InstanceTable } from './instanceTable.js'
@@ -23,6 +24,8 @@
 const MIN_SEND_MS = 20
 /** Retry-After when nothing is known about when there will be room, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 150
+/** Retry-After of an instance that is ending, in milliseconds; another one can serve at once. */
+const LEAVING_RETRY_AFTER_MS = 10
 /** A request with less than this part of the usual patience left has been here before. */
 const RETURN_PATIENCE_SHARE = 0.97
 
@@ -67,8 +70,11 @@
     this.#parts = parts
   }
 
-  /** Returns the answer; never rejects. */
-  async run(request: CallerRequest): Promise<CallerAnswer> {
+  /**
+   * Returns the answer; never rejects.
+   * @param departure set while the process is ending
+   */
+  async run(request: CallerRequest, departure?: Departure): Promise<CallerAnswer> {
     const { routing, metrics, clock } = this.#parts
     const configuration = routing.current
     if (configuration === undefined) {
@@ -77,6 +83,9 @@
     const route = configuration.index.find(request.host, request.target)
     if (route === undefined) return this.#fail(request, undefined, FailureKind.NoRoute, 0)
     const run = this.#begin(request, route)
+    if (departure?.mayTake(run.deadlineAtMs, request.arrivedAtMs) === false) {
+      return this.#fail(request, run, FailureKind.Leaving, LEAVING_RETRY_AFTER_MS)
+    }
     this.#parts.budget.recordRequest(
       run.service,
       this.#parts.table.countForBudgets(),
@@ -360,5 +369,6 @@
     const lower = name.toLowerCase()
     return !NOT_PASSED_ON.has(lower) && lower !== headers.load
   })
-  return { status: answer.status, statusText: answer.statusText, headers: passed, body: answer.body }
+  const { status, statusText, body, isDelimitedByClose } = answer
+  return { status, statusText, headers: passed, body, isDelimitedByClose }
 }
--- a/src/entry/responseReader.ts
+++ b/src/entry/responseReader.ts
@@ -35,6 +35,7 @@
   #answer: ServerAnswer | undefined
   #isReusable = true
   #hasBytes = false
+  #hasEnded = false
 
   /** @param isOurs tells whether an answer belongs to the request; others are skipped */
   constructor(isOurs: (headers: readonly HeaderPair[], status: number) => boolean) {
@@ -83,6 +84,7 @@
   /** The other side ended the connection in good order. */
   end(): ReadState {
     this.#isReusable = false
+    this.#hasEnded = true
     if (this.#answer !== undefined) return ReadState.Complete
     if (this.#info === undefined) return ReadState.Malformed
     const result: unknown = this.#parser.finish()
@@ -111,6 +113,7 @@
       statusText: info.statusMessage,
       headers: this.#headers,
       body: this.#chunks.length === 1 ? (this.#chunks[0] ?? EMPTY) : Buffer.concat(this.#chunks),
+      isDelimitedByClose: this.#hasEnded,
     }
     if (!info.shouldKeepAlive || this.#hasBytesLeft()) this.#isReusable = false
   }
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -23,6 +23,8 @@
   readonly statusText: string
   readonly headers: readonly HeaderPair[]
   readonly body: Buffer
+  /** Whether only the end of the connection tells where the body ends, so that it may be cut. */
+  readonly isDelimitedByClose: boolean
 }
 
 /** What became of one send. */
--- a/src/entry/storeContact.ts
+++ b/src/entry/storeContact.ts
@@ -26,7 +26,10 @@
     this.#ownContactAtMs = nowMs
   }
 
-  /** A peer stated that it heard from the store `ageMs` ago; -1: never. */
+  /**
+   * A peer of the own region stated that it heard from the store `ageMs` ago; -1: never.
+   * Contact of other regions does not count: they don't pass their news on to this one.
+   */
   notePeer(ageMs: number, nowMs: number): void {
     if (ageMs < 0) return
     this.#peerContactAtMs = Math.max(this.#peerContactAtMs ?? 0, nowMs - ageMs)
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -36,6 +36,7 @@
   readonly #abort = new AbortController()
   #isOutOfStep = true
   #isFailing = false
+  #isReading = false
 
   constructor(parts: StoreFollowerParts) {
     this.#parts = parts
@@ -45,7 +46,9 @@
   async run(): Promise<void> {
     const { contact, clock, place } = this.#parts
     while (!this.#abort.signal.aborted) {
-      if (!contact.shouldRead(place(), clock())) {
+      const shouldRead = contact.shouldRead(place(), clock())
+      this.#noteReading(shouldRead)
+      if (!shouldRead) {
         await sleep(IDLE_PAUSE_MS, this.#abort.signal)
         continue
       }
@@ -60,6 +63,14 @@
     this.#abort.abort()
   }
 
+  #noteReading(isReading: boolean): void {
+    if (isReading === this.#isReading) return
+    this.#isReading = isReading
+    const { log, contact, clock, place, mirror } = this.#parts
+    const contactAgeMs = Math.round(contact.ageMs(clock()))
+    log.event('storeReading', { isReading, place: place(), contactAgeMs, revision: mirror.revision })
+  }
+
   async #listAll(): Promise<boolean> {
     const items: StoreItem[] = []
     let revision = Number.POSITIVE_INFINITY
