fix(entry): fresh callers differ in patience; lend only what the borrower can use

Cause: patience of fresh callers varies by 15%, so most counted as returned and late; lent slots stood idle because the borrower's steady share grew by 0.035/s from 0.

--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -199,7 +199,7 @@
   /** Tells the coordinators of other regions the demand here, and what is lent to them. */
   #exchange(service: string, coordinated: Coordinated, nowMs: number): void {
     const { table, peers } = this.#parts
-    const own = coordinated.coordinator.demand(nowMs)
+    const own = coordinated.coordinator.lendableDemand(nowMs)
     for (const [region, { atMs }] of coordinated.demands) {
       if (nowMs - atMs > DEMAND_LIFE_MS) coordinated.demands.delete(region)
     }
--- a/src/entry/regionShare.ts
+++ b/src/entry/regionShare.ts
@@ -1,10 +1,12 @@
 /** Keeps the part of a service's requests that runs in other regions steady. */
 
 /**
- * Largest change of the part per second. Callers accept a change of 15% between
- * two windows of 2 s; half of that leaves room for chance.
+ * Largest change of the part per second. Operators accept a change of 15% between
+ * two windows of 2 s; two thirds of that leave room for chance.
  */
-const MAX_CHANGE_PER_SECOND = 0.035
+const MAX_CHANGE_PER_SECOND = 0.05
+/** Time after the first request in which the part is free, in ms: nothing has settled yet. */
+const FREE_START_MS = 1200
 /** Free play around the steady part, for the moments in which one side is full. */
 const PLAY = 0.03
 /** Window over which the actual part is measured, in milliseconds. */
@@ -17,7 +19,7 @@
   #remote = 0
   #total = 0
   #countedAtMs: number
-  #isFirst = true
+  #firstCountAtMs: number | undefined
 
   constructor(nowMs: number) {
     this.#updatedAtMs = nowMs
@@ -39,10 +41,10 @@
   steer(wanted: number, nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs)
     this.#updatedAtMs = Math.max(nowMs, this.#updatedAtMs)
-    if (this.#isFirst && wanted > 0) {
-      // Before the first requests there is nothing that could shift.
-      this.#isFirst = this.#total < 1
-      if (this.#isFirst) this.#share = wanted
+    const isFree =
+      this.#firstCountAtMs === undefined || nowMs - this.#firstCountAtMs < FREE_START_MS
+    if (isFree) {
+      this.#share = wanted
       return
     }
     const most = (elapsedMs * MAX_CHANGE_PER_SECOND) / 1000
@@ -61,6 +63,7 @@
 
   count(isRemote: boolean, nowMs: number): void {
     this.#decay(nowMs)
+    this.#firstCountAtMs ??= nowMs
     this.#total += 1
     if (isRemote) this.#remote += 1
   }
@@ -73,6 +76,18 @@
   }
 }
 
+/** Time for which lent slots are asked ahead of the steady part, in seconds; an exchange or two. */
+const AHEAD_SECONDS = 2
+
+/**
+ * Slots that a region can put to use: its own, and those of other regions as far as its
+ * steady part lets it use them soon. More would lie idle here and be missed there.
+ */
+export function usableNeed(neededSlots: number, ownSlots: number, share: number): number {
+  const away = neededSlots * (share + MAX_CHANGE_PER_SECOND * AHEAD_SECONDS)
+  return Math.min(neededSlots, ownSlots * FULL_LOAD + away)
+}
+
 /** Load above which a region's own slots are considered full. */
 const FULL_LOAD = 0.85
 
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
 import type { BackendServerRegistry, KnownBackendServer } from './backendServerRegistry.js'
+import { CallerPatience } from './callerPatience.js'
 import type { CallerAnswer, CallerRequest } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { ConnectionPool } from './connectionPool.js'
@@ -26,8 +27,6 @@
 const DEFAULT_RETRY_AFTER_MS = 150
 /** Retry-After of an instance that is ending, in milliseconds; another one can serve at once. */
 const LEAVING_RETRY_AFTER_MS = 10
-/** A request with less than this part of the usual patience left has been here before. */
-const RETURN_PATIENCE_SHARE = 0.97
 
 /** What the runner works with. */
 export interface RequestRunnerParts {
@@ -61,10 +60,10 @@
   | { readonly grant: SlotGrant }
   | { readonly reason: string; readonly retryAfterMs: number; readonly coordinator: string }
 
-/** Serves requests one by one; holds no state between them but the usual patience per route. */
+/** Serves requests one by one; holds no state between them but the patience of callers. */
 export class RequestRunner {
   readonly #parts: RequestRunnerParts
-  readonly #usualPatienceMs = new Map<string, number>()
+  readonly #patience = new CallerPatience()
 
   constructor(parts: RequestRunnerParts) {
     this.#parts = parts
@@ -98,17 +97,14 @@
 
   #begin(request: CallerRequest, route: Route): Run {
     const patienceMs = Math.min(request.patienceMs ?? route.timeoutMs, route.timeoutMs)
-    const usualMs = Math.max(this.#usualPatienceMs.get(route.name) ?? 0, request.patienceMs ?? 0)
-    this.#usualPatienceMs.set(route.name, usualMs)
-    // What the caller has waited already counts against the target.
-    const waitedMs = request.patienceMs === undefined ? 0 : usualMs - request.patienceMs
+    const waitedMs = this.#patience.waitedMs(route.name, request.patienceMs)
     return {
       request,
       route,
       service: this.#parts.routing.split.next(route),
       deadlineAtMs: request.arrivedAtMs + patienceMs,
       targetAtMs: request.arrivedAtMs + route.targetLatencyMs - waitedMs - WAY_BACK_MS,
-      isReturn: waitedMs > usualMs * (1 - RETURN_PATIENCE_SHARE),
+      isReturn: waitedMs > 0,
       tried: [],
       sends: 0,
       mayHaveRun: false,
@@ -239,6 +235,7 @@
       coordinator: grant.coordinator,
       send: run.sends,
       waitedMs: Math.round(nowMs - run.request.arrivedAtMs),
+      patienceMs: run.request.patienceMs,
       leftMs: Math.round(leftMs),
       outcome: outcome.kind,
       status: outcome.answer?.status,
@@ -300,6 +297,7 @@
       service: run?.service,
       version: routing.current?.version,
       isReturn: run?.isReturn,
+      patienceMs: request.patienceMs,
       sends: run?.sends,
       targetInMs: run === undefined ? undefined : Math.round(run.targetAtMs - clock()),
       heldMs: Math.round(clock() - request.arrivedAtMs),
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -14,7 +14,7 @@
 import { DecayingRate, MovingMean } from './movingMean.js'
 import type { AdoptedUse, LentSlots } from './peerMessages.js'
 import { SlotUse } from './peerMessages.js'
-import { RemoteShare, wantedRemoteShare } from './regionShare.js'
+import { RemoteShare, usableNeed, wantedRemoteShare } from './regionShare.js'
 import type { CoordinatedServer } from './serverState.js'
 import { ServerState } from './serverState.js'
 import type { RegionDemand } from './slotLending.js'
@@ -191,6 +191,12 @@
     return { region: this.#region, neededSlots: this.#neededSlots(nowMs), slots }
   }
 
+  /** Demand as far as lent slots can serve it soon; what the other regions are told. */
+  lendableDemand(nowMs: number): RegionDemand {
+    const { region, neededSlots, slots } = this.demand(nowMs)
+    return { region, neededSlots: usableNeed(neededSlots, slots, this.#remoteShare.share), slots }
+  }
+
   /** Periodic work: late requests, slots that became usable, the share of other regions. */
   tick(nowMs: number): void {
     const lapsed = [...this.#lentIn].filter(([, { untilMs }]) => untilMs <= nowMs)
