--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -232,6 +232,7 @@
       version: routing.current?.version,
       server: server.id,
       region: regionOfZone(server.zone),
+      object: run.request.object,
       coordinator: grant.coordinator,
       send: run.sends,
       waitedMs: Math.round(nowMs - run.request.arrivedAtMs),
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -1,6 +1,7 @@
 /** What the coordinator of a service knows of one backend server: its slots, pace, failures and objects. */
 import { TokenBucket } from '../gateway/tokenBucket.js'
 import type { LoadReport } from './loadReport.js'
+import type { ObjectMemory } from './objectMemory.js'
 import { SlotUse } from './peerMessages.js'
 
 /** A backend server as the coordinator may use it. */
@@ -21,10 +22,10 @@
   readonly object: string
   readonly startedAtMs: number
   readonly expectedMs: number
+  /** Objects that the server handled since it handled this one; `undefined`: it did not. */
+  readonly objectRank: number | undefined
 }
 
-/** Objects remembered per server. More than a server keeps warm costs only a wrong preference. */
-const REMEMBERED_OBJECTS = 64
 /** Weight of a new duration in the pace; about the last ten requests count. */
 const PACE_WEIGHT = 0.15
 /** A report counts in full when new and not at all after this time; neighbours change faster. */
@@ -47,7 +48,9 @@
 export class ServerState {
   #server: CoordinatedServer
   readonly running = new Map<string, RunningUse>()
-  readonly #objects = new Map<string, number>()
+  /** Latest last. */
+  readonly #objects = new Set<string>()
+  readonly #memory: ObjectMemory
   readonly #coldBucket: TokenBucket
   #pace = 1
   #failureShare = 0
@@ -55,8 +58,9 @@
   #reportAtMs = Number.NEGATIVE_INFINITY
   #blockedUntilMs = Number.NEGATIVE_INFINITY
 
-  constructor(server: CoordinatedServer, nowMs: number) {
+  constructor(server: CoordinatedServer, memory: ObjectMemory, nowMs: number) {
     this.#server = server
+    this.#memory = memory
     this.#coldBucket = new TokenBucket(1, nowMs)
   }
 
@@ -82,9 +86,21 @@
     return nowMs < this.#server.coldUntilMs
   }
 
-  /** Whether the server recently handled the object. */
+  /** Objects that the server handled since it handled this one; `undefined`: it did not. */
+  rankOf(object: string): number | undefined {
+    if (object === '' || !this.#objects.has(object)) return undefined
+    let position = 0
+    for (const known of this.#objects) {
+      if (known === object) break
+      position += 1
+    }
+    return this.#objects.size - 1 - position
+  }
+
+  /** Whether the server still keeps the object at hand. */
   knows(object: string): boolean {
-    return object !== '' && this.#objects.has(object)
+    const rank = this.rankOf(object)
+    return rank !== undefined && rank < this.#memory.kept
   }
 
   /** Present duration of work relative to the usual one. */
@@ -98,6 +114,7 @@
 
   start(key: string, use: RunningUse, nowMs: number): void {
     this.running.set(key, use)
+    this.#remember(use.object)
     if (this.isCold(nowMs)) this.#coldBucket.charge(1)
   }
 
@@ -119,15 +136,19 @@
     return running
   }
 
+  /** Whether its last report says that all slots are taken, by others than this coordinator knows. */
+  get reportsFull(): boolean {
+    return this.#report !== undefined && this.#report.running >= this.#report.slots
+  }
+
   /** Keeps the server from being granted. */
   block(untilMs: number): void {
     this.#blockedUntilMs = Math.max(this.#blockedUntilMs, untilMs)
   }
 
-  observeCompletion(running: RunningUse | undefined, durationMs: number, nowMs: number): void {
+  observeCompletion(running: RunningUse | undefined, durationMs: number): void {
     this.observeFailure(0)
     if (running === undefined) return
-    this.#remember(running.object, nowMs)
     const ratio = durationMs / Math.max(1, running.expectedMs)
     const bounded = Math.min(MAX_PACE, Math.max(MIN_PACE, ratio))
     this.#pace += (bounded - this.#pace) * PACE_WEIGHT
@@ -149,12 +170,12 @@
     return overdue >= 2 ? 1 + overdue : 0
   }
 
-  #remember(object: string, nowMs: number): void {
+  #remember(object: string): void {
     if (object === '') return
     this.#objects.delete(object)
-    this.#objects.set(object, nowMs)
-    if (this.#objects.size <= REMEMBERED_OBJECTS) return
-    const oldest = this.#objects.keys().next().value
+    this.#objects.add(object)
+    if (this.#objects.size <= this.#memory.remembered) return
+    const oldest = this.#objects.values().next().value
     if (oldest !== undefined) this.#objects.delete(oldest)
   }
 }
@@ -167,8 +188,8 @@
 ) => void
 
 const OBSERVE_BY_USE: Readonly<Record<SlotUse, Observation>> = {
-  [SlotUse.Completed]: (state, running, durationMs, nowMs) => {
-    state.observeCompletion(running, durationMs, nowMs)
+  [SlotUse.Completed]: (state, running, durationMs) => {
+    state.observeCompletion(running, durationMs)
   },
   [SlotUse.Failed]: (state) => {
     state.observeFailure(1)
@@ -176,8 +197,9 @@
   [SlotUse.NotRun]: (state, _running, durationMs, nowMs) => {
     // A full server answers at once; connecting to one that is gone takes longer or is refused.
     const isUnreachable = durationMs < 0
-    state.block(nowMs + (isUnreachable ? UNREACHABLE_PAUSE_MS : FULL_PAUSE_MS))
-    if (!isUnreachable) state.observeFailure(1)
+    if (isUnreachable) state.block(nowMs + UNREACHABLE_PAUSE_MS)
+    else if (state.reportsFull) state.block(nowMs + FULL_PAUSE_MS)
+    else state.observeFailure(1)
   },
   [SlotUse.Broken]: (state) => {
     state.observeFailure(1)
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -14,8 +14,9 @@
 import { DecayingRate, MovingMean } from './movingMean.js'
 import type { AdoptedUse, LentSlots } from './peerMessages.js'
 import { SlotUse } from './peerMessages.js'
+import { ObjectMemory } from './objectMemory.js'
 import { RemoteShare, usableNeed, wantedRemoteShare } from './regionShare.js'
-import type { CoordinatedServer } from './serverState.js'
+import type { CoordinatedServer, RunningUse } from './serverState.js'
 import { ServerState } from './serverState.js'
 import type { RegionDemand } from './slotLending.js'
 import { chooseLentSlots } from './slotLending.js'
@@ -33,7 +34,12 @@
 /** Weight of the load of a server relative to the usual duration; spreads work over servers. */
 const LOAD_WEIGHT = 0.1
 /** Weight of the fixed preference of an object for servers, so that instances agree on it. */
-const OBJECT_PREFERENCE_WEIGHT = 0.15
+const OBJECT_PREFERENCE_WEIGHT = 0.4
+
+/** Part of the way between regions that is filled with requests; more would queue at the server. */
+const WAY_USE = 0.8
+/** Bound on requests under way per lent slot; a wrong estimate must not flood a server. */
+const MAX_WAY_FACTOR = 3
 
 /** Asked for by operators and for tests. */
 export interface CoordinatorFigures {
@@ -53,9 +59,11 @@
   readonly #servers = new Map<string, ServerState>()
   /** Uses whose server is gone from the list; their ends are still accepted. */
   readonly #estimates = new DurationEstimates()
+  readonly #memory = new ObjectMemory()
   readonly #line = new WaitingLine()
   readonly #arrivals: DecayingRate
   readonly #holdMs = new MovingMean(HOLD_WEIGHT)
+  readonly #remoteHoldMs = new MovingMean(HOLD_WEIGHT)
   readonly #remoteShare: RemoteShare
   readonly #lentOut = new Map<string, readonly LentSlots[]>()
   readonly #lentIn = new Map<
@@ -128,24 +136,37 @@
     for (const state of this.#servers.values()) {
       const running = state.running.get(key)
       if (running === undefined) continue
-      const isKnown = state.knows(running.object)
       state.end(key, use, durationMs, report, nowMs)
-      if (use === SlotUse.Completed) {
-        this.#estimates.add(running.route, state.server.region, isKnown, durationMs)
-        this.#holdMs.add(nowMs - running.startedAtMs)
-      }
+      if (use === SlotUse.Completed) this.#learn(running, state, durationMs, nowMs)
       break
     }
     this.#pump(nowMs)
   }
 
+  #learn(running: RunningUse, state: ServerState, durationMs: number, nowMs: number): void {
+    const { route, objectRank } = running
+    const { region } = state.server
+    const isKnown = objectRank !== undefined && objectRank < this.#memory.kept
+    if (objectRank !== undefined) {
+      const fastMs = this.#estimates.expectedMs(route, region, true)
+      const slowMs = this.#estimates.expectedMs(route, region, false)
+      // Halfway on a scale of factors; the pace of the moment counts out.
+      const limitMs = Math.sqrt(fastMs * slowMs) * Math.max(1, state.paceAt(nowMs))
+      this.#memory.observe(objectRank, durationMs < limitMs)
+    }
+    this.#estimates.add(route, region, isKnown, durationMs)
+    if (region === this.#region) this.#holdMs.add(nowMs - running.startedAtMs)
+    else this.#remoteHoldMs.add(nowMs - running.startedAtMs)
+  }
+
   /** Takes over uses that another coordinator granted. */
   adopt(instance: string, uses: readonly AdoptedUse[], nowMs: number): void {
     for (const { askId, serverId, route, forMs } of uses) {
       const state = this.#servers.get(serverId)
       const expectedMs = this.#estimates.expectedMs(route, this.#region, true)
       const startedAtMs = nowMs - forMs
-      state?.start(`${instance}/${askId}`, { route, object: '', startedAtMs, expectedMs }, nowMs)
+      const use = { route, object: '', startedAtMs, expectedMs, objectRank: undefined }
+      state?.start(`${instance}/${askId}`, use, nowMs)
     }
   }
 
@@ -204,7 +225,7 @@
     if (lapsed.length > 0) this.#rebuild(nowMs)
     const lent = [...this.#servers.values()]
       .filter(({ server }) => server.region !== this.#region)
-      .reduce((sum, { server }) => sum + server.slots, 0)
+      .reduce((sum, { server }) => sum + server.slots / this.#wayFactor(), 0)
     const { neededSlots, slots } = this.demand(nowMs)
     this.#remoteShare.steer(wantedRemoteShare(neededSlots, slots, lent), nowMs)
     this.#pump(nowMs)
@@ -247,7 +268,8 @@
     for (const { slots } of this.#lentIn.values()) {
       for (const { serverId, slots: count } of slots) {
         const server = this.#findServer(serverId)
-        if (server !== undefined) next.set(serverId, { ...server, slots: count })
+        if (server === undefined) continue
+        next.set(serverId, { ...server, slots: Math.round(count * this.#wayFactor()) })
       }
     }
     for (const [id, state] of this.#servers) {
@@ -257,7 +279,7 @@
       else state.update({ ...state.server, slots: 0 })
     }
     for (const [id, server] of next) {
-      if (!this.#servers.has(id)) this.#servers.set(id, new ServerState(server, nowMs))
+      if (!this.#servers.has(id)) this.#servers.set(id, new ServerState(server, this.#memory, nowMs))
     }
   }
 
@@ -283,7 +305,8 @@
     const { route, object } = waiter.ask
     const { id, region } = state.server
     const expectedMs = this.#estimates.expectedMs(route, region, state.knows(object))
-    state.start(waiter.key, { route, object, startedAtMs: nowMs, expectedMs }, nowMs)
+    const objectRank = state.rankOf(object)
+    state.start(waiter.key, { route, object, startedAtMs: nowMs, expectedMs, objectRank }, nowMs)
     this.#remoteShare.count(region !== this.#region, nowMs)
     waiter.granted(id)
     return true
@@ -376,6 +399,13 @@
     return this.#holdMs.value ?? this.#estimates.expectedMs('', this.#region, true)
   }
 
+  /** Requests to have under way per lent slot, so that it is not idle while they travel. */
+  #wayFactor(): number {
+    const remoteMs = this.#remoteHoldMs.value
+    if (remoteMs === undefined) return 1
+    return Math.min(MAX_WAY_FACTOR, Math.max(1, (remoteMs * WAY_USE) / this.#meanHoldMs()))
+  }
+
   #neededSlots(nowMs: number): number {
     return (this.#arrivals.perSecond(nowMs) * this.#meanHoldMs()) / 1000
   }
--- a/src/entry/slotLending.ts
+++ b/src/entry/slotLending.ts
@@ -50,8 +50,9 @@
 }
 
 /**
- * Chooses the slots: one of each server in turn, in an order that depends only on the
- * borrower and the server, so that a change of the number moves few slots.
+ * Chooses the slots: whole servers one after the other, in an order that depends only on the
+ * borrower and the server, so that a change of the number moves few slots. Each region has its
+ * own objects; a server that serves two regions would forget the objects of both.
  */
 export function chooseLentSlots(
   borrower: string,
@@ -62,20 +63,14 @@
   const ordered = servers
     .map((server) => ({ server, order: hashText(`${borrower}\n${server.id}`) }))
     .sort((left, right) => left.order - right.order)
-    .map(({ server }) => ({ id: server.id, left: server.slots - 1 - (taken.get(server.id) ?? 0) }))
-  const chosen = new Map<string, number>()
+  const chosen: LentSlots[] = []
   let open = count
-  while (open > 0) {
-    let isAnyLeft = false
-    for (const server of ordered) {
-      if (open === 0) break
-      if (server.left <= 0) continue
-      server.left -= 1
-      open -= 1
-      isAnyLeft = true
-      chosen.set(server.id, (chosen.get(server.id) ?? 0) + 1)
-    }
-    if (!isAnyLeft) break
+  for (const { server } of ordered) {
+    if (open <= 0) break
+    const slots = Math.min(open, server.slots - (taken.get(server.id) ?? 0))
+    if (slots <= 0) continue
+    open -= slots
+    chosen.push({ serverId: server.id, slots })
   }
-  return [...chosen].map(([serverId, slots]) => ({ serverId, slots }))
+  return chosen
 }
