feat(entry): wait shortly for a full server that knows the object

Cause: when the server that knew an object was full, the request went to one that did not and ran three times as long there, which filled the slots with slow work. Change: the cost of a full server is its expected wait; the cheapest is awaited or granted. Ruled out: a longer hold of the queue (waits at the coordinator were 50 ms on average).

--- a/src/entry/objectMemory.ts
+++ b/src/entry/objectMemory.ts
@@ -1,16 +1,16 @@
 /**
- * How many objects the servers of a service keep at hand, learned from durations.
+ * For how many further requests a server keeps an object at hand, learned from durations.
  *
  * Load pattern: a server answers several times faster when it handled the object
- * recently, but it keeps few. An object that was followed by more others than
- * the server keeps is as good as new, and preferring its old server would only
- * crowd out what is still kept there.
+ * recently, but it keeps few. An object that was followed by too many requests
+ * for others is as good as new, and preferring its old server would only crowd
+ * out what is still kept there.
  */
 
-/** Objects assumed to be kept until durations tell; most services keep some dozens. */
-const FIRST_GUESS = 32
+/** Requests assumed until durations tell; most services keep some dozens of objects. */
+const FIRST_GUESS = 48
 const MIN_KEPT = 4
-const MAX_KEPT = 1024
+const MAX_KEPT = 2048
 /** Growth when an object beyond the limit was still kept; such sightings are rare. */
 const GROWTH = 2
 /** Shrinkage when an object within the limit was slow; stragglers look the same now and then. */
@@ -22,7 +22,7 @@
 export class ObjectMemory {
   #kept = FIRST_GUESS
 
-  /** Objects that a server keeps. */
+  /** Requests after which an object is forgotten. */
   get kept(): number {
     return Math.round(this.#kept)
   }
@@ -33,7 +33,7 @@
   }
 
   /**
-   * @param rank number of other objects that the server handled since; 0: it was the last one
+   * @param rank requests with objects that the server got since; 0: it was the last one
    * @param wasFast whether the answer took the time of a kept object
    */
   observe(rank: number, wasFast: boolean): void {
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -22,7 +22,7 @@
   readonly object: string
   readonly startedAtMs: number
   readonly expectedMs: number
-  /** Objects that the server handled since it handled this one; `undefined`: it did not. */
+  /** Requests with objects that the server got since it handled this one; `undefined`: never. */
   readonly objectRank: number | undefined
 }
 
@@ -48,8 +48,9 @@
 export class ServerState {
   #server: CoordinatedServer
   readonly running = new Map<string, RunningUse>()
-  /** Latest last. */
-  readonly #objects = new Set<string>()
+  /** Number of the request with which the server last handled each object; latest last. */
+  readonly #objects = new Map<string, number>()
+  #handled = 0
   readonly #memory: ObjectMemory
   readonly #coldBucket: TokenBucket
   #pace = 1
@@ -74,7 +75,7 @@
 
   /** Slots that may be granted now. */
   freeSlots(nowMs: number): number {
-    if (nowMs < this.#blockedUntilMs) return 0
+    if (this.isBlocked(nowMs)) return 0
     const free = this.#server.slots - this.running.size
     if (free <= 0 || !this.isCold(nowMs)) return Math.max(0, free)
     const rate = this.#server.coldRequestsPerSecond
@@ -82,19 +83,19 @@
     return this.#coldBucket.tokens >= 1 ? free : 0
   }
 
+  /** Whether it is kept from being granted for a while. */
+  isBlocked(nowMs: number): boolean {
+    return nowMs < this.#blockedUntilMs
+  }
+
   isCold(nowMs: number): boolean {
     return nowMs < this.#server.coldUntilMs
   }
 
-  /** Objects that the server handled since it handled this one; `undefined`: it did not. */
+  /** Requests with objects since the server handled this one; `undefined`: it did not. */
   rankOf(object: string): number | undefined {
-    if (object === '' || !this.#objects.has(object)) return undefined
-    let position = 0
-    for (const known of this.#objects) {
-      if (known === object) break
-      position += 1
-    }
-    return this.#objects.size - 1 - position
+    const number = object === '' ? undefined : this.#objects.get(object)
+    return number === undefined ? undefined : this.#handled - number
   }
 
   /** Whether the server still keeps the object at hand. */
@@ -172,10 +173,11 @@
 
   #remember(object: string): void {
     if (object === '') return
+    this.#handled += 1
     this.#objects.delete(object)
-    this.#objects.add(object)
+    this.#objects.set(object, this.#handled)
     if (this.#objects.size <= this.#memory.remembered) return
-    const oldest = this.#objects.values().next().value
+    const oldest = this.#objects.keys().next().value
     if (oldest !== undefined) this.#objects.delete(oldest)
   }
 }
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -36,6 +36,8 @@
 /** Weight of the fixed preference of an object for servers, so that instances agree on it. */
 const OBJECT_PREFERENCE_WEIGHT = 0.4
 
+/** Waiting requests looked at when a slot becomes free; bounds the work of a long line. */
+const MAX_REVIEWED = 32
 /** Part of the way between regions that is filled with requests; more would queue at the server. */
 const WAY_USE = 0.8
 /** Bound on requests under way per lent slot; a wrong estimate must not flood a server. */
@@ -65,6 +67,8 @@
   readonly #holdMs = new MovingMean(HOLD_WEIGHT)
   readonly #remoteHoldMs = new MovingMean(HOLD_WEIGHT)
   readonly #remoteShare: RemoteShare
+  /** Server that each waiting request waits for. */
+  readonly #awaited = new Map<string, string>()
   readonly #lentOut = new Map<string, readonly LentSlots[]>()
   readonly #lentIn = new Map<
     string,
@@ -105,6 +109,7 @@
     const isFirst = this.#line.length === 0
     if (isFirst && this.#tryGrant(waiter, nowMs)) return
     if (!this.#hasServerFor(waiter)) {
+      this.#awaited.delete(waiter.key)
       const need = this.#needOf(waiter, nowMs)
       waiter.refused('no backend server', retryAfterMs(need.deadlineInMs, need, this.#random()))
       return
@@ -112,6 +117,7 @@
     const need = this.#needOf(waiter, nowMs)
     const admission = admit(this.#queueState(waiter, nowMs), need)
     if (admission.kind === AdmissionKind.Refused) {
+      this.#awaited.delete(waiter.key)
       const returnMs = retryAfterMs(admission.waitMs, need, this.#random())
       waiter.refused('no slot in useful time', returnMs)
       return
@@ -122,7 +128,7 @@
 
   /** Withdraws a waiting request. */
   cancel(key: string): void {
-    this.#line.remove(key)
+    this.#leaveLine(key)
   }
 
   /** Ends the use of a slot. */
@@ -143,6 +149,11 @@
     this.#pump(nowMs)
   }
 
+  #leaveLine(key: string): void {
+    this.#line.remove(key)
+    this.#awaited.delete(key)
+  }
+
   #learn(running: RunningUse, state: ServerState, durationMs: number, nowMs: number): void {
     const { route, objectRank } = running
     const { region } = state.server
@@ -174,7 +185,7 @@
   forgetInstance(instance: string, nowMs: number): void {
     const prefix = `${instance}/`
     for (const waiter of this.#line.all()) {
-      if (waiter.key.startsWith(prefix)) this.#line.remove(waiter.key)
+      if (waiter.key.startsWith(prefix)) this.#leaveLine(waiter.key)
     }
     for (const state of this.#servers.values()) {
       for (const key of [...state.running.keys()]) {
@@ -286,7 +297,7 @@
   #pump(nowMs: number): void {
     if (this.#line.length === 0) return
     const ordered = this.#line.ordered((waiter) => this.#latestStart(waiter), nowMs)
-    for (const waiter of ordered) {
+    for (const waiter of ordered.slice(0, MAX_REVIEWED)) {
       if (!this.#hasFreeSlot(nowMs)) return
       // The waiter leaves the line first: granting it may call back into this aggregate.
       if (this.#line.remove(waiter.key) === undefined) continue
@@ -300,8 +311,13 @@
   }
 
   #tryGrant(waiter: Waiter, nowMs: number): boolean {
+    this.#awaited.delete(waiter.key)
     const state = this.#pick(waiter, nowMs)
     if (state === undefined) return false
+    if (state.freeSlots(nowMs) <= 0) {
+      this.#awaited.set(waiter.key, state.server.id)
+      return false
+    }
     const { route, object } = waiter.ask
     const { id, region } = state.server
     const expectedMs = this.#estimates.expectedMs(route, region, state.knows(object))
@@ -312,41 +328,58 @@
     return true
   }
 
+  /** The server that ends the request first, be it one to wait for. */
   #pick(waiter: Waiter, nowMs: number): ServerState | undefined {
-    const here = this.#best(waiter, true, nowMs)
-    if (here !== undefined && !this.#remoteShare.mustGoAway(nowMs)) return here
-    const isBound = !this.#isAllowed(waiter, this.#region)
-    const mayLeave = isBound || here !== undefined || this.#remoteShare.mayGoAway(nowMs)
-    if (!mayLeave) return undefined
-    return this.#best(waiter, false, nowMs) ?? here
-  }
-
-  #best(waiter: Waiter, isHere: boolean, nowMs: number): ServerState | undefined {
+    const isHomeAllowed = this.#isAllowed(waiter, this.#region)
+    const mustLeave = !isHomeAllowed || this.#remoteShare.mustGoAway(nowMs)
+    const mayLeave = mustLeave || this.#remoteShare.mayGoAway(nowMs)
+    const awaited = new Map<string, number>()
+    for (const id of this.#awaited.values()) awaited.set(id, (awaited.get(id) ?? 0) + 1)
+    const away = mayLeave ? this.#best(waiter, false, awaited, nowMs) : undefined
+    if (mustLeave && away !== undefined) return away.state
+    const here = isHomeAllowed ? this.#best(waiter, true, awaited, nowMs) : undefined
+    if (here === undefined || away === undefined) return (here ?? away)?.state
+    return away.costMs < here.costMs ? away.state : here.state
+  }
+
+  #best(
+    waiter: Waiter,
+    isHere: boolean,
+    awaited: ReadonlyMap<string, number>,
+    nowMs: number,
+  ): { readonly state: ServerState; readonly costMs: number } | undefined {
     let best: ServerState | undefined
-    let bestCost = Number.POSITIVE_INFINITY
+    let bestMs = Number.POSITIVE_INFINITY
     for (const state of this.#servers.values()) {
-      const { id, region } = state.server
-      if ((region === this.#region) !== isHere || state.freeSlots(nowMs) <= 0) continue
+      const { id, region, slots } = state.server
+      if ((region === this.#region) !== isHere || slots <= 0 || state.isBlocked(nowMs)) continue
       if (waiter.ask.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
-      const cost = this.#cost(waiter, state, nowMs)
-      if (cost < bestCost) {
+      const costMs = this.#costMs(waiter, state, awaited.get(id) ?? 0, nowMs)
+      if (costMs < bestMs) {
         best = state
-        bestCost = cost
+        bestMs = costMs
       }
     }
-    return best
+    return best === undefined ? undefined : { state: best, costMs: bestMs }
   }
 
-  /** Expected duration of the request on the server, with small terms that spread the work. */
-  #cost(waiter: Waiter, state: ServerState, nowMs: number): number {
+  /**
+   * Expected time until the request ends on the server, with small terms that spread the work.
+   * A full server that knows the object is often worth the short wait for one of its slots.
+   */
+  #costMs(waiter: Waiter, state: ServerState, awaiting: number, nowMs: number): number {
     const { route, object } = waiter.ask
     const { id, region, zone, slots } = state.server
     const isKnown = state.knows(object)
     const usualMs = this.#estimates.expectedMs(route, region, isKnown)
+    const pace = state.paceAt(nowMs)
     const load = state.running.size / Math.max(1, slots)
     const preference = object === '' ? 0 : hashText(`${object}\n${id}`) / 2 ** 32
+    const isFull = state.freeSlots(nowMs) <= 0
+    const waitMs = isFull ? ((awaiting + 1) * this.#meanHoldMs() * pace) / slots : 0
     return (
-      usualMs * state.paceAt(nowMs) +
+      waitMs +
+      usualMs * pace +
       usualMs * (LOAD_WEIGHT * load + OBJECT_PREFERENCE_WEIGHT * preference) +
       (zone === waiter.zone ? 0 : OTHER_ZONE_COST_MS)
     )
@@ -415,7 +448,7 @@
     for (const waiter of this.#line.all()) {
       const need = this.#needOf(waiter, nowMs)
       if (need.deadlineInMs > need.serviceMs) continue
-      this.#line.remove(waiter.key)
+      this.#leaveLine(waiter.key)
       waiter.refused('no slot before the deadline', 0)
     }
   }
