--- a/src/common/hashing.ts
+++ b/src/common/hashing.ts
@@ -32,3 +32,11 @@
     .sort((left, right) => right.score - left.score)
     .map(({ candidate }) => candidate)
 }
+
+/** Combines two 32-bit hashes; hashing a text per pair would cost milliseconds with 100 members. */
+export function combineHashes(left: number, right: number): number {
+  let value = Math.imul(left ^ Math.imul(right, 0x9e3779b1), 0x85ebca6b)
+  value = Math.imul(value ^ (value >>> 13) ^ right, 0xc2b2ae35)
+  value = Math.imul(value ^ (value >>> 16), 0x27d4eb2f)
+  return (value ^ (value >>> 15)) >>> 0
+}
--- /dev/null
+++ b/src/entry/__tests__/storeFollower.spec.ts
@@ -0,0 +1,109 @@
+import { expect } from 'chai'
+import { sleep } from '../../common/clock.js'
+import type { Result } from '../../common/results.js'
+import { Err, Ok } from '../../common/results.js'
+import { StoreError, StoreErrorKind } from '../../platform/keyValueStore.js'
+import { silentLog } from '../entryLog.js'
+import type { MetadataStore, StoreChanges, StoreListing } from '../metadataStore.js'
+import { HISTORY_GONE } from '../metadataStore.js'
+import type { NewsMessage } from '../peerMessages.js'
+import { StoreContact } from '../storeContact.js'
+import { StoreFollower } from '../storeFollower.js'
+import { StoreMirror } from '../storeMirror.js'
+
+/** Store of one item that has forgotten its history up to `gone`. */
+class FakeStore implements MetadataStore {
+  revision = 7
+  gone = 5
+  value = 'new'
+  isAway = false
+  lists = 0
+  watches = 0
+
+  list(): Promise<Result<StoreListing, StoreError>> {
+    this.lists += 1
+    if (this.isAway) return Promise.resolve(Err(away()))
+    const items = [{ key: 'op/config', value: Buffer.from(this.value), revision: this.revision }]
+    return Promise.resolve(Ok({ items, revision: this.revision }))
+  }
+
+  async watch(
+    _prefix: string,
+    revision: number,
+  ): Promise<Result<StoreChanges | typeof HISTORY_GONE, StoreError>> {
+    this.watches += 1
+    if (this.isAway) return Err(away())
+    if (revision < this.gone) return Ok(HISTORY_GONE)
+    await sleep(20)
+    return Ok({ events: [], revision: this.revision })
+  }
+
+  grantLease(): Promise<Result<number, StoreError>> {
+    return Promise.resolve(Ok(1))
+  }
+
+  renewLease(): Promise<Result<boolean, StoreError>> {
+    return Promise.resolve(Ok(true))
+  }
+
+  put(): Promise<Result<boolean, StoreError>> {
+    return Promise.resolve(Ok(true))
+  }
+
+  endLease(): Promise<Result<void, StoreError>> {
+    return Promise.resolve(Ok(undefined))
+  }
+}
+
+function away(): StoreError {
+  return new StoreError(StoreErrorKind.Failed, 'the store is away', 'wait')
+}
+
+function follow(store: FakeStore, knownRevision: number) {
+  const seen: string[] = []
+  const published: NewsMessage[] = []
+  const mirror = new StoreMirror((_key, value) => {
+    seen.push(Buffer.from(value ?? '', 'base64').toString())
+  })
+  if (knownRevision > 0) mirror.applyChanges([], knownRevision)
+  const follower = new StoreFollower({
+    store,
+    prefixes: ['op/'],
+    mirror,
+    contact: new StoreContact(0),
+    clock: () => performance.now(),
+    log: silentLog,
+    place: () => 0,
+    publish: (news) => {
+      published.push(news)
+    },
+  })
+  return { follower, mirror, seen, published }
+}
+
+describe('StoreFollower', () => {
+  it('lists everything once when the history that it needs is gone, and watches on', async () => {
+    const store = new FakeStore()
+    const { follower, seen, published } = follow(store, 3)
+    const running = follower.run()
+    await sleep(100)
+    follower.stop()
+    await running
+    expect(seen).to.deep.equal(['new'])
+    expect(published).to.have.length(1)
+    expect(store.lists).to.equal(1)
+    expect(store.watches).to.be.below(12)
+  })
+
+  it('asks an unreachable store rarely and does not lose what it knows', async () => {
+    const store = new FakeStore()
+    store.isAway = true
+    const { follower, mirror } = follow(store, 6)
+    const running = follower.run()
+    await sleep(150)
+    follower.stop()
+    await running
+    expect(store.watches + store.lists).to.be.below(3)
+    expect(mirror.revision).to.equal(6)
+  })
+})
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -45,7 +45,7 @@
  */
 const RETURN_SHARE = 0.08
 /** Part of the deadline that a late request may wait; estimates of long waits are uncertain. */
-const LATE_WAIT_SHARE = 0.4
+export const LATE_WAIT_SHARE = 0.4
 
 /** Decides on one request. */
 export function admit(queue: QueueState, need: RequestNeed): Admission {
--- a/src/entry/durationEstimates.ts
+++ b/src/entry/durationEstimates.ts
@@ -13,7 +13,8 @@
 
 /** Moving means, each created at its first sample. */
 export class DurationEstimates {
-  readonly #means = new Map<string, MovingMean>()
+  /** By route and region; without and with knowledge of the object. */
+  readonly #means = new Map<string, Map<string, readonly [MovingMean, MovingMean]>>()
   readonly #defaults = new Map<string, number>()
 
   /** Sets the duration assumed before anything was observed. */
@@ -22,27 +23,32 @@
   }
 
   add(route: string, region: string, isKnown: boolean, durationMs: number): void {
-    const key = keyOf(route, region, isKnown)
-    const mean = this.#means.get(key) ?? new MovingMean(DURATION_WEIGHT)
-    this.#means.set(key, mean)
+    const mean = this.#pairOf(route, region)[isKnown ? 1 : 0]
     const bound = (mean.value ?? this.expectedMs(route, region, isKnown)) * MAX_SAMPLE_FACTOR
     mean.add(Math.min(durationMs, bound))
   }
 
   expectedMs(route: string, region: string, isKnown: boolean): number {
-    const observed = this.#means.get(keyOf(route, region, isKnown))?.value
+    const pair = this.#means.get(route)?.get(region)
+    const observed = pair?.[isKnown ? 1 : 0].value
     if (observed !== undefined) return observed
-    const other = this.#means.get(keyOf(route, region, !isKnown))?.value
+    const other = pair?.[isKnown ? 0 : 1].value
     if (other !== undefined) {
       return isKnown ? other * KNOWN_OBJECT_FACTOR : other / KNOWN_OBJECT_FACTOR
     }
     return this.#defaults.get(route) ?? DEFAULT_DURATION_MS
   }
+
+  #pairOf(route: string, region: string): readonly [MovingMean, MovingMean] {
+    const regions = this.#means.get(route) ?? new Map<string, readonly [MovingMean, MovingMean]>()
+    this.#means.set(route, regions)
+    const known = regions.get(region)
+    if (known !== undefined) return known
+    const created = [new MovingMean(DURATION_WEIGHT), new MovingMean(DURATION_WEIGHT)] as const
+    regions.set(region, created)
+    return created
+  }
 }
 
 /** Assumed for a route of which nothing is known, not even its target; a typical short request. */
 const DEFAULT_DURATION_MS = 200
-
-function keyOf(route: string, region: string, isKnown: boolean): string {
-  return `${route}\n${region}\n${isKnown ? 'known' : 'new'}`
-}
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -1,6 +1,7 @@
 /** What the coordinator of a service knows of one backend server: its slots, pace, failures and objects. */
 import { TokenBucket } from '../gateway/tokenBucket.js'
 import type { LoadReport } from './loadReport.js'
+import { hashText } from '../common/hashing.js'
 import type { ObjectMemory } from './objectMemory.js'
 import { SlotUse } from './peerMessages.js'
 
@@ -58,9 +59,14 @@
   #report: LoadReport | undefined
   #reportAtMs = Number.NEGATIVE_INFINITY
   #blockedUntilMs = Number.NEGATIVE_INFINITY
+  #paceAtMs = Number.NaN
+  #presentPace = 1
+  /** Hash of the identifier, for preferences of objects. */
+  readonly hash: number
 
   constructor(server: CoordinatedServer, memory: ObjectMemory, nowMs: number) {
     this.#server = server
+    this.hash = hashText(server.id)
     this.#memory = memory
     this.#coldBucket = new TokenBucket(1, nowMs)
   }
@@ -106,6 +112,14 @@
 
   /** Present duration of work relative to the usual one. */
   paceAt(nowMs: number): number {
+    if (nowMs !== this.#paceAtMs) {
+      this.#presentPace = this.#computePace(nowMs)
+      this.#paceAtMs = nowMs
+    }
+    return this.#presentPace
+  }
+
+  #computePace(nowMs: number): number {
     const reportWeight = Math.max(0, 1 - (nowMs - this.#reportAtMs) / REPORT_LIFE_MS)
     const reported = this.#report?.pace ?? this.#pace
     const known = Math.max(this.#pace, this.#overduePace(nowMs))
@@ -128,6 +142,7 @@
     nowMs: number,
   ): RunningUse | undefined {
     const running = this.running.get(key)
+    this.#paceAtMs = Number.NaN
     this.running.delete(key)
     if (report !== null) {
       this.#report = report
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -6,9 +6,9 @@
  * servers, where nothing can be reordered or refused in time. So all instances
  * of a region ask one of them, which fills each server up to its slots.
  */
-import { hashText } from '../common/hashing.js'
+import { combineHashes, hashText } from '../common/hashing.js'
 import type { QueueState, RequestNeed } from './admission.js'
-import { AdmissionKind, admit, retryAfterMs } from './admission.js'
+import { AdmissionKind, LATE_WAIT_SHARE, admit, retryAfterMs } from './admission.js'
 import { DurationEstimates } from './durationEstimates.js'
 import type { LoadReport } from './loadReport.js'
 import { DecayingRate, MovingMean } from './movingMean.js'
@@ -67,13 +67,15 @@
   readonly #holdMs = new MovingMean(HOLD_WEIGHT)
   readonly #remoteHoldMs = new MovingMean(HOLD_WEIGHT)
   readonly #remoteShare: RemoteShare
-  /** Server that each waiting request waits for. */
+  /** Server that each waiting request waits for, and how many wait for each server. */
   readonly #awaited = new Map<string, string>()
+  readonly #awaiting = new Map<string, number>()
   readonly #lentOut = new Map<string, readonly LentSlots[]>()
   readonly #lentIn = new Map<
     string,
     { readonly slots: readonly LentSlots[]; readonly untilMs: number }
   >()
+  #totalSlots = 0
   #own: readonly CoordinatedServer[] = []
   #findServer: (id: string) => CoordinatedServer | undefined = () => undefined
 
@@ -109,7 +111,7 @@
     const isFirst = this.#line.length === 0
     if (isFirst && this.#tryGrant(waiter, nowMs)) return
     if (!this.#hasServerFor(waiter)) {
-      this.#awaited.delete(waiter.key)
+      this.#stopAwaiting(waiter.key)
       const need = this.#needOf(waiter, nowMs)
       waiter.refused('no backend server', retryAfterMs(need.deadlineInMs, need, this.#random()))
       return
@@ -117,7 +119,7 @@
     const need = this.#needOf(waiter, nowMs)
     const admission = admit(this.#queueState(waiter, nowMs), need)
     if (admission.kind === AdmissionKind.Refused) {
-      this.#awaited.delete(waiter.key)
+      this.#stopAwaiting(waiter.key)
       const returnMs = retryAfterMs(admission.waitMs, need, this.#random())
       waiter.refused('no slot in useful time', returnMs)
       return
@@ -149,9 +151,23 @@
     this.#pump(nowMs)
   }
 
+  #await(key: string, serverId: string): void {
+    this.#awaited.set(key, serverId)
+    this.#awaiting.set(serverId, (this.#awaiting.get(serverId) ?? 0) + 1)
+  }
+
+  #stopAwaiting(key: string): void {
+    const serverId = this.#awaited.get(key)
+    if (serverId === undefined) return
+    this.#awaited.delete(key)
+    const left = (this.#awaiting.get(serverId) ?? 1) - 1
+    if (left > 0) this.#awaiting.set(serverId, left)
+    else this.#awaiting.delete(serverId)
+  }
+
   #leaveLine(key: string): void {
     this.#line.remove(key)
-    this.#awaited.delete(key)
+    this.#stopAwaiting(key)
   }
 
   #learn(running: RunningUse, state: ServerState, durationMs: number, nowMs: number): void {
@@ -293,13 +309,15 @@
       else state.update({ ...state.server, slots: 0 })
     }
     for (const [id, server] of next) {
-      if (!this.#servers.has(id))
-        this.#servers.set(id, new ServerState(server, this.#memory, nowMs))
+      const isNew = !this.#servers.has(id)
+      if (isNew) this.#servers.set(id, new ServerState(server, this.#memory, nowMs))
     }
+    this.#totalSlots = 0
+    for (const { server } of this.#servers.values()) this.#totalSlots += server.slots
   }
 
   #pump(nowMs: number): void {
-    if (this.#line.length === 0) return
+    if (this.#line.length === 0 || !this.#hasFreeSlot(nowMs)) return
     const ordered = this.#line.ordered((waiter) => this.#latestStart(waiter), nowMs)
     for (const waiter of ordered.slice(0, MAX_REVIEWED)) {
       if (!this.#hasFreeSlot(nowMs)) return
@@ -315,11 +333,11 @@
   }
 
   #tryGrant(waiter: Waiter, nowMs: number): boolean {
-    this.#awaited.delete(waiter.key)
+    this.#stopAwaiting(waiter.key)
     const state = this.#pick(waiter, nowMs)
     if (state === undefined) return false
     if (state.freeSlots(nowMs) <= 0) {
-      this.#awaited.set(waiter.key, state.server.id)
+      this.#await(waiter.key, state.server.id)
       return false
     }
     const { route, object } = waiter.ask
@@ -337,11 +355,11 @@
     const isHomeAllowed = this.#isAllowed(waiter, this.#region)
     const mustLeave = !isHomeAllowed || this.#remoteShare.mustGoAway(nowMs)
     const mayLeave = mustLeave || this.#remoteShare.mayGoAway(nowMs)
-    const awaited = new Map<string, number>()
-    for (const id of this.#awaited.values()) awaited.set(id, (awaited.get(id) ?? 0) + 1)
-    const away = mayLeave ? this.#best(waiter, false, awaited, nowMs) : undefined
+    const { object } = waiter.ask
+    const hash = object === '' ? 0 : hashText(object)
+    const away = mayLeave ? this.#best(waiter, false, hash, nowMs) : undefined
     if (mustLeave && away !== undefined) return away.state
-    const here = isHomeAllowed ? this.#best(waiter, true, awaited, nowMs) : undefined
+    const here = isHomeAllowed ? this.#best(waiter, true, hash, nowMs) : undefined
     if (here === undefined || away === undefined) return (here ?? away)?.state
     return away.costMs < here.costMs ? away.state : here.state
   }
@@ -349,7 +367,7 @@
   #best(
     waiter: Waiter,
     isHere: boolean,
-    awaited: ReadonlyMap<string, number>,
+    objectHash: number,
     nowMs: number,
   ): { readonly state: ServerState; readonly costMs: number } | undefined {
     let best: ServerState | undefined
@@ -358,7 +376,7 @@
       const { id, region, slots } = state.server
       if ((region === this.#region) !== isHere || slots <= 0 || state.isBlocked(nowMs)) continue
       if (waiter.ask.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
-      const costMs = this.#costMs(waiter, state, awaited.get(id) ?? 0, nowMs)
+      const costMs = this.#costMs(waiter, objectHash, state, nowMs)
       if (costMs < bestMs) {
         best = state
         bestMs = costMs
@@ -371,24 +389,33 @@
    * Expected time until the request ends on the server, with small terms that spread the work.
    * A full server that knows the object is often worth the short wait for one of its slots.
    */
-  #costMs(waiter: Waiter, state: ServerState, awaiting: number, nowMs: number): number {
+  #costMs(waiter: Waiter, objectHash: number, state: ServerState, nowMs: number): number {
     const { route, object } = waiter.ask
     const { id, region, zone, slots } = state.server
+    const awaiting = this.#awaiting.get(id) ?? 0
     const isKnown = state.knows(object)
     const usualMs = this.#estimates.expectedMs(route, region, isKnown)
     const pace = state.paceAt(nowMs)
     const load = state.running.size / Math.max(1, slots)
-    const preference = object === '' ? 0 : hashText(`${object}\n${id}`) / 2 ** 32
+    const preference = object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32
     const isFull = state.freeSlots(nowMs) <= 0
     const waitMs = isFull ? ((awaiting + 1) * this.#meanHoldMs() * pace) / slots : 0
     return (
       waitMs +
-      usualMs * pace +
+      usualMs * pace * this.#scarcity() +
       usualMs * (LOAD_WEIGHT * load + OBJECT_PREFERENCE_WEIGHT * preference) +
       (zone === waiter.zone ? 0 : OTHER_ZONE_COST_MS)
     )
   }
 
+  /**
+   * Weight of slot time relative to the time of the request itself: each millisecond that a
+   * slot is used longer than needed delays all that wait.
+   */
+  #scarcity(): number {
+    return 1 + this.#line.length / Math.max(1, this.#totalSlots)
+  }
+
   #isAllowed(waiter: Waiter, region: string): boolean {
     const { regions } = waiter.ask
     return regions.length === 0 || regions.includes(region)
@@ -425,9 +452,7 @@
   }
 
   #completionsPerSecond(): number {
-    let slots = 0
-    for (const { server } of this.#servers.values()) slots += server.slots
-    return (slots * 1000) / this.#meanHoldMs()
+    return (this.#totalSlots * 1000) / this.#meanHoldMs()
   }
 
   #meanHoldMs(): number {
@@ -445,13 +470,20 @@
     return (this.#arrivals.perSecond(nowMs) * this.#meanHoldMs()) / 1000
   }
 
-  /** Refuses waiting requests that can't end within their deadline any more. */
+  /**
+   * Refuses waiting requests that can't end within their deadline any more, and those that
+   * became late and have waited for as long as a late request may.
+   */
   #refuseHopeless(nowMs: number): void {
     for (const waiter of this.#line.all()) {
       const need = this.#needOf(waiter, nowMs)
-      if (need.deadlineInMs > need.serviceMs) continue
+      const isLate = need.targetInMs < need.serviceMs
+      const waitedMs = nowMs - waiter.arrivedAtMs
+      const isHopeless = isLate && waitedMs > (waitedMs + need.deadlineInMs) * LATE_WAIT_SHARE
+      if (!isHopeless && need.deadlineInMs > need.serviceMs) continue
       this.#leaveLine(waiter.key)
-      waiter.refused('no slot before the deadline', 0)
+      const returnMs = isHopeless ? retryAfterMs(need.serviceMs, need, this.#random()) : 0
+      waiter.refused('no slot before the deadline', returnMs)
     }
   }
 }
--- a/src/entry/storeContact.ts
+++ b/src/entry/storeContact.ts
@@ -1,14 +1,14 @@
 /** When this instance reads the store itself, and when news of a peer are enough. */
 
 /** Age of the last contact above which the first instance in line should have told us. */
-const PEER_NEWS_LIMIT_MS = 1300
+const PEER_NEWS_LIMIT_MS = 950
 /** Further wait per place in line, so that not all instances call the store at once. */
-const WAIT_PER_PLACE_MS = 250
+const WAIT_PER_PLACE_MS = 120
 const MAX_PLACES = 4
 /** Age of a peer's contact below which an instance that is not first stops its own reading. */
-const FRESH_PEER_CONTACT_MS = 700
+const FRESH_PEER_CONTACT_MS = 600
 /** Age above which the store counts as away. */
-export const STORE_AWAY_MS = 1800
+export const STORE_AWAY_MS = 1600
 
 /** Aggregate over contact with the store, own and of peers. Steady times in milliseconds. */
 export class StoreContact {
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -10,11 +10,11 @@
 import type { StoreMirror } from './storeMirror.js'
 
 /** Longest wait of a watch, in ms. A silent connection is noticed after this and the call's grace. */
-const WATCH_WAIT_MS = 1000
+const WATCH_WAIT_MS = 650
 /** Pause after a failed call, in milliseconds: a second of outage costs each reader two calls. */
 const RETRY_PAUSE_MS = 500
 /** Interval at which an instance that need not read looks whether it must, in milliseconds. */
-const IDLE_PAUSE_MS = 150
+const IDLE_PAUSE_MS = 100
 
 /** What the follower works on. */
 export interface StoreFollowerParts {
@@ -34,7 +34,7 @@
 export class StoreFollower {
   readonly #parts: StoreFollowerParts
   readonly #abort = new AbortController()
-  #isOutOfStep = true
+  #isOutOfStep = false
   #isFailing = false
   #isReading = false
 
@@ -80,8 +80,8 @@
   async #listAll(): Promise<boolean> {
     const items: StoreItem[] = []
     let revision = Number.POSITIVE_INFINITY
-    for (const prefix of this.#parts.prefixes) {
-      const listing = await this.#parts.store.list(prefix)
+    const { store, prefixes } = this.#parts
+    for (const listing of await Promise.all(prefixes.map((prefix) => store.list(prefix)))) {
       if (listing.err) return this.#failed('list', listing.val.message)
       items.push(...listing.val.items)
       revision = Math.min(revision, listing.val.revision)
--- a/src/slots/slotOwnership.ts
+++ b/src/slots/slotOwnership.ts
@@ -1,5 +1,5 @@
 /** Which gateway owns which slot: rendezvous hashing over the live gateways of the region. */
-import { hashText } from '../common/hashing.js'
+import { combineHashes, hashText } from '../common/hashing.js'
 import type { WorkerRecord } from '../configuration/document.js'
 import type { Member, MembershipView } from '../membership/memberRecord.js'
 import { MemberRole, MemberState } from '../membership/memberRecord.js'
@@ -57,7 +57,7 @@
     let best: string | undefined
     let bestScore = -1
     for (const gateway of this.#gateways) {
-      const score = mix(keyHash, gateway.hash)
+      const score = combineHashes(keyHash, gateway.hash)
       if (score > bestScore) {
         best = gateway.id
         bestScore = score
@@ -66,11 +66,3 @@
     return best
   }
 }
-
-/** Combines two hashes; a text hash per pair would cost milliseconds with 115 gateways. */
-function mix(left: number, right: number): number {
-  let value = Math.imul(left ^ Math.imul(right, 0x9e3779b1), 0x85ebca6b)
-  value = Math.imul(value ^ (value >>> 13) ^ right, 0xc2b2ae35)
-  value = Math.imul(value ^ (value >>> 16), 0x27d4eb2f)
-  return (value ^ (value >>> 15)) >>> 0
-}
