--- a/src/entry/__tests__/storeFollower.spec.ts
+++ b/src/entry/__tests__/storeFollower.spec.ts
@@ -23,7 +23,7 @@
   list(): Promise<Result<StoreListing, StoreError>> {
     this.lists += 1
     if (this.isAway) return Promise.resolve(Err(away()))
-    const items = [{ key: 'op/config', value: Buffer.from(this.value), revision: this.revision }]
+    const items = [{ key: 'items/one', value: Buffer.from(this.value), revision: this.revision }]
     return Promise.resolve(Ok({ items, revision: this.revision }))
   }
 
@@ -68,7 +68,7 @@
   if (knownRevision > 0) mirror.applyChanges([], knownRevision)
   const follower = new StoreFollower({
     store,
-    prefixes: ['op/'],
+    prefixes: ['items/'],
     mirror,
     contact: new StoreContact(0),
     clock: () => performance.now(),
