--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -1,6 +1,17 @@
 /** A caller's request and the answer to it, independent of the HTTP server. */
 import type { HeaderPair } from '../common/exchange.js'
 
+/** Names of the headers that callers use, in lower case. */
+export interface CallerHeaders {
+  readonly requestId: string
+  /** Milliseconds that the caller waits. */
+  readonly patience: string
+  /** Cookie whose value is the object of the request. */
+  readonly objectCookie: string
+  /** Headers that only this system sets; they are dropped from callers' requests. */
+  readonly reserved: ReadonlySet<string>
+}
+
 /** A request that was read completely. */
 export interface CallerRequest {
   readonly requestId: string
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -5,21 +5,10 @@
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
 import { headerOf, pairsOf } from '../common/exchange.js'
-import type { CallerAnswer, CallerRequest } from './callerRequest.js'
+import type { CallerAnswer, CallerHeaders, CallerRequest } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { CallerLimits } from './routingConfiguration.js'
 
-/** Names of the headers that callers use, in lower case. */
-export interface CallerHeaders {
-  readonly requestId: string
-  /** Milliseconds that the caller waits. */
-  readonly patience: string
-  /** Cookie whose value is the object of the request. */
-  readonly objectCookie: string
-  /** Headers that only this system sets; they are dropped from callers' requests. */
-  readonly reserved: ReadonlySet<string>
-}
-
 /** What the server needs. */
 export interface CallerServerParts {
   readonly headers: CallerHeaders
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -3,11 +3,10 @@
 import type { Clock } from '../common/clock.js'
 import { sleep } from '../common/clock.js'
 import { BackendServerRegistry } from './backendServerRegistry.js'
-import type { ServerUpdate } from './backendServerRegistry.js'
-import type { CallerHeaders } from './callerServer.js'
 import { CallerServer } from './callerServer.js'
 import { ConnectionPool } from './connectionPool.js'
 import { Coordination } from './coordination.js'
+import type { EntryPlatform, EntrySettings } from './entryPlatform.js'
 import { Departure } from './departure.js'
 import { entriesFor } from './entryDirectory.js'
 import type { EntryLog } from './entryLog.js'
@@ -16,69 +15,21 @@
 import { parseInstanceRecord } from './instanceRecord.js'
 import { INSTANCE_PREFIX, InstanceRegistration } from './instanceRegistration.js'
 import { coordinatorOrder, InstanceTable } from './instanceTable.js'
-import type { MetadataStore } from './metadataStore.js'
 import type { PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
+import { handlePeerMessage } from './peerMessageHandlers.js'
 import { PeerMesh } from './peerMesh.js'
 import { RequestRunner } from './requestRunner.js'
 import type { RoutingConfiguration } from './routingConfiguration.js'
 import { RoutingView } from './routingView.js'
-import type { ServerHeaders } from './serverExchange.js'
-import type { RetryBounds } from './sharedRetryBudget.js'
 import { SharedRetryBudget } from './sharedRetryBudget.js'
 import { SlotClient } from './slotClient.js'
-import type { SmallAnswer } from './smallHttpServer.js'
+import type { SmallAnswer } from './smallAnswer.js'
 import { startSmallServer } from './smallHttpServer.js'
 import { StoreContact } from './storeContact.js'
 import { StoreFollower } from './storeFollower.js'
 import { StoreMirror } from './storeMirror.js'
 
-/** A place to listen at. */
-export interface ListenAddress {
-  readonly host: string
-  readonly port: number
-}
-
-/** Settings of one instance. */
-export interface EntrySettings {
-  readonly record: InstanceRecord
-  readonly regionOfZone: ReadonlyMap<string, string>
-  readonly callers: ListenAddress
-  readonly readiness: ListenAddress
-  readonly directory: ListenAddress
-  readonly peers: ListenAddress
-  readonly metrics: ListenAddress
-  /** Peer addresses of some instances, which may be stale. */
-  readonly seeds: readonly string[]
-  readonly retryBounds: RetryBounds
-  /** Time between the signal to end and the end, in milliseconds. */
-  readonly graceMs: number
-}
-
-/** What a stored item means. */
-export type StoredFact =
-  | { readonly kind: 'configuration'; readonly configuration: RoutingConfiguration | undefined }
-  | { readonly kind: 'server'; readonly update: ServerUpdate }
-  | { readonly kind: 'serverRemoved'; readonly id: string }
-  | { readonly kind: 'evacuation'; readonly zone: string; readonly isOn: boolean }
-  | { readonly kind: 'other' }
-
-/** The platform behind the instance. */
-export interface EntryPlatform {
-  readonly store: MetadataStore
-  readonly callerHeaders: CallerHeaders
-  readonly serverHeaders: ServerHeaders
-  /** Prefixes of the platform's items. */
-  readonly prefixes: readonly string[]
-  /** Decodes an item; `value` is undefined when it was removed. */
-  decode(key: string, value: Buffer | undefined, revision: number): StoredFact
-  readonly readinessPath: string
-  readonly directoryPath: string
-  /** Reads a caller's question to the directory. */
-  directoryQuestion(url: URL): { host: string; region: string; zone: string }
-  directoryAnswer(addresses: readonly string[]): SmallAnswer
-}
-
 /** Interval of periodic decisions, in ms; a waiting request is reviewed this often. */
 const TICK_MS = 25
 /** Interval of slower housekeeping, in milliseconds. */
@@ -181,6 +132,7 @@
       pool: this.#pool,
       budget: new SharedRetryBudget(settings.retryBounds),
       headers: platform.serverHeaders,
+      storeAgeMs: () => Math.round(this.#contact.ageMs(clock())),
       regionOfZone: (zone) => settings.regionOfZone.get(zone),
     })
     this.#callers = new CallerServer({
@@ -288,8 +240,7 @@
 
   #received(peer: string, message: PeerMessage): void {
     const nowMs = this.#clock()
-    const handler = HANDLERS[message.kind] as (parts: HandlerParts, message: PeerMessage) => void
-    handler(
+    handlePeerMessage(
       {
         peer,
         nowMs,
@@ -411,60 +362,3 @@
     return undefined
   }
 }
-
-interface HandlerParts {
-  readonly peer: string
-  readonly nowMs: number
-  readonly table: InstanceTable
-  readonly slots: SlotClient
-  readonly coordination: Coordination
-  readonly contact: StoreContact
-  readonly mirror: StoreMirror
-}
-
-type Handlers = {
-  readonly [Kind in PeerMessageKind]: (
-    parts: HandlerParts,
-    message: Extract<PeerMessage, { kind: Kind }>,
-  ) => void
-}
-
-const HANDLERS: Handlers = {
-  [PeerMessageKind.Hello]: () => undefined,
-  [PeerMessageKind.Beat]: ({ contact, table, peer, nowMs }, { storeAgeMs }) => {
-    const isNear = table.find(peer)?.region === table.self.region
-    if (isNear) contact.notePeer(storeAgeMs, nowMs)
-  },
-  [PeerMessageKind.Leaving]: ({ table, peer }, { incarnation }) => {
-    table.noteLeaving(peer, incarnation)
-  },
-  [PeerMessageKind.Ask]: ({ coordination, peer, nowMs }, message) => {
-    coordination.askedBy(peer, message, nowMs)
-  },
-  [PeerMessageKind.Cancel]: ({ coordination, peer, nowMs }, { service, askId }) => {
-    coordination.cancelledBy(peer, service, askId, nowMs)
-  },
-  [PeerMessageKind.Grant]: ({ slots, peer }, message) => {
-    slots.granted(peer, message)
-  },
-  [PeerMessageKind.Refuse]: ({ slots, peer }, message) => {
-    slots.refused(peer, message)
-  },
-  [PeerMessageKind.Done]: ({ coordination, peer, nowMs }, message) => {
-    const { service, askId, use, durationMs, report } = message
-    coordination.done(service, `${peer}/${askId}`, use, durationMs, report, nowMs)
-  },
-  [PeerMessageKind.Adopt]: ({ coordination, peer, nowMs }, { service, uses }) => {
-    coordination.adopt(service, peer, uses, nowMs)
-  },
-  [PeerMessageKind.News]: ({ mirror }, { items, revision, isComplete }) => {
-    if (isComplete) mirror.applyComplete(items, revision)
-    else mirror.applyChanges(items, revision)
-  },
-  [PeerMessageKind.Demand]: ({ coordination, nowMs }, message) => {
-    coordination.demanded(message, nowMs)
-  },
-  [PeerMessageKind.Lend]: ({ coordination, nowMs }, message) => {
-    coordination.lent(message, nowMs)
-  },
-}
--- /dev/null
+++ b/src/entry/entryPlatform.ts
@@ -0,0 +1,55 @@
+/** Settings of an entry instance, and what it needs of the platform that it runs on. */
+import type { ServerUpdate } from './backendServerRegistry.js'
+import type { CallerHeaders } from './callerRequest.js'
+import type { InstanceRecord } from './instanceRecord.js'
+import type { MetadataStore } from './metadataStore.js'
+import type { RoutingConfiguration } from './routingConfiguration.js'
+import type { ServerHeaders } from './serverExchange.js'
+import type { RetryBounds } from './sharedRetryBudget.js'
+import type { SmallAnswer } from './smallAnswer.js'
+
+/** A place to listen at. */
+export interface ListenAddress {
+  readonly host: string
+  readonly port: number
+}
+
+/** Settings of one instance. */
+export interface EntrySettings {
+  readonly record: InstanceRecord
+  readonly regionOfZone: ReadonlyMap<string, string>
+  readonly callers: ListenAddress
+  readonly readiness: ListenAddress
+  readonly directory: ListenAddress
+  readonly peers: ListenAddress
+  readonly metrics: ListenAddress
+  /** Peer addresses of some instances, which may be stale. */
+  readonly seeds: readonly string[]
+  readonly retryBounds: RetryBounds
+  /** Time between the signal to end and the end, in milliseconds. */
+  readonly graceMs: number
+}
+
+/** What a stored item means. */
+export type StoredFact =
+  | { readonly kind: 'configuration'; readonly configuration: RoutingConfiguration | undefined }
+  | { readonly kind: 'server'; readonly update: ServerUpdate }
+  | { readonly kind: 'serverRemoved'; readonly id: string }
+  | { readonly kind: 'evacuation'; readonly zone: string; readonly isOn: boolean }
+  | { readonly kind: 'other' }
+
+/** The platform behind the instance. */
+export interface EntryPlatform {
+  readonly store: MetadataStore
+  readonly callerHeaders: CallerHeaders
+  readonly serverHeaders: ServerHeaders
+  /** Prefixes of the platform's items. */
+  readonly prefixes: readonly string[]
+  /** Decodes an item; `value` is undefined when it was removed. */
+  decode(key: string, value: Buffer | undefined, revision: number): StoredFact
+  readonly readinessPath: string
+  readonly directoryPath: string
+  /** Reads a caller's question to the directory. */
+  directoryQuestion(url: URL): { host: string; region: string; zone: string }
+  directoryAnswer(addresses: readonly string[]): SmallAnswer
+}
--- /dev/null
+++ b/src/entry/peerMessageHandlers.ts
@@ -0,0 +1,72 @@
+/** What each kind of message from a peer changes at this instance. */
+import type { Coordination } from './coordination.js'
+import type { InstanceTable } from './instanceTable.js'
+import type { PeerMessage } from './peerMessages.js'
+import { PeerMessageKind } from './peerMessages.js'
+import type { SlotClient } from './slotClient.js'
+import type { StoreContact } from './storeContact.js'
+import type { StoreMirror } from './storeMirror.js'
+
+/** What the handlers of messages work on. */
+export interface PeerMessageParts {
+  readonly peer: string
+  readonly nowMs: number
+  readonly table: InstanceTable
+  readonly slots: SlotClient
+  readonly coordination: Coordination
+  readonly contact: StoreContact
+  readonly mirror: StoreMirror
+}
+
+type Handlers = {
+  readonly [Kind in PeerMessageKind]: (
+    parts: PeerMessageParts,
+    message: Extract<PeerMessage, { kind: Kind }>,
+  ) => void
+}
+
+const HANDLERS: Handlers = {
+  [PeerMessageKind.Hello]: () => undefined,
+  [PeerMessageKind.Beat]: ({ contact, table, peer, nowMs }, { storeAgeMs }) => {
+    const isNear = table.find(peer)?.region === table.self.region
+    if (isNear) contact.notePeer(storeAgeMs, nowMs)
+  },
+  [PeerMessageKind.Leaving]: ({ table, peer }, { incarnation }) => {
+    table.noteLeaving(peer, incarnation)
+  },
+  [PeerMessageKind.Ask]: ({ coordination, peer, nowMs }, message) => {
+    coordination.askedBy(peer, message, nowMs)
+  },
+  [PeerMessageKind.Cancel]: ({ coordination, peer, nowMs }, { service, askId }) => {
+    coordination.cancelledBy(peer, service, askId, nowMs)
+  },
+  [PeerMessageKind.Grant]: ({ slots, peer }, message) => {
+    slots.granted(peer, message)
+  },
+  [PeerMessageKind.Refuse]: ({ slots, peer }, message) => {
+    slots.refused(peer, message)
+  },
+  [PeerMessageKind.Done]: ({ coordination, peer, nowMs }, message) => {
+    const { service, askId, use, durationMs, report } = message
+    coordination.done(service, `${peer}/${askId}`, use, durationMs, report, nowMs)
+  },
+  [PeerMessageKind.Adopt]: ({ coordination, peer, nowMs }, { service, uses }) => {
+    coordination.adopt(service, peer, uses, nowMs)
+  },
+  [PeerMessageKind.News]: ({ mirror }, { items, revision, isComplete }) => {
+    if (isComplete) mirror.applyComplete(items, revision)
+    else mirror.applyChanges(items, revision)
+  },
+  [PeerMessageKind.Demand]: ({ coordination, nowMs }, message) => {
+    coordination.demanded(message, nowMs)
+  },
+  [PeerMessageKind.Lend]: ({ coordination, nowMs }, message) => {
+    coordination.lent(message, nowMs)
+  },
+}
+
+/** Applies a message. */
+export function handlePeerMessage(parts: PeerMessageParts, message: PeerMessage): void {
+  const handler = HANDLERS[message.kind] as (parts: PeerMessageParts, message: PeerMessage) => void
+  handler(parts, message)
+}
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -14,7 +14,8 @@
 import type { RoutingView } from './routingView.js'
 import type { Route } from './routingConfiguration.js'
 import { Repeatability } from './routingConfiguration.js'
-import type { SendOutcome, ServerAnswer, ServerHeaders } from './serverExchange.js'
+import { NEXT_BY_KIND, USE_BY_KIND, answerOf } from './sendOutcomes.js'
+import type { SendOutcome, ServerHeaders } from './serverExchange.js'
 import { SendKind } from './serverExchange.js'
 import type { SharedRetryBudget } from './sharedRetryBudget.js'
 import type { SlotClient, SlotGrant } from './slotClient.js'
@@ -41,6 +42,8 @@
   readonly budget: SharedRetryBudget
   readonly headers: ServerHeaders
   readonly regionOfZone: (zone: string) => string | undefined
+  /** Age of the news from the store, in milliseconds. */
+  readonly storeAgeMs: () => number
 }
 
 /** State of one request between its sends. */
@@ -129,7 +132,7 @@
         continue
       }
       const outcome = await this.#send(run, slot.grant, server)
-      const next = NEXT_BY_KIND[outcome.kind](run, outcome)
+      const next = NEXT_BY_KIND[outcome.kind](run.route.repeatability, outcome)
       if (next.isFinal) return this.#end(run, outcome, next.failure)
       lost = next.mayHaveRun ? outcome : lost
       run.mayHaveRun ||= next.mayHaveRun
@@ -302,6 +305,7 @@
       sends: run?.sends,
       targetInMs: run === undefined ? undefined : Math.round(run.targetAtMs - clock()),
       heldMs: Math.round(clock() - request.arrivedAtMs),
+      storeAgeMs: this.#parts.storeAgeMs(),
       ...(retryAfterMs > 0 ? { retryAfterMs } : {}),
       ...detail,
     })
@@ -311,63 +315,3 @@
 
 /** Grants of servers that are already known to leave, before the request is refused. */
 const MAX_STALE_GRANTS = 4
-
-/** What follows from a send. */
-interface NextStep {
-  readonly isFinal: boolean
-  readonly failure?: FailureKind
-  readonly mayHaveRun: boolean
-}
-
-const NEXT_BY_KIND: Readonly<Record<SendKind, (run: Run, outcome: SendOutcome) => NextStep>> = {
-  [SendKind.Answered]: (run, { answer }) => {
-    const isServerFailure = (answer?.status ?? 0) >= 500
-    const isRepeatable = run.route.repeatability === Repeatability.Idempotent
-    return { isFinal: !(isServerFailure && isRepeatable), mayHaveRun: true }
-  },
-  [SendKind.Declined]: () => ({ isFinal: false, mayHaveRun: false }),
-  [SendKind.Misdirected]: () => ({ isFinal: false, mayHaveRun: false }),
-  [SendKind.Unreachable]: () => ({ isFinal: false, mayHaveRun: false }),
-  [SendKind.Broken]: () => ({ isFinal: false, mayHaveRun: true }),
-  [SendKind.TimedOut]: () => ({
-    isFinal: true,
-    failure: FailureKind.TimedOut,
-    mayHaveRun: true,
-  }),
-  [SendKind.Abandoned]: () => ({
-    isFinal: true,
-    failure: FailureKind.Abandoned,
-    mayHaveRun: true,
-  }),
-}
-
-const USE_BY_KIND: Readonly<Record<SendKind, (answer: ServerAnswer | undefined) => SlotUse>> = {
-  [SendKind.Answered]: (answer) =>
-    (answer?.status ?? 0) >= 500 ? SlotUse.Failed : SlotUse.Completed,
-  [SendKind.Declined]: () => SlotUse.NotRun,
-  [SendKind.Misdirected]: () => SlotUse.NotRun,
-  [SendKind.Unreachable]: () => SlotUse.NotRun,
-  [SendKind.Broken]: () => SlotUse.Broken,
-  [SendKind.TimedOut]: () => SlotUse.Abandoned,
-  [SendKind.Abandoned]: () => SlotUse.Abandoned,
-}
-
-const NOT_PASSED_ON = new Set([
-  'connection',
-  'keep-alive',
-  'transfer-encoding',
-  'content-length',
-  'trailer',
-  'upgrade',
-  'proxy-connection',
-])
-
-/** The server's answer with its end-to-end headers. */
-function answerOf(answer: ServerAnswer, headers: ServerHeaders): CallerAnswer {
-  const passed = answer.headers.filter(([name]) => {
-    const lower = name.toLowerCase()
-    return !NOT_PASSED_ON.has(lower) && lower !== headers.load
-  })
-  const { status, statusText, body, isDelimitedByClose } = answer
-  return { status, statusText, headers: passed, body, isDelimitedByClose }
-}
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -121,11 +121,12 @@
       return
     }
     const need = this.#needOf(waiter, nowMs)
-    const admission = admit(this.#queueState(waiter, nowMs), need)
+    const queue = this.#queueState(waiter, nowMs)
+    const admission = admit(queue, need)
     if (admission.kind === AdmissionKind.Refused) {
       this.#stopAwaiting(waiter.key)
       const returnMs = retryAfterMs(admission.waitMs, need, this.#random())
-      waiter.refused('no slot in useful time', returnMs)
+      waiter.refused(`no slot in useful time: ${describe(queue, admission.waitMs)}`, returnMs)
       return
     }
     this.#line.add(waiter)
@@ -493,3 +494,12 @@
     }
   }
 }
+
+/** The inputs of a refusal, for the log. */
+function describe(queue: QueueState, waitMs: number): string {
+  const { aheadInTime, aheadLate, completionsPerSecond, arrivalsPerSecond } = queue
+  return (
+    `${aheadInTime}+${aheadLate} ahead, ${Math.round(completionsPerSecond)}/s of ` +
+    `${Math.round(arrivalsPerSecond)}/s, wait ${Math.round(waitMs)} ms`
+  )
+}
--- a/src/entry/smallHttpServer.ts
+++ b/src/entry/smallHttpServer.ts
@@ -1,13 +1,7 @@
 /** HTTP server for short questions without a body: readiness, directory, metrics. */
 import type { IncomingMessage, Server } from 'node:http'
 import { createServer } from 'node:http'
-
-/** Answer to a question. */
-export interface SmallAnswer {
-  readonly status: number
-  readonly contentType: string
-  readonly body: string
-}
+import type { SmallAnswer } from './smallAnswer.js'
 
 /** Answers one question; `undefined`: no such path. */
 export type SmallHandler = (
