--- a/src/entry/entryMetrics.ts
+++ b/src/entry/entryMetrics.ts
@@ -20,7 +20,6 @@
   readonly #registry = new Registry()
   readonly #latency: Histogram<'route' | 'status'>
   readonly #failures: Counter<'kind'>
-  readonly #present: Readonly<Record<keyof PresentFigures, Gauge>>
 
   constructor(present: () => PresentFigures) {
     const registers = [this.#registry]
@@ -37,27 +36,23 @@
       labelNames: ['kind'],
       registers,
     })
-    const gauge = (field: keyof PresentFigures, name: string, help: string): Gauge =>
-      new Gauge({
+    const gauge = (field: keyof PresentFigures, name: string, help: string): void => {
+      const created = new Gauge({
         name: `tamarackdrift_${name}`,
         help,
-        registers,
         collect() {
           this.set(present()[field])
         },
+        registers: [],
       })
-    this.#present = {
-      waiting: gauge('waiting', 'waiting_requests', 'Requests that wait for a slot'),
-      held: gauge('held', 'held_slots', 'Slots in use by requests of this instance'),
-      storeAgeMs: gauge('storeAgeMs', 'store_contact_age_milliseconds', 'Age of store news'),
-      droppedLogLines: gauge('droppedLogLines', 'dropped_log_lines', 'Log lines dropped'),
-      openedConnections: gauge(
-        'openedConnections',
-        'opened_connections',
-        'Connections opened to backend servers',
-      ),
-      version: gauge('version', 'configuration_version', 'Configuration in force'),
+      this.#registry.registerMetric(created)
     }
+    gauge('waiting', 'waiting_requests', 'Requests that wait for a slot')
+    gauge('held', 'held_slots', 'Slots in use by requests of this instance')
+    gauge('storeAgeMs', 'store_contact_age_milliseconds', 'Age of store news')
+    gauge('droppedLogLines', 'dropped_log_lines', 'Log lines dropped')
+    gauge('openedConnections', 'opened_connections', 'Connections opened to backend servers')
+    gauge('version', 'configuration_version', 'Configuration in force')
   }
 
   /** Records an answer to a caller. */
@@ -70,11 +65,6 @@
     this.#failures.inc({ kind })
   }
 
-  /** Names of the gauges that are computed when fetched. */
-  get presentNames(): string[] {
-    return Object.keys(this.#present)
-  }
-
   /** All metrics as text. */
   text(): Promise<string> {
     return this.#registry.metrics()
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -210,12 +210,11 @@
         resolve(result)
       }
       const { requestId, method, target, body } = run.request
-      const { deadlineAtMs } = run
       const giveUp = pool.send(
         `${server.id}@${server.address}#${server.startedAtMs}`,
         server.address,
         isRemote,
-        { requestId, method, target, headers: sent, body, isRepeatable, deadlineAtMs },
+        { requestId, method, target, headers: sent, body, isRepeatable },
         (result) => {
           finish(result)
         },
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -125,11 +125,6 @@
     this.#socket.destroy()
   }
 
-  /** Lets the process end while the connection is idle. */
-  unref(): void {
-    this.#socket.unref()
-  }
-
   #isOurs(request: ServerRequest, headers: readonly HeaderPair[], status: number): boolean {
     const echoed = headerOf(headers, this.#headers.requestId)
     if (echoed !== undefined) return echoed === request.requestId
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -13,8 +13,6 @@
   readonly body: Buffer
   /** Whether the request may be sent on a connection that has been idle for long. */
   readonly isRepeatable: boolean
-  /** Steady time after which nothing more is waited for, in milliseconds. */
-  readonly deadlineAtMs: number
 }
 
 /** Complete answer of a backend server. */
