--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -24,6 +24,8 @@
 const WAY_BACK_MS = 4
 /** Time left below which a further send is useless, in milliseconds. */
 const MIN_SEND_MS = 20
+/** Grants of servers that are already known to leave, before the request is refused. */
+const MAX_STALE_GRANTS = 4
 /** Retry-After when nothing is known about when there will be room, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 150
 /** Retry-After of an instance that is ending, in milliseconds; another one can serve at once. */
@@ -311,6 +313,3 @@
     return failureAnswer(kind, retryAfterMs)
   }
 }
-
-/** Grants of servers that are already known to leave, before the request is refused. */
-const MAX_STALE_GRANTS = 4
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -61,8 +61,8 @@
   readonly #service: string
   readonly #region: string
   readonly #random: () => number
+  /** Includes servers that are gone from the list while requests still run there. */
   readonly #servers = new Map<string, ServerState>()
-  /** Uses whose server is gone from the list; their ends are still accepted. */
   readonly #estimates = new DurationEstimates()
   readonly #memory = new ObjectMemory()
   readonly #line = new WaitingLine()
