refactor(entry): one address splitter, one listen, one set of connection headers; routes by name

Address splitting stood four times, the wait for a listening server five times, the set of connection headers three times. A request for a slot looked its route up by a scan of all routes; it is a map now. Dead members removed (generation of InstanceTable, removeMissing, hasBytes, evacuatedZones, isOpen of a server connection). Behaviour unchanged.

--- a/src/common/exchange.ts
+++ b/src/common/exchange.ts
@@ -40,6 +40,17 @@
   | { readonly kind: ExchangeKind.NotConnected; readonly reason: BreakReason }
   | { readonly kind: ExchangeKind.Broken; readonly reason: BreakReason }
 
+/** Headers that concern one connection only or are set anew by every sender; lower case. */
+export const CONNECTION_HEADERS = [
+  'connection',
+  'content-length',
+  'keep-alive',
+  'proxy-connection',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+] as const
+
 /** Returns the value of a header by its lower-case name, or `undefined`. */
 export function headerOf(headers: readonly HeaderPair[], name: string): string | undefined {
   return headers.find(([given]) => given.toLowerCase() === name)?.[1]
--- a/src/common/httpExchange.ts
+++ b/src/common/httpExchange.ts
@@ -5,6 +5,7 @@
 import type { Clock } from './clock.js'
 import type { ExchangeResult, HeaderPair } from './exchange.js'
 import { BreakReason, ExchangeKind, headerOf, pairsOf } from './exchange.js'
+import { hostAndPort } from './listen.js'
 
 /** Settings of a client. */
 export interface HttpExchangeOptions {
@@ -119,11 +120,9 @@
 
   #open(): ClientRequest {
     const call = this.#call
-    const separator = call.address.lastIndexOf(':')
     return httpRequest({
       agent: this.#agent,
-      host: call.address.slice(0, separator),
-      port: Number(call.address.slice(separator + 1)),
+      ...hostAndPort(call.address),
       method: call.method,
       path: call.target,
       headers: flatHeaders(call),
--- a/src/entry/backendServerRegistry.ts
+++ b/src/entry/backendServerRegistry.ts
@@ -54,10 +54,6 @@
     return this.#generation
   }
 
-  get evacuatedZones(): ReadonlySet<string> {
-    return this.#evacuatedZones
-  }
-
   /** Applies a written entry unless a later revision is known. */
   apply(update: ServerUpdate, nowMs: number): boolean {
     const known = this.#entries.get(update.id)
@@ -89,13 +85,6 @@
     return true
   }
 
-  /** Removes the entries that a complete listing at `revision` does not have. */
-  removeMissing(listedIds: ReadonlySet<string>, revision: number, nowMs: number): void {
-    for (const id of [...this.#entries.keys()]) {
-      if (!listedIds.has(id)) this.remove(id, revision, nowMs)
-    }
-  }
-
   /** States that the store is away, or came back just now. */
   noteStoreTrouble(nowMs: number): void {
     this.#doubtfulUntilMs = nowMs + LAPSED_ENTRY_GRACE_MS
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -4,7 +4,8 @@
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
-import { headerOf, pairsOf } from '../common/exchange.js'
+import { CONNECTION_HEADERS, headerOf, pairsOf } from '../common/exchange.js'
+import { listen } from '../common/listen.js'
 import type { CallerAnswer, CallerHeaders, CallerRequest } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { CallerLimits } from './routingConfiguration.js'
@@ -21,17 +22,7 @@
 const MAX_HEAD_BYTES = 64 * 1024
 /** Callers reuse connections up to their idle limit; this side closes later than that, in ms. */
 const IDLE_MARGIN_MS = 1000
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'content-length',
-  'expect',
-])
+const HOP_BY_HOP = new Set([...CONNECTION_HEADERS, 'te', 'expect'])
 
 /** Reads requests, runs them, and writes answers in the order of the requests. */
 export class CallerServer {
@@ -64,11 +55,8 @@
     return open
   }
 
-  async start(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, host, resolve)
-    })
+  start(host: string, port: number): Promise<void> {
+    return listen(this.#server, host, port)
   }
 
   /** Applies the limits of a new configuration. */
--- a/src/entry/entryPlatform.ts
+++ b/src/entry/entryPlatform.ts
@@ -1,4 +1,5 @@
 /** Settings of an entry instance, and what it needs of the platform that it runs on. */
+import type { HostAndPort } from '../common/listen.js'
 import type { ServerUpdate } from './backendServerRegistry.js'
 import type { CallerHeaders } from './callerRequest.js'
 import type { InstanceRecord } from './instanceRecord.js'
@@ -8,21 +9,15 @@
 import type { RetryBounds } from './sharedRetryBudget.js'
 import type { SmallAnswer } from './smallAnswer.js'
 
-/** A place to listen at. */
-export interface ListenAddress {
-  readonly host: string
-  readonly port: number
-}
-
 /** Settings of one instance. */
 export interface EntrySettings {
   readonly record: InstanceRecord
   readonly regionOfZone: ReadonlyMap<string, string>
-  readonly callers: ListenAddress
-  readonly readiness: ListenAddress
-  readonly directory: ListenAddress
-  readonly peers: ListenAddress
-  readonly metrics: ListenAddress
+  readonly callers: HostAndPort
+  readonly readiness: HostAndPort
+  readonly directory: HostAndPort
+  readonly peers: HostAndPort
+  readonly metrics: HostAndPort
   /** Peer addresses of some instances, which may be stale. */
   readonly seeds: readonly string[]
   readonly retryBounds: RetryBounds
--- a/src/entry/instanceTable.ts
+++ b/src/entry/instanceTable.ts
@@ -40,17 +40,11 @@
   readonly self: InstanceRecord
   readonly #known = new Map<string, Known>()
   #isSelfLeaving = false
-  #generation = 0
 
   constructor(self: InstanceRecord) {
     this.self = self
   }
 
-  /** Grows with each change of records. Liveness also changes with time. */
-  get generation(): number {
-    return this.#generation
-  }
-
   /** Adds a record or replaces an earlier start of the same instance. */
   learn(record: InstanceRecord, nowMs: number): void {
     if (record.name === this.self.name) return
@@ -59,7 +53,6 @@
       known.lapsedAtMs = undefined
       return
     }
-    this.#generation += 1
     this.#known.set(record.name, {
       record,
       knownSinceMs: nowMs,
@@ -81,7 +74,6 @@
     const known = this.#known.get(name)
     if (known?.record.incarnation !== incarnation) return
     known.isLeaving = true
-    this.#generation += 1
   }
 
   /** Records the state of the link to an instance. */
@@ -90,12 +82,10 @@
     if (known === undefined || known.link === link) return
     known.link = link
     known.linkChangedAtMs = nowMs
-    this.#generation += 1
   }
 
   leaveSelf(): void {
     this.#isSelfLeaving = true
-    this.#generation += 1
   }
 
   find(name: string): InstanceRecord | undefined {
@@ -113,7 +103,6 @@
       const isLapsed = known.lapsedAtMs !== undefined && nowMs - known.lapsedAtMs > afterMs
       if (isLapsed && known.link !== LinkState.Up) {
         this.#known.delete(name)
-        this.#generation += 1
       }
     }
   }
--- a/src/entry/peerMesh.ts
+++ b/src/entry/peerMesh.ts
@@ -2,6 +2,7 @@
 import type { Server, Socket } from 'node:net'
 import { connect, createServer } from 'node:net'
 import type { Clock } from '../common/clock.js'
+import { hostAndPort, listen } from '../common/listen.js'
 import type { EntryLog } from './entryLog.js'
 import type { InstanceRecord } from './instanceRecord.js'
 import { parseInstanceRecord } from './instanceRecord.js'
@@ -69,10 +70,7 @@
 
   /** Listens for peers and starts to reach those that are known. */
   async start(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, host, resolve)
-    })
+    await listen(this.#server, host, port)
     this.#checkedAtMs = this.#parts.clock()
     this.#timer = setInterval(() => {
       this.#check(this.#parts.clock())
@@ -116,8 +114,7 @@
   }
 
   #dial(address: string): void {
-    const separator = address.lastIndexOf(':')
-    const socket = connect(Number(address.slice(separator + 1)), address.slice(0, separator))
+    const socket = connect(hostAndPort(address))
     const timer = setTimeout(() => {
       socket.destroy(new Error('no connection in time'))
     }, CONNECT_MS)
--- a/src/entry/responseReader.ts
+++ b/src/entry/responseReader.ts
@@ -34,7 +34,6 @@
   #headers: HeaderPair[] = []
   #answer: ServerAnswer | undefined
   #isReusable = true
-  #hasBytes = false
   #hasEnded = false
 
   /** @param isOurs tells whether an answer belongs to the request; others are skipped */
@@ -64,13 +63,8 @@
     return this.#isReusable
   }
 
-  get hasBytes(): boolean {
-    return this.#hasBytes
-  }
-
   /** Takes bytes of the connection. */
   read(bytes: Buffer): ReadState {
-    this.#hasBytes = true
     if (this.#answer !== undefined) {
       this.#isReusable = false
       return ReadState.Complete
--- a/src/entry/routingConfiguration.ts
+++ b/src/entry/routingConfiguration.ts
@@ -65,14 +65,16 @@
   readonly limits: CallerLimits
 }
 
-/** Index of a configuration's routes by host and longest prefix. */
+/** Index of a configuration's routes by host and longest prefix, and by name. */
 export class RouteIndex {
   readonly #byHost = new Map<string, Route[]>()
+  readonly #byName = new Map<string, Route>()
 
   constructor(routes: readonly Route[]) {
     for (const route of routes) {
       const sameHost = this.#byHost.get(route.host) ?? []
       sameHost.push(route)
+      if (!this.#byName.has(route.name)) this.#byName.set(route.name, route)
       this.#byHost.set(route.host, sameHost)
     }
     for (const sameHost of this.#byHost.values()) {
@@ -86,6 +88,11 @@
     return this.#byHost.get(hostName(host))?.find((route) => path.startsWith(route.prefix))
   }
 
+  /** Route by its name; asked for with every request for a slot. */
+  named(name: string): Route | undefined {
+    return this.#byName.get(name)
+  }
+
   /** Routes of a host. */
   ofHost(host: string): readonly Route[] {
     return this.#byHost.get(hostName(host)) ?? []
--- a/src/entry/sendOutcomes.ts
+++ b/src/entry/sendOutcomes.ts
@@ -1,4 +1,5 @@
 /** What follows from the end of a send: for the request, for the slot, for the caller. */
+import { CONNECTION_HEADERS } from '../common/exchange.js'
 import type { CallerAnswer } from './callerRequest.js'
 import { FailureKind } from './callerRequest.js'
 import { SlotUse } from './peerMessages.js'
@@ -52,15 +53,7 @@
   [SendKind.Abandoned]: () => SlotUse.Abandoned,
 }
 
-const NOT_PASSED_ON = new Set([
-  'connection',
-  'keep-alive',
-  'transfer-encoding',
-  'content-length',
-  'trailer',
-  'upgrade',
-  'proxy-connection',
-])
+const NOT_PASSED_ON: ReadonlySet<string> = new Set(CONNECTION_HEADERS)
 
 /** The server's answer with its end-to-end headers. */
 export function answerOf(answer: ServerAnswer, headers: ServerHeaders): CallerAnswer {
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
 import { headerOf } from '../common/exchange.js'
+import { hostAndPort } from '../common/listen.js'
 import { ReadState, ResponseReader } from './responseReader.js'
 import type { SendOutcome, ServerAnswer, ServerHeaders, ServerRequest } from './serverExchange.js'
 import { SendKind } from './serverExchange.js'
@@ -30,8 +31,7 @@
   constructor(address: string, headers: ServerHeaders, connectMs: number, clock: Clock) {
     this.#clock = clock
     this.#headers = headers
-    const separator = address.lastIndexOf(':')
-    const socket = connect(Number(address.slice(separator + 1)), address.slice(0, separator))
+    const socket = connect(hostAndPort(address))
     this.#socket = socket
     socket.setNoDelay(true)
     const timer = setTimeout(() => {
@@ -61,10 +61,6 @@
     return this.#isOpen && this.#settle === undefined
   }
 
-  get isOpen(): boolean {
-    return this.#isOpen
-  }
-
   idleMs(nowMs: number): number {
     return nowMs - this.#idleSinceMs
   }
--- a/src/entry/smallHttpServer.ts
+++ b/src/entry/smallHttpServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server for short questions without a body: readiness, directory, metrics. */
 import type { IncomingMessage, Server } from 'node:http'
 import { createServer } from 'node:http'
+import { listen } from '../common/listen.js'
 import type { SmallAnswer } from './smallAnswer.js'
 
 /** Answers one question; `undefined`: no such path. */
@@ -26,10 +27,7 @@
       response.end(body)
     })
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
+  await listen(server, host, port)
   return server
 }
 
--- a/src/gateway/headerRules.ts
+++ b/src/gateway/headerRules.ts
@@ -10,6 +10,7 @@
   TIMEOUT_HEADER,
 } from '../common/headers.js'
 import type { HeaderPair } from '../common/exchange.js'
+import { CONNECTION_HEADERS } from '../common/exchange.js'
 import { RefusalKind } from './refusals.js'
 
 const CALLER_HEADERS = new Set([OPERATION_HEADER, TIMEOUT_HEADER, SERVICE_HEADER])
@@ -21,17 +22,11 @@
   LEAVING_HEADER,
 ])
 const HOP_BY_HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
+  ...CONNECTION_HEADERS,
   'proxy-authenticate',
   'proxy-authorization',
-  'proxy-connection',
   'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  // The whole body is buffered, so its length is set anew and "expect" is answered here.
-  'content-length',
+  // The whole body is buffered, so "expect" is answered here.
   'expect',
 ])
 /** Headers that may not be named in `Connection`: dropping them would change what the request means. */
