--- /dev/null
+++ b/testing/soak/deployment.ts
@@ -0,0 +1,235 @@
+/** The deployment that a soak disturbs: store, backend servers behind proxies, entry processes. */
+import path from 'node:path'
+import { ServerStandIn } from '../../platform/standIn/serverStandIn.js'
+import { StoreStandIn } from '../../platform/standIn/storeStandIn.js'
+import { EntryProcess } from './entryProcess.js'
+import { FaultyProxy } from './faultyProxy.js'
+
+/** Zones with their regions. */
+export const REGION_OF_ZONE: Readonly<Record<string, string>> = {
+  'east-a': 'east',
+  'east-b': 'east',
+  'west-a': 'west',
+  'west-b': 'west',
+}
+export const ZONES = Object.keys(REGION_OF_ZONE)
+/** Time that an instance has to end, in milliseconds; as the platform's deployments have it. */
+export const GRACE_MS = 6000
+/** Time within which a configuration must be in force, in ms; as the platform's deployments have it. */
+export const APPLY_MS = 2500
+/** Bounds of second sends; as the platform's deployments have them. */
+export const RETRY_RATIO = 0.2
+export const RETRY_SLACK = 56
+/** Duration of work at a backend server, in milliseconds; short, so that a soak has many requests. */
+const WORK_MS = 40
+const SLOTS = 4
+/** Versions whose routes are kept in the configuration. */
+const KEPT_VERSIONS = 4
+
+export const SAFE_HOST = 'hints.example'
+export const UNSAFE_HOST = 'coins.example'
+export const HOME_HOST = 'cards.example'
+export const PROBE_HOST = 'probe.example'
+/** Region that may run the requests of {@link HOME_HOST}. */
+export const HOME_REGION = 'east'
+
+/** A backend server with its proxy. */
+export interface SoakServer {
+  readonly id: string
+  readonly service: string
+  readonly zone: string
+  /** `host:port` of the proxy, as the server's entry states it. */
+  readonly address: string
+  readonly standIn: ServerStandIn
+  readonly proxy: FaultyProxy
+  isLeaving: boolean
+}
+
+/** Told of runs. */
+export type RunListener = (server: SoakServer, requestId: string) => void
+
+/** Owner of all parts. */
+export class Deployment {
+  readonly store = new StoreStandIn()
+  readonly servers: SoakServer[] = []
+  readonly entries: EntryProcess[] = []
+  /** Way of each instance to the store, by the instance's name. */
+  readonly storeWays = new Map<string, FaultyProxy>()
+  readonly #onRun: RunListener
+  readonly #folder: string
+  #version = 1
+  #lastServer = 0
+
+  /** @param folder for settings files and logs */
+  constructor(folder: string, onRun: RunListener) {
+    this.#folder = folder
+    this.#onRun = onRun
+  }
+
+  /** Newest accepted version. */
+  get version(): number {
+    return this.#version
+  }
+
+  async start(
+    instances: number,
+    serversPerService: number,
+    nodeOptions: readonly string[],
+  ): Promise<void> {
+    const storeAddress = await this.store.start()
+    this.#putConfiguration()
+    for (const service of ['reveals', 'wallet']) {
+      for (let index = 0; index < serversPerService; index += 1) {
+        await this.addServer(service, ZONES[index % ZONES.length] ?? '')
+      }
+    }
+    for (let index = 0; index < instances; index += 1) {
+      await this.#addEntry(index, storeAddress, nodeOptions)
+    }
+    for (const entry of this.entries) entry.run()
+  }
+
+  /** Ends all processes and stand-ins that this deployment started. */
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => entry.end()))
+    for (const { standIn, proxy } of this.servers) {
+      proxy.stop()
+      standIn.stop()
+    }
+    for (const way of this.storeWays.values()) way.stop()
+    this.store.stop()
+  }
+
+  async addServer(service: string, zone: string): Promise<SoakServer> {
+    this.#lastServer += 1
+    const id = `i-${this.#lastServer}`
+    const standIn = new ServerStandIn(id, WORK_MS, (requestId) => {
+      this.#onRun(server, requestId)
+    })
+    const proxy = new FaultyProxy(await standIn.start())
+    const address = await proxy.start()
+    const server: SoakServer = { id, service, zone, address, standIn, proxy, isLeaving: false }
+    this.servers.push(server)
+    this.#putServer(server, 'ready')
+    return server
+  }
+
+  /** States that a server is leaving; it serves on. */
+  drain(server: SoakServer): void {
+    server.isLeaving = true
+    this.#putServer(server, 'draining')
+  }
+
+  /** Takes a server away that was leaving, or that crashed. */
+  removeServer(server: SoakServer): void {
+    this.servers.splice(this.servers.indexOf(server), 1)
+    server.proxy.stop()
+    server.standIn.stop()
+    this.store.remove(`servers/${server.id}`)
+  }
+
+  /** Accepts a new configuration with a route of its own. @returns its version */
+  nextVersion(): number {
+    this.#version += 1
+    this.#putConfiguration()
+    return this.#version
+  }
+
+  evacuate(zone: string): void {
+    this.store.put(`op/evacuate/${zone}`, {})
+  }
+
+  takeBack(zone: string): void {
+    this.store.remove(`op/evacuate/${zone}`)
+  }
+
+  async #addEntry(
+    index: number,
+    storeAddress: string,
+    nodeOptions: readonly string[],
+  ): Promise<void> {
+    const name = `front-${index + 1}`
+    const way = new FaultyProxy(storeAddress)
+    this.storeWays.set(name, way)
+    const hosts = this.entries.map((entry) => entry.options.host)
+    this.entries.push(
+      new EntryProcess({
+        name,
+        host: `127.0.7.${index + 1}`,
+        zone: ZONES[index % ZONES.length] ?? '',
+        regionOfZone: REGION_OF_ZONE,
+        storeAddress: await way.start(),
+        seeds: hosts.slice(0, 3).map((host) => `${host}:18649`),
+        graceMs: GRACE_MS,
+        applyMs: APPLY_MS,
+        retryRatio: RETRY_RATIO,
+        retrySlack: RETRY_SLACK,
+        nodeOptions,
+        folder: path.join(this.#folder, 'entries'),
+      }),
+    )
+  }
+
+  #putServer(server: SoakServer, state: string): void {
+    const { id, service, zone, address } = server
+    this.store.put(`servers/${id}`, {
+      address,
+      server_info: { service, version: 'v1', zone, slots: SLOTS },
+      status: { state, sequence: 1, cold_remaining: '0ms' },
+    })
+  }
+
+  #putConfiguration(): void {
+    const probes = Array.from(
+      { length: Math.min(KEPT_VERSIONS, this.#version) },
+      (_, index) => this.#version - index,
+    )
+    const rows = [
+      routeRow('reveal', SAFE_HOST, '/', 'safe', 'reveals', []),
+      routeRow('spend', UNSAFE_HOST, '/', 'unsafe', 'wallet', []),
+      routeRow('charge', HOME_HOST, '/', 'unsafe', 'wallet', [HOME_REGION]),
+      ...probes.map((version) =>
+        routeRow(`probe-${version}`, PROBE_HOST, `/v${version}/`, 'safe', 'reveals', []),
+      ),
+    ]
+    this.store.put('op/config', {
+      version: this.#version,
+      routes: { columns: ROUTE_COLUMNS, rows },
+      services: {
+        columns: ['name', 'health_check_path', 'max_connections', 'cold_start', 'cold_per_s'],
+        rows: ['reveals', 'wallet'].map((name) => [name, '/health', 330, '3s', 16]),
+      },
+      limits: {
+        header_bytes: 16_384,
+        body_bytes: 1_048_576,
+        header_timeout: '3000ms',
+        idle_timeout: '15000ms',
+      },
+    })
+  }
+}
+
+const ROUTE_COLUMNS = [
+  'name',
+  'host',
+  'prefix',
+  'kind',
+  'service',
+  'home_regions',
+  'timeout',
+  'target_latency',
+  'priority',
+  'max_attempts',
+  'session_affinity',
+]
+
+function routeRow(
+  name: string,
+  host: string,
+  prefix: string,
+  kind: string,
+  service: string,
+  homes: readonly string[],
+): unknown[] {
+  return [name, host, prefix, kind, service, homes, '1500ms', '300ms', 1, 2, true]
+}
--- /dev/null
+++ b/testing/soak/entryProcess.ts
@@ -0,0 +1,142 @@
+/** One entry instance as a process of its own: the bundled program, its settings file, its signals. */
+import type { ChildProcess } from 'node:child_process'
+import { spawn } from 'node:child_process'
+import { mkdirSync, createWriteStream, writeFileSync } from 'node:fs'
+import type { WriteStream } from 'node:fs'
+import path from 'node:path'
+
+/** Program as it runs on the platform. */
+const PROGRAM = 'target/tamarackdriftEntry.mjs'
+/** Memory limit of the process, in MB; as in deploy/system.toml. */
+const HEAP_MB = 200
+
+/** Ports are the same at each instance; the addresses on the loopback interface differ. */
+export enum EntryPort {
+  Callers = 18641,
+  Readiness = 18640,
+  Directory = 18644,
+  Peers = 18649,
+}
+
+/** What an instance is told. */
+export interface EntryProcessOptions {
+  readonly name: string
+  /** Address on the loopback interface. */
+  readonly host: string
+  readonly zone: string
+  readonly regionOfZone: Readonly<Record<string, string>>
+  readonly storeAddress: string
+  readonly seeds: readonly string[]
+  readonly graceMs: number
+  readonly applyMs: number
+  readonly retryRatio: number
+  readonly retrySlack: number
+  /** Options of the runtime, such as a profile's. */
+  readonly nodeOptions: readonly string[]
+  /** Folder of the settings file and the log. */
+  readonly folder: string
+}
+
+/** Process with its life; it may be started again after it ended. */
+export class EntryProcess {
+  readonly options: EntryProcessOptions
+  readonly #settingsPath: string
+  readonly #log: WriteStream
+  #child: ChildProcess | undefined
+  #starts = 0
+  #isPaused = false
+  #hasEnded = false
+
+  constructor(options: EntryProcessOptions) {
+    this.options = options
+    mkdirSync(options.folder, { recursive: true })
+    this.#settingsPath = path.join(options.folder, `${options.name}.json`)
+    this.#log = createWriteStream(path.join(options.folder, `${options.name}.log`))
+    writeFileSync(this.#settingsPath, JSON.stringify(settingsOf(options)))
+  }
+
+  get name(): string {
+    return this.options.name
+  }
+
+  /** Identifies the present start. */
+  get start(): string {
+    return `${this.name}#${this.#starts}`
+  }
+
+  get isRunning(): boolean {
+    return this.#child !== undefined
+  }
+
+  get isPaused(): boolean {
+    return this.#isPaused
+  }
+
+  /** Starts the process; does nothing while it runs, or after {@link end}. */
+  run(): void {
+    if (this.#child !== undefined || this.#hasEnded) return
+    this.#starts += 1
+    const child = spawn(
+      process.execPath,
+      [
+        `--max-old-space-size=${HEAP_MB}`,
+        ...this.options.nodeOptions,
+        PROGRAM,
+        '--settings',
+        this.#settingsPath,
+      ],
+      { stdio: ['ignore', 'pipe', 'pipe'] },
+    )
+    this.#child = child
+    child.stdout.pipe(this.#log, { end: false })
+    child.stderr.pipe(this.#log, { end: false })
+    child.once('exit', () => {
+      if (this.#child === child) this.#child = undefined
+      this.#isPaused = false
+    })
+  }
+
+  signal(signal: 'SIGTERM' | 'SIGKILL' | 'SIGHUP' | 'SIGSTOP' | 'SIGCONT'): void {
+    if (signal === 'SIGSTOP') this.#isPaused = true
+    if (signal === 'SIGCONT') this.#isPaused = false
+    this.#child?.kill(signal)
+  }
+
+  /** Ends the process for good. */
+  async end(): Promise<void> {
+    this.#hasEnded = true
+    const child = this.#child
+    if (child !== undefined) {
+      const ended = new Promise((resolve) => child.once('exit', resolve))
+      child.kill('SIGKILL')
+      await ended
+    }
+    this.#log.end()
+  }
+}
+
+function settingsOf(options: EntryProcessOptions): object {
+  const { host } = options
+  return {
+    node_name: options.name,
+    ip_address: host,
+    zone: options.zone,
+    region: options.regionOfZone[options.zone],
+    zones: options.regionOfZone,
+    listen_addresses: {
+      front: `${host}:${EntryPort.Callers}`,
+      ready: `${host}:${EntryPort.Readiness}`,
+      control: `${host}:${EntryPort.Peers}`,
+      directory: `${host}:${EntryPort.Directory}`,
+    },
+    seed_nodes: options.seeds,
+    limits: { cpu_share: 0.54, cpu_cores: 1, link_bandwidth_mbps: 1000 },
+    bounds: {
+      retry_budget_ratio: options.retryRatio,
+      retry_budget_slack: options.retrySlack,
+      grace_period: `${options.graceMs}ms`,
+      config_apply: `${options.applyMs}ms`,
+    },
+    platform: { address: options.storeAddress },
+  }
+}
