feat(entry): a region's part of other regions is prepared before traffic starts

Its part that runs elsewhere started at 0 and grew by the 0.05/s that operators accept, so it was reached after 12 s; lent slots stood idle meanwhile (at 11 s 26 of 53 slots used, 21 requests waiting).

Ruled out: too few lent slots (they were lent), placement (the same in all regions). A longer time of free change after the first request would move the part between two windows of 2 s.

Change: coordinators that nobody has asked yet assume an even part of a load of 0.6 and lend before the first request; the assumption fades within 3 s.

--- a/src/entry/__tests__/serviceCoordinator.spec.ts
+++ b/src/entry/__tests__/serviceCoordinator.spec.ts
@@ -3,6 +3,7 @@
 import { SlotUse } from '../peerMessages.js'
 import type { CoordinatedServer } from '../serverState.js'
 import { ServiceCoordinator } from '../serviceCoordinator.js'
+import type { Waiter } from '../waitingLine.js'
 import type { ReplayOptions } from './loadReplay.js'
 import { replay } from './loadReplay.js'
 
@@ -94,6 +95,30 @@
   }
 }
 
+function waiter(key: string, nowMs: number): Waiter {
+  const ask: SlotAsk = {
+    askId: 1,
+    service: 'service',
+    route: 'route',
+    object: '',
+    priority: 1,
+    targetInMs: 300,
+    deadlineInMs: 1200,
+    isReturn: false,
+    excludedServers: [],
+    regions: [],
+  }
+  const times = { arrivedAtMs: nowMs, targetAtMs: nowMs + 300, deadlineAtMs: nowMs + 1200 }
+  return {
+    key,
+    ask,
+    zone: 'zone',
+    ...times,
+    granted: () => undefined,
+    refused: () => undefined,
+  }
+}
+
 describe('ServiceCoordinator', () => {
   describe('slots', () => {
     it('never fills a server beyond its slots and grants a freed slot to a waiting request', () => {
@@ -184,6 +209,47 @@
     })
   })
 
+  describe('traffic that starts at once where backend servers stand unevenly', () => {
+    const there = Array.from({ length: 6 }, (_, index) =>
+      server(`there-${index}`, { region: 'there', slots: 4 }),
+    )
+    const lent = there.slice(0, 2).map(({ id, slots }) => ({ serverId: id, slots }))
+
+    function poorRegion(): ServiceCoordinator {
+      const here = [server('here-0', { slots: 4 })]
+      const coordinator = new ServiceCoordinator('service', 'here', () => 0.5, 0)
+      coordinator.assign(here, (id) => [...here, ...there].find((each) => each.id === id), 0)
+      coordinator.prepare(4 + 24, 2)
+      return coordinator
+    }
+
+    it('asks for slots of others before the first request', () => {
+      const { neededSlots, slots } = poorRegion().lendableDemand(0)
+      expect(neededSlots).to.be.above(slots * 2)
+    })
+
+    it('has its share of other regions from the first request on, and keeps it steady', () => {
+      const coordinator = poorRegion()
+      coordinator.borrow('there', lent, 0)
+      coordinator.tick(100)
+      const before = coordinator.figures(100).remoteShare
+      expect(before).to.be.above(0.4)
+      coordinator.ask(waiter('r1', 200), 200)
+      coordinator.borrow('there', lent, 300)
+      coordinator.tick(400)
+      expect(coordinator.figures(400).remoteShare).to.be.closeTo(before, 0.03)
+    })
+
+    it('assumes nothing where every region has its even part', () => {
+      const here = [server('here-0', { slots: 4 })]
+      const coordinator = new ServiceCoordinator('service', 'here', () => 0.5, 0)
+      coordinator.assign(here, () => undefined, 0)
+      coordinator.prepare(8, 2)
+      coordinator.tick(100)
+      expect(coordinator.figures(100).remoteShare).to.equal(0)
+    })
+  })
+
   describe('replayed load', () => {
     it('serves nine tenths of the ideal in time below the capacity', () => {
       const result = replay(LOAD)
--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -29,11 +29,20 @@
   readonly random: () => number
   readonly regionOfZone: (zone: string) => string | undefined
   readonly service: (name: string) => ServiceSettings | undefined
+  /** Names of the configured services. */
+  readonly services: () => Iterable<string>
   /** Target of a route, in milliseconds. */
   readonly targetLatencyMs: (route: string) => number | undefined
 }
 
+/**
+ * Time without a request after which a coordinator prepares for traffic that has not started,
+ * in ms. One that takes over is asked sooner than that, and starts from what it measures.
+ */
+const PREPARE_AFTER_MS = 1500
+
 interface Coordinated {
+  readonly createdAtMs: number
   readonly coordinator: ServiceCoordinator
   readonly demands: Map<string, { readonly demand: RegionDemand; readonly atMs: number }>
   usedAtMs: number
@@ -143,6 +152,7 @@
     }
     if (nowMs - this.#exchangedAtMs < EXCHANGE_MS) return
     this.#exchangedAtMs = nowMs
+    this.#prepare(nowMs)
     for (const [service, coordinated] of this.#services) {
       if (nowMs - coordinated.usedAtMs < IDLE_COORDINATOR_MS) {
         this.#exchange(service, coordinated, nowMs)
@@ -154,6 +164,25 @@
     return [...this.#services.values()].map(({ coordinator }) => coordinator.figures(nowMs))
   }
 
+  /** Lets this instance's services have their share of other regions before traffic starts. */
+  #prepare(nowMs: number): void {
+    const { services, table, registry } = this.#parts
+    for (const service of services()) {
+      const known = this.#services.get(service)
+      if (known?.coordinator.wasAsked === true) continue
+      const live = table.live(table.self.region, nowMs)
+      if (coordinatorOrder(service, live)[0]?.name !== table.self.name) continue
+      const coordinated = known ?? this.#of(service, nowMs)
+      coordinated.usedAtMs = nowMs
+      if (nowMs - coordinated.createdAtMs < PREPARE_AFTER_MS) continue
+      const total = registry
+        .usable()
+        .reduce((sum, server) => sum + (server.service === service ? server.slots : 0), 0)
+      const regions = new Set([table.self, ...table.others()].map(({ region }) => region))
+      coordinated.coordinator.prepare(total, regions.size)
+    }
+  }
+
   #of(service: string, nowMs: number): Coordinated {
     const known = this.#services.get(service)
     if (known !== undefined) {
@@ -164,6 +193,7 @@
     const created: Coordinated = {
       coordinator: new ServiceCoordinator(service, table.self.region, random, nowMs),
       demands: new Map(),
+      createdAtMs: nowMs,
       usedAtMs: nowMs,
       generation: -1,
     }
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -123,6 +123,7 @@
       random: Math.random,
       regionOfZone: (zone) => settings.regionOfZone.get(zone),
       service: (name) => this.#routing.current?.services.get(name),
+      services: () => this.#routing.current?.services.keys() ?? [],
       targetLatencyMs: (route) => this.#routing.targetLatencyMs(route),
     })
     this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
--- a/src/entry/regionShare.ts
+++ b/src/entry/regionShare.ts
@@ -20,6 +20,7 @@
   #total = 0
   #countedAtMs: number
   #firstCountAtMs: number | undefined
+  #freeMs = FREE_START_MS
 
   constructor(nowMs: number) {
     this.#updatedAtMs = nowMs
@@ -37,12 +38,16 @@
     return this.#total < 1 ? this.#share : this.#remote / this.#total
   }
 
+  /** The part was settled before the first request, so that no time of free change follows it. */
+  settle(): void {
+    this.#freeMs = 0
+  }
+
   /** Moves the steady part towards `wanted`, which is between 0 and 1. */
   steer(wanted: number, nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs)
     this.#updatedAtMs = Math.max(nowMs, this.#updatedAtMs)
-    const isFree =
-      this.#firstCountAtMs === undefined || nowMs - this.#firstCountAtMs < FREE_START_MS
+    const isFree = this.#firstCountAtMs === undefined || nowMs - this.#firstCountAtMs < this.#freeMs
     if (isFree) {
       this.#share = wanted
       return
@@ -101,3 +106,42 @@
   const excess = neededSlots - ownSlots * FULL_LOAD
   return Math.max(0, Math.min(excess, lentSlots)) / neededSlots
 }
+
+/** Load of all regions together that is assumed before anything was asked. */
+const ASSUMED_LOAD = 0.6
+/** Time in which what is measured replaces the assumption, in ms; some requests end in it. */
+const ASSUMPTION_LIFE_MS = 3000
+
+/**
+ * What a region's requests need before there were any: an even part of a usual load.
+ *
+ * Load pattern: traffic starts at once with full force where backend servers stand unevenly.
+ * From measurements alone the poorest region would turn callers away until its part that runs
+ * in other regions has grown at the pace that operators accept.
+ */
+export class AssumedDemand {
+  #neededSlots = 0
+  #firstAskAtMs: number | undefined
+
+  /** Whether a request has been asked for. */
+  get isOver(): boolean {
+    return this.#firstAskAtMs !== undefined
+  }
+
+  /** @param regions number of regions with callers */
+  assume(totalSlots: number, regions: number): void {
+    if (!this.isOver) this.#neededSlots = (ASSUMED_LOAD * totalSlots) / Math.max(1, regions)
+  }
+
+  asked(nowMs: number): void {
+    this.#firstAskAtMs ??= nowMs
+  }
+
+  /** Need at a time, from the assumption and from what is measured. */
+  blend(measuredSlots: number, nowMs: number): number {
+    if (this.#neededSlots === 0) return measuredSlots
+    const ageMs = this.#firstAskAtMs === undefined ? 0 : nowMs - this.#firstAskAtMs
+    const weight = Math.max(0, 1 - ageMs / ASSUMPTION_LIFE_MS)
+    return this.#neededSlots * weight + measuredSlots * (1 - weight)
+  }
+}
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -15,7 +15,7 @@
 import type { AdoptedUse, LentSlots } from './peerMessages.js'
 import { SlotUse } from './peerMessages.js'
 import { ObjectMemory } from './objectMemory.js'
-import { RemoteShare, usableNeed, wantedRemoteShare } from './regionShare.js'
+import { AssumedDemand, RemoteShare, usableNeed, wantedRemoteShare } from './regionShare.js'
 import type { CoordinatedServer, RunningUse } from './serverState.js'
 import { ServerState } from './serverState.js'
 import type { RegionDemand } from './slotLending.js'
@@ -70,6 +70,7 @@
   readonly #holdMs = new MovingMean(HOLD_WEIGHT)
   readonly #remoteHoldMs = new MovingMean(HOLD_WEIGHT)
   readonly #remoteShare: RemoteShare
+  readonly #assumed = new AssumedDemand()
   /** Server that each waiting request waits for, and how many wait for each server. */
   readonly #awaited = new Map<string, string>()
   readonly #awaiting = new Map<string, number>()
@@ -111,6 +112,7 @@
   /** Grants at once, waits, or refuses. Calls back before it returns in the first and last case. */
   ask(waiter: Waiter, nowMs: number): void {
     const { ask } = waiter
+    this.#assumed.asked(nowMs)
     if (ask.excludedServers.length === 0) this.#arrivals.add(1, nowMs)
     const isFirst = this.#line.length === 0
     if (isFirst && this.#tryGrant(waiter, nowMs)) return
@@ -241,18 +243,38 @@
     return this.#lentOut
   }
 
+  /**
+   * Prepares for traffic that has not started yet.
+   * @param totalSlots slots of the service in all regions
+   */
+  prepare(totalSlots: number, regions: number): void {
+    if (this.#assumed.isOver) return
+    this.#assumed.assume(totalSlots, regions)
+    this.#remoteShare.settle()
+  }
+
   /** Demand and capacity of this region. */
   demand(nowMs: number): RegionDemand {
     const slots = this.#own.reduce((sum, server) => sum + server.slots, 0)
-    return { region: this.#region, neededSlots: this.#neededSlots(nowMs), slots }
+    const neededSlots = this.#assumed.blend(this.#neededSlots(nowMs), nowMs)
+    return { region: this.#region, neededSlots, slots }
   }
 
   /** Demand as far as lent slots can serve it soon; what the other regions are told. */
   lendableDemand(nowMs: number): RegionDemand {
     const { region, neededSlots, slots } = this.demand(nowMs)
-    return { region, neededSlots: usableNeed(neededSlots, slots, this.#remoteShare.share), slots }
+    const usable = this.#assumed.isOver
+      ? usableNeed(neededSlots, slots, this.#remoteShare.share)
+      : neededSlots
+    return { region, neededSlots: usable, slots }
+  }
+
+  /** Whether any request has been asked for here. */
+  get wasAsked(): boolean {
+    return this.#assumed.isOver
   }
 
+  /** Whether a request waits here. */
   get hasWaiters(): boolean {
     return this.#line.length > 0
   }
