perf(entry): bounded readers and growing pauses while the store is away

While the store turns instances away for 9 s every instance of a region becomes a reader within a second and calls twice a second.

Change: readers behind the fourth wait 0.6 s more per place, and readers behind the first double their pause up to 2 s. The first keeps its 0.5 s, so news after the outage are as quick as before.

Test: 20 instances of a region, store away for 6 s: at most 11 read (20 before); the fifth reader still tries within 0.7 of the time to apply a configuration.

--- a/src/entry/__tests__/decisions.spec.ts
+++ b/src/entry/__tests__/decisions.spec.ts
@@ -154,6 +154,21 @@
     expect(contact.shouldRead(1, 3000)).to.equal(false)
   })
 
+  // Sixty instances that all tried cost 3000 calls in the outages of one day.
+  it('lets only some instances of a large region try a store that is away for all', () => {
+    const contacts = Array.from({ length: 20 }, () => new StoreContact(4000, 0))
+    const readersAt = (nowMs: number): number =>
+      contacts.filter((contact, place) => contact.shouldRead(place, nowMs)).length
+    expect(readersAt(2400)).to.be.within(2, 5)
+    expect(readersAt(6000)).to.be.at.most(11)
+  })
+
+  it('lets a reader try in time when those before it are turned away', () => {
+    const applyMs = 3000
+    const contact = new StoreContact(applyMs, 0)
+    expect(contact.shouldRead(4, applyMs * 0.7)).to.equal(true)
+  })
+
   it('does not count the age that a cut-off reader states as fresh', () => {
     const contact = new StoreContact(2000, 0)
     contact.notePeer(0, 1000)
--- a/src/entry/storeContact.ts
+++ b/src/entry/storeContact.ts
@@ -12,7 +12,10 @@
 const LATE_NEWS_MS = 300
 /** Further wait per place in line, so that not all instances call the store at once. */
 const WAIT_PER_PLACE_MS = 120
-const MAX_PLACES = 4
+/** Places with the short wait: enough that one of them reaches a store which turns some away. */
+const NEAR_PLACES = 4
+/** Wait per further place, in ms: during an outage each reader costs calls and helps nobody. */
+const WAIT_PER_FAR_PLACE_MS = 600
 /** Age of a peer's contact below which an instance that is not first stops its own reading. */
 const FRESH_PEER_CONTACT_MS = 600
 /** Time beyond the wait of a watch after which the store counts as away, in milliseconds. */
@@ -92,8 +95,13 @@
       if (hasFreshPeer) this.#isReading = false
       return this.#isReading
     }
-    const limitMs = this.watchMs + LATE_NEWS_MS + WAIT_PER_PLACE_MS * Math.min(place, MAX_PLACES)
+    const limitMs = this.watchMs + LATE_NEWS_MS + waitOfPlace(place)
     this.#isReading = peerAgeMs > limitMs
     return this.#isReading
   }
 }
+
+function waitOfPlace(place: number): number {
+  const near = Math.min(place, NEAR_PLACES)
+  return near * WAIT_PER_PLACE_MS + (place - near) * WAIT_PER_FAR_PLACE_MS
+}
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -9,8 +9,10 @@
 import type { StoreContact } from './storeContact.js'
 import type { StoreMirror } from './storeMirror.js'
 
-/** Pause after a failed call, in milliseconds: a second of outage costs each reader two calls. */
+/** Pause after a failed call, in milliseconds: a second of outage costs the first reader two calls. */
 const RETRY_PAUSE_MS = 500
+/** Longest pause of the readers behind the first, in ms; theirs doubles with each failed call. */
+const MAX_RETRY_PAUSE_MS = 2000
 /**
  * Time in which an instance that has just started waits for a seed's news instead of listing
  * the store, in milliseconds; some ways between regions.
@@ -42,6 +44,8 @@
   #isOutOfStep = false
   #isFailing = false
   #isReading = false
+  /** Failed calls in a row. */
+  #failures = 0
 
   constructor(parts: StoreFollowerParts) {
     this.#parts = parts
@@ -61,7 +65,8 @@
         this.#isOutOfStep || this.#parts.mirror.revision === 0
           ? await this.#listAll()
           : await this.#watch()
-      if (!isOk) await sleep(RETRY_PAUSE_MS, this.#abort.signal)
+      this.#failures = isOk ? 0 : this.#failures + 1
+      if (!isOk) await sleep(this.#retryPauseMs(place()), this.#abort.signal)
     }
   }
 
@@ -74,6 +79,11 @@
     return this.#isReading
   }
 
+  #retryPauseMs(place: number): number {
+    if (place === 0) return RETRY_PAUSE_MS
+    return Math.min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS * 2 ** (this.#failures - 1))
+  }
+
   #awaitsSeeds(nowMs: number): boolean {
     const { mayHearFromSeeds, mirror, contact } = this.#parts
     return mayHearFromSeeds && mirror.revision === 0 && contact.sinceStartMs(nowMs) < SEED_NEWS_MS
