feat(entry): coordinators hand a region's part over; a cold start assumes the even part

A coordinator that takes over starts from its own measurements of 1.2 s.

Ruled out: keeping the part in the store (a write per change, and the store may be away).

Change: each coordinator tells the next in line its part and its demand with the exchange of 0.4 s, and at once when a peer comes up. One that nobody told starts from the even part of a usual load.

--- a/src/entry/__tests__/serviceCoordinator.spec.ts
+++ b/src/entry/__tests__/serviceCoordinator.spec.ts
@@ -240,6 +240,38 @@
       expect(coordinator.figures(400).remoteShare).to.be.closeTo(before, 0.03)
     })
 
+    it('goes on from the part of the coordinator before it', () => {
+      const coordinator = poorRegion()
+      coordinator.inherit(0.3, 9, 50)
+      coordinator.borrow('there', lent, 100)
+      coordinator.tick(150)
+      coordinator.ask(waiter('r1', 200), 200)
+      coordinator.tick(400)
+      expect(coordinator.figures(400).remoteShare).to.be.closeTo(0.3, 0.03)
+      expect(coordinator.demand(250).neededSlots).to.be.closeTo(9, 0.5)
+    })
+
+    it('keeps its own part once its requests have settled it', () => {
+      const coordinator = poorRegion()
+      coordinator.borrow('there', lent, 0)
+      coordinator.tick(100)
+      coordinator.ask(waiter('r1', 200), 200)
+      const before = coordinator.figures(200).remoteShare
+      coordinator.inherit(0.1, 2, 5000)
+      expect(coordinator.figures(5000).remoteShare).to.equal(before)
+    })
+
+    it('starts under traffic with the even part when nobody could hand over', () => {
+      const here = [server('here-0', { slots: 4 })]
+      const coordinator = new ServiceCoordinator('service', 'here', () => 0.5, 0)
+      coordinator.assign(here, (id) => [...here, ...there].find((each) => each.id === id), 0)
+      coordinator.startCold(28, 2)
+      coordinator.ask(waiter('r1', 0), 0)
+      coordinator.borrow('there', lent, 300)
+      coordinator.tick(310)
+      expect(coordinator.figures(310).remoteShare).to.be.above(0.4)
+    })
+
     it('assumes nothing where every region has its even part', () => {
       const here = [server('here-0', { slots: 4 })]
       const coordinator = new ServiceCoordinator('service', 'here', () => 0.5, 0)
--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -3,7 +3,13 @@
 import type { InstanceTable } from './instanceTable.js'
 import { coordinatorOrder } from './instanceTable.js'
 import type { LoadReport } from './loadReport.js'
-import type { AdoptedUse, AskMessage, DemandMessage, LendMessage } from './peerMessages.js'
+import type {
+  AdoptedUse,
+  AskMessage,
+  DemandMessage,
+  LendMessage,
+  ShareMessage,
+} from './peerMessages.js'
 import { PeerMessageKind, SlotUse } from './peerMessages.js'
 import type { ServiceSettings } from './routingConfiguration.js'
 import type { CoordinatedServer } from './serverState.js'
@@ -41,6 +47,9 @@
  */
 const PREPARE_AFTER_MS = 1500
 
+/** Time after the last request in which a coordinator still has something to hand over, in ms. */
+const HANDED_OVER_MS = 2000
+
 interface Coordinated {
   readonly createdAtMs: number
   readonly coordinator: ServiceCoordinator
@@ -66,6 +75,10 @@
     const { service, route } = waiter.ask
     const coordinated = this.#of(service, nowMs)
     coordinated.usedAtMs = nowMs
+    if (!coordinated.coordinator.wasAsked && !coordinated.coordinator.isPrepared) {
+      const { totalSlots, regions } = this.#extentOf(service)
+      coordinated.coordinator.startCold(totalSlots, regions)
+    }
     const targetMs = this.#parts.targetLatencyMs(route)
     if (targetMs !== undefined) coordinated.coordinator.setTarget(route, targetMs)
     coordinated.coordinator.ask(waiter, nowMs)
@@ -137,6 +150,28 @@
     this.#of(message.service, nowMs).coordinator.borrow(message.region, message.slots, nowMs)
   }
 
+  /** The coordinator before this instance tells how a service's requests are shared. */
+  inherited({ service, share, neededSlots }: ShareMessage, nowMs: number): void {
+    const isNew = !this.#services.has(service)
+    const coordinated = this.#of(service, nowMs)
+    // One that stands by must not speak for the region.
+    if (isNew) coordinated.usedAtMs = Number.NEGATIVE_INFINITY
+    coordinated.coordinator.inherit(share, neededSlots, nowMs)
+  }
+
+  /** Tells the next in line of each service; for the regular exchange and for a peer that came up. */
+  handOver(nowMs: number): void {
+    const { table, peers } = this.#parts
+    const live = table.live(table.self.region, nowMs)
+    for (const [service, { coordinator, usedAtMs }] of this.#services) {
+      if (!coordinator.wasAsked || nowMs - usedAtMs > HANDED_OVER_MS) continue
+      const next = coordinatorOrder(service, live).find(({ name }) => name !== table.self.name)
+      if (next === undefined) continue
+      const { share, neededSlots } = coordinator.sharing(nowMs)
+      peers.send(next.name, { kind: PeerMessageKind.Share, service, share, neededSlots })
+    }
+  }
+
   /** Whether a request waits here for a slot. */
   get hasWaiters(): boolean {
     for (const { coordinator } of this.#services.values()) if (coordinator.hasWaiters) return true
@@ -153,6 +188,7 @@
     if (nowMs - this.#exchangedAtMs < EXCHANGE_MS) return
     this.#exchangedAtMs = nowMs
     this.#prepare(nowMs)
+    this.handOver(nowMs)
     for (const [service, coordinated] of this.#services) {
       if (nowMs - coordinated.usedAtMs < IDLE_COORDINATOR_MS) {
         this.#exchange(service, coordinated, nowMs)
@@ -166,7 +202,7 @@
 
   /** Lets this instance's services have their share of other regions before traffic starts. */
   #prepare(nowMs: number): void {
-    const { services, table, registry } = this.#parts
+    const { services, table } = this.#parts
     for (const service of services()) {
       const known = this.#services.get(service)
       if (known?.coordinator.wasAsked === true) continue
@@ -175,14 +211,21 @@
       const coordinated = known ?? this.#of(service, nowMs)
       coordinated.usedAtMs = nowMs
       if (nowMs - coordinated.createdAtMs < PREPARE_AFTER_MS) continue
-      const total = registry
-        .usable()
-        .reduce((sum, server) => sum + (server.service === service ? server.slots : 0), 0)
-      const regions = new Set([table.self, ...table.others()].map(({ region }) => region))
-      coordinated.coordinator.prepare(total, regions.size)
+      const { totalSlots, regions } = this.#extentOf(service)
+      coordinated.coordinator.prepare(totalSlots, regions)
     }
   }
 
+  /** Slots of a service everywhere, and regions with entry instances. */
+  #extentOf(service: string): { readonly totalSlots: number; readonly regions: number } {
+    const { table, registry } = this.#parts
+    const totalSlots = registry
+      .usable()
+      .reduce((sum, server) => sum + (server.service === service ? server.slots : 0), 0)
+    const regions = new Set([table.self, ...table.others()].map(({ region }) => region))
+    return { totalSlots, regions: regions.size }
+  }
+
   #of(service: string, nowMs: number): Coordinated {
     const known = this.#services.get(service)
     if (known !== undefined) {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -263,6 +263,8 @@
    * unasked, a start in a large region would move megabytes.
    */
   #greeted(peer: InstanceRecord, peerRevision: number): void {
+    // A peer that has just started may be the first in line of a service at once.
+    this.#coordination.handOver(this.#clock())
     const { revision } = this.#mirror
     const isNear = peer.region === this.#settings.record.region
     if (peerRevision <= revision || !(isNear || revision === 0)) return
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -65,6 +65,9 @@
   [PeerMessageKind.Demand]: ({ coordination, nowMs }, message) => {
     coordination.demanded(message, nowMs)
   },
+  [PeerMessageKind.Share]: ({ coordination, nowMs }, message) => {
+    coordination.inherited(message, nowMs)
+  },
   [PeerMessageKind.Lend]: ({ coordination, nowMs }, message) => {
     coordination.lent(message, nowMs)
   },
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -28,6 +28,8 @@
   News = 'n',
   /** Demand and capacity of a service in the sender's region. */
   Demand = 'm',
+  /** Tells the next coordinator in line of the same region how a service's requests are shared. */
+  Share = 's',
   /** Slots that the sender's region lends to the receiver's region. */
   Lend = 'e',
 }
@@ -164,6 +166,14 @@
   readonly slots: number
 }
 
+export interface ShareMessage {
+  readonly kind: PeerMessageKind.Share
+  readonly service: string
+  /** Part of the requests that runs in other regions. */
+  readonly share: number
+  readonly neededSlots: number
+}
+
 /** Slots of one backend server for another region. */
 export interface LentSlots {
   readonly serverId: string
@@ -190,4 +200,5 @@
   | WantMessage
   | NewsMessage
   | DemandMessage
+  | ShareMessage
   | LendMessage
--- a/src/entry/regionShare.ts
+++ b/src/entry/regionShare.ts
@@ -7,6 +7,10 @@
 const MAX_CHANGE_PER_SECOND = 0.05
 /** Time after the first request in which the part is free, in ms: nothing has settled yet. */
 const FREE_START_MS = 1200
+/** Time after the first request in which the part of an earlier coordinator is still taken over, in ms. */
+const INHERITABLE_MS = 2000
+/** Time for which such a part is kept without requests, in ms; several exchanges. */
+const INHERITANCE_LIFE_MS = 3000
 /** Free play around the steady part, for the moments in which one side is full. */
 const PLAY = 0.03
 /** Window over which the actual part is measured, in milliseconds. */
@@ -21,6 +25,7 @@
   #countedAtMs: number
   #firstCountAtMs: number | undefined
   #freeMs = FREE_START_MS
+  #inheritedAtMs = Number.NEGATIVE_INFINITY
 
   constructor(nowMs: number) {
     this.#updatedAtMs = nowMs
@@ -38,6 +43,20 @@
     return this.#total < 1 ? this.#share : this.#remote / this.#total
   }
 
+  /**
+   * Goes on from the part of an earlier coordinator; ignored once own requests have settled it.
+   * @returns whether it was taken over
+   */
+  inherit(share: number, nowMs: number): boolean {
+    const isSettled =
+      this.#firstCountAtMs !== undefined && nowMs - this.#firstCountAtMs > INHERITABLE_MS
+    if (isSettled) return false
+    this.#share = share
+    this.#freeMs = 0
+    this.#inheritedAtMs = nowMs
+    return true
+  }
+
   /** The part was settled before the first request, so that no time of free change follows it. */
   settle(): void {
     this.#freeMs = 0
@@ -48,7 +67,8 @@
     const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs)
     this.#updatedAtMs = Math.max(nowMs, this.#updatedAtMs)
     const isFree = this.#firstCountAtMs === undefined || nowMs - this.#firstCountAtMs < this.#freeMs
-    if (isFree) {
+    const isInherited = nowMs - this.#inheritedAtMs < INHERITANCE_LIFE_MS
+    if (isFree && !isInherited) {
       this.#share = wanted
       return
     }
@@ -128,9 +148,13 @@
     return this.#firstAskAtMs !== undefined
   }
 
-  /** @param regions number of regions with callers */
-  assume(totalSlots: number, regions: number): void {
-    if (!this.isOver) this.#neededSlots = (ASSUMED_LOAD * totalSlots) / Math.max(1, regions)
+  get isSet(): boolean {
+    return this.#neededSlots > 0
+  }
+
+  /** @param neededSlots as an earlier coordinator or {@link evenPart} states it */
+  assume(neededSlots: number): void {
+    this.#neededSlots = neededSlots
   }
 
   asked(nowMs: number): void {
@@ -145,3 +169,8 @@
     return this.#neededSlots * weight + measuredSlots * (1 - weight)
   }
 }
+
+/** Even part of a usual load. @param regions number of regions with callers */
+export function evenPart(totalSlots: number, regions: number): number {
+  return (ASSUMED_LOAD * totalSlots) / Math.max(1, regions)
+}
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -15,7 +15,13 @@
 import type { AdoptedUse, LentSlots } from './peerMessages.js'
 import { SlotUse } from './peerMessages.js'
 import { ObjectMemory } from './objectMemory.js'
-import { AssumedDemand, RemoteShare, usableNeed, wantedRemoteShare } from './regionShare.js'
+import {
+  AssumedDemand,
+  RemoteShare,
+  evenPart,
+  usableNeed,
+  wantedRemoteShare,
+} from './regionShare.js'
 import type { CoordinatedServer, RunningUse } from './serverState.js'
 import { ServerState } from './serverState.js'
 import type { RegionDemand } from './slotLending.js'
@@ -249,10 +255,20 @@
    */
   prepare(totalSlots: number, regions: number): void {
     if (this.#assumed.isOver) return
-    this.#assumed.assume(totalSlots, regions)
+    this.#assumed.assume(evenPart(totalSlots, regions))
     this.#remoteShare.settle()
   }
 
+  /** Starts at once under traffic, with nobody to take over from. */
+  startCold(totalSlots: number, regions: number): void {
+    if (!this.#assumed.isOver) this.#assumed.assume(evenPart(totalSlots, regions))
+  }
+
+  /** Goes on from what the coordinator before it knew. */
+  inherit(share: number, neededSlots: number, nowMs: number): void {
+    if (this.#remoteShare.inherit(share, nowMs)) this.#assumed.assume(neededSlots)
+  }
+
   /** Demand and capacity of this region. */
   demand(nowMs: number): RegionDemand {
     const slots = this.#own.reduce((sum, server) => sum + server.slots, 0)
@@ -269,6 +285,16 @@
     return { region, neededSlots: usable, slots }
   }
 
+  /** Whether it assumes a demand, of its own or of the coordinator before it. */
+  get isPrepared(): boolean {
+    return this.#assumed.isSet
+  }
+
+  /** What the next coordinator goes on from. */
+  sharing(nowMs: number): { readonly share: number; readonly neededSlots: number } {
+    return { share: this.#remoteShare.share, neededSlots: this.demand(nowMs).neededSlots }
+  }
+
   /** Whether any request has been asked for here. */
   get wasAsked(): boolean {
     return this.#assumed.isOver
