fix(entry): run nothing for a caller that had left before its request was read

The process was about a second behind; the request and the close of its connection waited together, and the request was read one turn of the event loop before the close. Where the instance coordinates the service itself it was sent on in that same turn.

Ruled out: a new connection to the server that came late (cut after 400 ms), the queue (waiters are withdrawn with their callers).

Change: a request runs after what had arrived with it is read.

Test: a blocked process with one caller that left and one that stayed; the first ran before.

--- /dev/null
+++ b/src/entry/__tests__/callerServer.spec.ts
@@ -0,0 +1,52 @@
+import { connect } from 'node:net'
+import { expect } from 'chai'
+import { sleep, steadyClock } from '../../common/clock.js'
+import type { CallerRequest } from '../callerRequest.js'
+import { CallerServer } from '../callerServer.js'
+
+const HEADERS = {
+  requestId: 'x-id',
+  patience: 'x-patience',
+  objectCookie: 'object',
+  reserved: new Set<string>(),
+}
+
+describe('CallerServer', () => {
+  let server: CallerServer
+  let ran: string[]
+
+  beforeEach(async () => {
+    ran = []
+    server = new CallerServer({
+      headers: HEADERS,
+      clock: steadyClock,
+      limits: () => undefined,
+      run: (request: CallerRequest) => {
+        ran.push(request.requestId)
+        return Promise.resolve({ status: 200, headers: [], body: Buffer.from('done') })
+      },
+    })
+    await server.start('127.0.0.1', 0)
+  })
+
+  afterEach(() => {
+    server.stop()
+  })
+
+  const requestText = (id: string): string =>
+    `GET / HTTP/1.1\r\nHost: hints.example\r\nX-Id: ${id}\r\n\r\n`
+
+  // A process that was behind read requests whose callers had left a second before, and passed them on.
+  it('runs nothing for a caller that had left before its request was read', async () => {
+    const leaving = connect(server.port, '127.0.0.1')
+    leaving.end(requestText('left'))
+    const staying = connect(server.port, '127.0.0.1')
+    staying.write(requestText('stayed'))
+    // The process does something else meanwhile, so that request and close wait together.
+    const untilMs = steadyClock() + 200
+    while (steadyClock() < untilMs);
+    await sleep(100)
+    staying.destroy()
+    expect(ran).to.deep.equal(['stayed'])
+  })
+})
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -55,6 +55,12 @@
     return open
   }
 
+  /** Port that it listens at; for tests, which take a free one. */
+  get port(): number {
+    const address = this.#server.address()
+    return typeof address === 'object' && address !== null ? address.port : 0
+  }
+
   start(host: string, port: number): Promise<void> {
     return listen(this.#server, host, port)
   }
@@ -95,8 +101,11 @@
     }
     this.#readBody(message, response, (body) => {
       const request = this.#requestOf(message, body, arrivedAtMs, away.signal)
-      void this.#parts.run(request).then((answer) => {
-        this.#write(socket, response, answer, false)
+      afterPendingReads(() => {
+        if (socket.readableEnded || away.signal.aborted) return
+        void this.#parts.run(request).then((answer) => {
+          this.#write(socket, response, answer, false)
+        })
       })
     })
   }
@@ -196,6 +205,14 @@
   }
 }
 
+/**
+ * Calls back once everything that had arrived is read. After a delay of the process the close
+ * of a connection may wait right behind a request; it is read one turn of the event loop later.
+ */
+function afterPendingReads(callback: () => void): void {
+  setImmediate(() => setImmediate(callback))
+}
+
 const EMPTY = Buffer.alloc(0)
 const STATUS_WITHOUT_BODY = new Set([204, 304])
 
