--- /dev/null
+++ b/testing/soak/__tests__/soak.spec.ts
@@ -0,0 +1,51 @@
+import { execFileSync } from 'node:child_process'
+import { expect } from 'chai'
+import { SoakFault } from '../faults.js'
+import { runSoak } from '../soak.js'
+
+/** Size at which a run takes part of a minute on a busy machine. */
+const SMALL = { instances: 4, serversPerService: 4, callers: 12 }
+
+describe('soak', function () {
+  this.timeout(120_000)
+
+  before(() => {
+    execFileSync(process.execPath, ['platform/bundle.mjs'])
+  })
+
+  it('keeps every promise while instances end, are killed and paused, and the store fails', async () => {
+    const { violations, requests } = await runSoak({
+      ...SMALL,
+      seed: 11,
+      seconds: 12,
+      faults: [
+        SoakFault.StopEntry,
+        SoakFault.KillEntry,
+        SoakFault.PauseEntry,
+        SoakFault.StoreSilent,
+        SoakFault.StoreForgets,
+        SoakFault.Configuration,
+      ],
+    })
+    expect(violations).to.deep.equal([])
+    expect(requests).to.be.above(500)
+  })
+
+  it('keeps every promise while backend servers fail, drain and are cut off', async () => {
+    const { violations } = await runSoak({
+      ...SMALL,
+      seed: 12,
+      seconds: 12,
+      faults: [
+        SoakFault.ServerLosesAnswers,
+        SoakFault.ServerGarbles,
+        SoakFault.ServerAnswersTwice,
+        SoakFault.ServerLinkSilent,
+        SoakFault.ServerLinkOneWay,
+        SoakFault.ServerDrains,
+        SoakFault.ServerCrashes,
+      ],
+    })
+    expect(violations).to.deep.equal([])
+  })
+})
