--- a/testing/soak/deployment.ts
+++ b/testing/soak/deployment.ts
@@ -26,6 +26,9 @@
 /** Versions whose routes are kept in the configuration. */
 const KEPT_VERSIONS = 4
 
+/** First three bytes of the instances' addresses; soaks that run at once must not share any. */
+const LOOPBACK_PREFIX = `127.${64 + (process.pid % 64)}.${Math.floor(process.pid / 64) % 256}`
+
 export const SAFE_HOST = 'hints.example'
 export const UNSAFE_HOST = 'coins.example'
 export const HOME_HOST = 'cards.example'
@@ -155,7 +158,7 @@
     this.entries.push(
       new EntryProcess({
         name,
-        host: `127.0.7.${index + 1}`,
+        host: `${LOOPBACK_PREFIX}.${index + 1}`,
         zone: ZONES[index % ZONES.length] ?? '',
         regionOfZone: REGION_OF_ZONE,
         storeAddress: await way.start(),
