--- a/src/entry/__tests__/serviceCoordinator.spec.ts
+++ b/src/entry/__tests__/serviceCoordinator.spec.ts
@@ -57,19 +57,7 @@
   ask(nowMs: number, changes: Partial<SlotAsk> = {}, instance = 'instance'): Asked {
     this.#last += 1
     const asked: Asked = { granted: undefined, refused: undefined }
-    const ask: SlotAsk = {
-      askId: this.#last,
-      service: 'service',
-      route: 'route',
-      object: '',
-      priority: 1,
-      targetInMs: 300,
-      deadlineInMs: 1200,
-      isReturn: false,
-      excludedServers: [],
-      regions: [],
-      ...changes,
-    }
+    const ask = slotAsk(this.#last, changes)
     this.coordinator.ask(
       {
         key: `${instance}/${this.#last}`,
@@ -95,9 +83,9 @@
   }
 }
 
-function waiter(key: string, nowMs: number): Waiter {
-  const ask: SlotAsk = {
-    askId: 1,
+function slotAsk(askId: number, changes: Partial<SlotAsk> = {}): SlotAsk {
+  return {
+    askId,
     service: 'service',
     route: 'route',
     object: '',
@@ -107,13 +95,18 @@
     isReturn: false,
     excludedServers: [],
     regions: [],
+    ...changes,
   }
-  const times = { arrivedAtMs: nowMs, targetAtMs: nowMs + 300, deadlineAtMs: nowMs + 1200 }
+}
+
+function waiter(key: string, nowMs: number): Waiter {
   return {
     key,
-    ask,
+    ask: slotAsk(1),
     zone: 'zone',
-    ...times,
+    arrivedAtMs: nowMs,
+    targetAtMs: nowMs + 300,
+    deadlineAtMs: nowMs + 1200,
     granted: () => undefined,
     refused: () => undefined,
   }
