--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -46,8 +46,6 @@
 /** Shortest time for which a leaving instance stays, so that directories have dropped it, in ms. */
 const MIN_LEAVE_MS = 2500
 
-/** Time within which a peer should have sent its copy of the store, in ms; else another is asked. */
-const COPY_WAIT_MS = 400
 /** Time for the last call to the store, in milliseconds; less than is left of the grace period. */
 const LAST_CALL_MS = 150
 
@@ -78,9 +76,6 @@
   #tickTimer: NodeJS.Timeout | undefined
   #departure: Departure | undefined
   #wasAway = false
-  /** Peers that knew more of the store when they greeted; one of them at a time is asked. */
-  #informed: string[] = []
-  #askedForCopyAtMs = Number.NEGATIVE_INFINITY
 
   constructor(
     settings: EntrySettings,
@@ -264,25 +259,15 @@
   }
 
   /**
-   * Asks one peer that knows more of the store for a copy. If each peer sent its own copy
-   * unasked, a start in a large region would move megabytes.
+   * Sends everything to a peer that knew less when it greeted. Its present revision does not tell:
+   * news that came since may have moved it past changes that it missed.
    */
   #greeted(peer: InstanceRecord, peerRevision: number): void {
     // A peer that has just started may be the first in line of a service at once.
     this.#coordination.handOver(this.#clock())
-    const { revision } = this.#mirror
+    if (this.#mirror.revision <= peerRevision) return
     const isNear = peer.region === this.#settings.record.region
-    if (peerRevision <= revision || !(isNear || revision === 0)) return
-    this.#informed.push(peer.name)
-    this.#askForCopy(this.#clock())
-  }
-
-  #askForCopy(nowMs: number): void {
-    if (nowMs - this.#askedForCopyAtMs < COPY_WAIT_MS) return
-    const peer = this.#informed.shift()
-    if (peer === undefined) return
-    this.#askedForCopyAtMs = nowMs
-    this.#mesh.send(peer, { kind: PeerMessageKind.Want })
+    if (isNear || peerRevision === 0) this.#sendAll(peer.name)
   }
 
   #sendAll(peer: string): void {
@@ -299,9 +284,6 @@
     const nowMs = this.#clock()
     handlePeerMessage(
       {
-        sendCopy: () => {
-          this.#sendAll(peer)
-        },
         peer,
         nowMs,
         table: this.#table,
@@ -382,8 +364,6 @@
       this.#log.event(isAway ? 'storeAway' : 'storeBack', { ageMs: this.#contact.ageMs(nowMs) })
     }
     this.#wasAway = isAway
-    if (this.#mirror.revision === 0) this.#askForCopy(nowMs)
-    else this.#informed = []
     this.#table.forgetLost(nowMs, FORGET_LOST_MS)
     this.#pool.sweep(nowMs)
     for (const figures of this.#coordination.figures(nowMs)) {
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -16,8 +16,6 @@
   readonly coordination: Coordination
   readonly contact: StoreContact
   readonly mirror: StoreMirror
-  /** Sends everything that is known of the store to the peer. */
-  readonly sendCopy: () => void
 }
 
 type Handlers = {
@@ -55,9 +53,6 @@
   [PeerMessageKind.Adopt]: ({ coordination, peer, nowMs }, { service, uses }) => {
     coordination.adopt(service, peer, uses, nowMs)
   },
-  [PeerMessageKind.Want]: ({ sendCopy }) => {
-    sendCopy()
-  },
   [PeerMessageKind.News]: ({ mirror }, { items, revision, isComplete }) => {
     if (isComplete) mirror.applyComplete(items, revision)
     else mirror.applyChanges(items, revision)
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -22,8 +22,6 @@
   Done = 'd',
   /** Tells a new coordinator which slots the sender uses. */
   Adopt = 'o',
-  /** Asks for a copy of everything that the receiver knows of the store. */
-  Want = 'w',
   /** Changes read from the store. */
   News = 'n',
   /** Demand and capacity of a service in the sender's region. */
@@ -136,10 +134,6 @@
   readonly uses: readonly AdoptedUse[]
 }
 
-export interface WantMessage {
-  readonly kind: PeerMessageKind.Want
-}
-
 /** An item as the store holds it; without value: removed. */
 export interface NewsItem {
   readonly key: string
@@ -197,7 +191,6 @@
   | RefuseMessage
   | DoneMessage
   | AdoptMessage
-  | WantMessage
   | NewsMessage
   | DemandMessage
   | ShareMessage
