refactor(entry): condition for seeds without its redundant half; names and a comment of the assumed demand

An instance whose own address is no seed has only other seeds, so the first half of the condition followed from the second and a non-empty list. The assumption tells whether it was asked, which its getter now says; the comment on taking over described the code before parts were handed over. Behaviour unchanged.

--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -43,7 +43,7 @@
 
 /**
  * Time without a request after which a coordinator prepares for traffic that has not started,
- * in ms. One that takes over is asked sooner than that, and starts from what it measures.
+ * in ms. One that takes over is asked sooner than that, and goes on from what it was told.
  */
 const PREPARE_AFTER_MS = 1500
 
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -162,8 +162,7 @@
       log,
       place: () => this.#readingPlace(),
       mayHearFromSeeds:
-        settings.seeds.some((seed) => seed !== settings.record.peerAddress) &&
-        !settings.seeds.includes(settings.record.peerAddress),
+        settings.seeds.length > 0 && !settings.seeds.includes(settings.record.peerAddress),
       publish: (news) => {
         this.#mesh.broadcast(news, settings.record.region)
       },
--- a/src/entry/regionShare.ts
+++ b/src/entry/regionShare.ts
@@ -144,7 +144,7 @@
   #firstAskAtMs: number | undefined
 
   /** Whether a request has been asked for. */
-  get isOver(): boolean {
+  get wasAsked(): boolean {
     return this.#firstAskAtMs !== undefined
   }
 
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -254,14 +254,14 @@
    * @param totalSlots slots of the service in all regions
    */
   prepare(totalSlots: number, regions: number): void {
-    if (this.#assumed.isOver) return
+    if (this.#assumed.wasAsked) return
     this.#assumed.assume(evenPart(totalSlots, regions))
     this.#remoteShare.settle()
   }
 
   /** Starts at once under traffic, with nobody to take over from. */
   startCold(totalSlots: number, regions: number): void {
-    if (!this.#assumed.isOver) this.#assumed.assume(evenPart(totalSlots, regions))
+    if (!this.#assumed.wasAsked) this.#assumed.assume(evenPart(totalSlots, regions))
   }
 
   /** Goes on from what the coordinator before it knew. */
@@ -279,7 +279,7 @@
   /** Demand as far as lent slots can serve it soon; what the other regions are told. */
   lendableDemand(nowMs: number): RegionDemand {
     const { region, neededSlots, slots } = this.demand(nowMs)
-    const usable = this.#assumed.isOver
+    const usable = this.#assumed.wasAsked
       ? usableNeed(neededSlots, slots, this.#remoteShare.share)
       : neededSlots
     return { region, neededSlots: usable, slots }
@@ -297,7 +297,7 @@
 
   /** Whether any request has been asked for here. */
   get wasAsked(): boolean {
-    return this.#assumed.isOver
+    return this.#assumed.wasAsked
   }
 
   /** Whether a request waits here. */
