fix(platform): one route of an unknown kind no longer takes down the configuration

Ruled out: reading unknown kinds as safe (could run twice); dropping the route (a shorter prefix, and so another service, would take its requests). An unknown kind is sent to one server and never again; a route whose homes or split can't be read keeps its prefix and answers 503 as not run. Both are logged and counted.

--- a/src/entry/__tests__/entryLog.spec.ts
+++ b/src/entry/__tests__/entryLog.spec.ts
@@ -30,6 +30,7 @@
       storeAgeMs: 40,
       droppedLogLines: 0,
       openedConnections: 9,
+      restrictedRoutes: 0,
       version: 7,
     }))
     metrics.answered('reveal', 200, 120)
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -130,6 +130,7 @@
       droppedLogLines: droppedLogLines(),
       openedConnections: this.#pool.openedCount,
       version: this.#routing.current?.version ?? 0,
+      restrictedRoutes: this.#routing.restrictedRoutes.length,
     }))
     const runner = new RequestRunner({
       clock,
@@ -340,7 +341,12 @@
     if (configuration === undefined) return
     const isAccepted = this.#routing.accept(configuration)
     this.#log.event('configuration', { version: configuration.version, revision, isAccepted })
-    if (isAccepted) this.#callers.applyLimits(configuration.limits)
+    if (!isAccepted) return
+    this.#callers.applyLimits(configuration.limits)
+    for (const { name, restriction } of this.#routing.restrictedRoutes) {
+      const { version } = configuration
+      this.#log.event('routeRestricted', { route: name, version, ...restriction })
+    }
   }
 
   #applyRoster(key: string, value: Buffer | undefined, revision: number, nowMs: number): void {
--- a/src/entry/entryMetrics.ts
+++ b/src/entry/entryMetrics.ts
@@ -13,6 +13,7 @@
   readonly droppedLogLines: number
   readonly openedConnections: number
   readonly version: number
+  readonly restrictedRoutes: number
 }
 
 export class EntryMetrics {
@@ -52,6 +53,11 @@
     gauge('droppedLogLines', 'dropped_log_lines', 'Log lines dropped')
     gauge('openedConnections', 'opened_connections', 'Connections opened to backend servers')
     gauge('version', 'configuration_version', 'Configuration in force')
+    gauge(
+      'restrictedRoutes',
+      'restricted_routes',
+      'Routes handled more strictly than configured, because of a setting that is not known',
+    )
   }
 
   /** Records an answer to a caller. */
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -13,7 +13,7 @@
 import { SlotOutcome } from './peerMessages.js'
 import type { RoutingView } from './routingView.js'
 import type { Route } from './routingConfiguration.js'
-import { Repeatability } from './routingConfiguration.js'
+import { Repeatability, RestrictionKind } from './routingConfiguration.js'
 import { NEXT_STEP_BY_OUTCOME, SLOT_OUTCOME_BY_SEND_OUTCOME, answerOf } from './sendOutcomes.js'
 import type { SendOutcome, ServerHeaders } from './serverExchange.js'
 import { OutcomeKind } from './serverExchange.js'
@@ -87,6 +87,9 @@
     }
     const route = configuration.index.find(request.host, request.target)
     if (route === undefined) return this.#fail(request, undefined, FailureKind.NoRoute, 0)
+    if (route.restriction?.kind === RestrictionKind.NotServed) {
+      return this.#fail(request, undefined, FailureKind.RouteNotServed, 0)
+    }
     const state = this.#createState(request, route)
     if (shutdown?.mayAccept(state.deadlineAtMs, request.arrivedAtMs) === false) {
       return this.#fail(request, state, FailureKind.Leaving, LEAVING_RETRY_AFTER_MS)
--- a/src/entry/routingConfiguration.ts
+++ b/src/entry/routingConfiguration.ts
@@ -8,6 +8,21 @@
   AtMostOnce = 'atMostOnce',
 }
 
+/** How a route is handled that this version can't handle as configured. */
+export enum RestrictionKind {
+  /** Sent to one backend server and never sent again. */
+  SingleSend = 'singleSend',
+  /** Refused as not run, because it is unknown who may serve it. */
+  NotServed = 'notServed',
+}
+
+/** Why a route is handled more strictly than configured. */
+export interface RouteRestriction {
+  readonly kind: RestrictionKind
+  /** The setting that this version does not know, for the log. */
+  readonly reason: string
+}
+
 /** Share of a route's requests that goes to one service. */
 export interface ServiceShare {
   readonly service: string
@@ -29,7 +44,7 @@
   readonly targetLatencyMs: number
   /** 0 is the highest priority. */
   readonly priority: number
-  /** Services of the route; at least one. */
+  /** Services of the route; at least one, unless the route is restricted to not being served. */
   readonly shares: readonly ServiceShare[]
   /** Maximum number of sends per request; at least 1. */
   readonly maxAttempts: number
@@ -37,6 +52,8 @@
   readonly prefersRecentServer: boolean
   /** Regions that may serve the route; empty: all. */
   readonly homeRegions: readonly string[]
+  /** Set if the route has a setting that this version does not know. */
+  readonly restriction?: RouteRestriction
 }
 
 /** Settings of a service, which apply to all its backend servers. */
--- a/src/entry/routingView.ts
+++ b/src/entry/routingView.ts
@@ -1,5 +1,5 @@
 /** Routing configuration in force at this instance; only later versions replace it. */
-import type { RoutingConfiguration } from './routingConfiguration.js'
+import type { Route, RoutingConfiguration } from './routingConfiguration.js'
 import { RouteIndex } from './routingConfiguration.js'
 import { TrafficSplit } from './trafficSplit.js'
 
@@ -25,6 +25,11 @@
     return true
   }
 
+  /** Routes that are handled more strictly than configured. */
+  get restrictedRoutes(): readonly Route[] {
+    return this.#current?.routes.filter(({ restriction }) => restriction !== undefined) ?? []
+  }
+
   /** Target latency of a route, in milliseconds. */
   targetLatencyMs(route: string): number | undefined {
     return this.#current?.index.findByName(route)?.targetLatencyMs
