feat(entry): request bodies within a memory budget, a time and a limit

Cause: bodies of up to 64 MB were collected without a bound over all callers; four of them exceed an instance of 250 MB. A body that trickles held its memory without end. Expect was answered with 100 before any check. Ruled out: streaming bodies to the server; a slow caller would hold a slot, and after the first byte a refusal could not be sent elsewhere. A stated length is reserved before the body arrives and refused as not run (503, Retry-After) if it does not fit; a chunked body is reserved as it arrives; a body that is not complete when its caller stops waiting gets 408. Result: five tests that failed before pass.

--- a/src/entry/__tests__/callerServer.spec.ts
+++ b/src/entry/__tests__/callerServer.spec.ts
@@ -1,10 +1,14 @@
+import type { Socket } from 'node:net'
 import { connect } from 'node:net'
 import { expect } from 'chai'
+import { ByteBudget } from '../../common/byteBudget.js'
 import { sleep, monotonicClock } from '../../common/clock.js'
 import type { CallerRequest } from '../callerRequest.js'
 import { CallerServer } from '../callerServer.js'
 import { EventLoopDelay } from '../eventLoopDelay.js'
 
+const BODY_BUDGET_BYTES = 1000
+
 const HEADERS = {
   requestId: 'x-id',
   callerTimeout: 'x-timeout',
@@ -25,12 +29,15 @@
 describe('CallerServer', () => {
   let server: CallerServer
   let ran: string[]
+  let bodyBudget: ByteBudget
 
   beforeEach(async () => {
     ran = []
+    bodyBudget = new ByteBudget(BODY_BUDGET_BYTES)
     server = new CallerServer({
       headers: HEADERS,
       clock: monotonicClock,
+      bodyBudget,
       limits: () => undefined,
       isEventLoopDelayed: () => true,
       run: (request: CallerRequest) => {
@@ -62,4 +69,84 @@
     staying.destroy()
     expect(ran).to.deep.equal(['stayed'])
   })
+
+  describe('bodies', () => {
+    const sockets: Socket[] = []
+    afterEach(() => {
+      for (const socket of sockets.splice(0)) socket.destroy()
+    })
+
+    const open = (): { socket: Socket; received: () => string } => {
+      const socket = connect(server.port, '127.0.0.1')
+      sockets.push(socket)
+      let text = ''
+      socket.on('error', () => undefined)
+      socket.on('data', (bytes) => {
+        text += bytes.toString()
+      })
+      return { socket, received: () => text }
+    }
+    const upload = (id: string, headers: string, body = ''): string =>
+      `POST / HTTP/1.1\r\nHost: hints.example\r\nX-Id: ${id}\r\n${headers}\r\n\r\n${body}`
+    const settle = (): Promise<void> => sleep(80)
+
+    // Guards against a process that is killed because many large bodies arrive at once.
+    it('refuses a body that the memory does not hold before it arrives, as not run', async () => {
+      const first = open()
+      first.socket.write(upload('first', 'Content-Length: 900', 'x'.repeat(100)))
+      await settle()
+      const second = open()
+      second.socket.write(upload('second', 'Content-Length: 200'))
+      await settle()
+      expect(second.received()).to.match(/^HTTP\/1\.1 503 [^]*retry-after: 0\.500/i)
+      first.socket.write('x'.repeat(800))
+      await settle()
+      expect(ran).to.deep.equal(['first'])
+      expect(bodyBudget.usedBytes).to.equal(0)
+      // A caller that sent its whole body before it reads keeps its connection.
+      second.socket.write('y'.repeat(200) + upload('third', 'Content-Length: 1', 'z'))
+      await settle()
+      expect(ran).to.deep.equal(['first', 'third'])
+    })
+
+    it('refuses a chunked body without end once the memory is used up', async () => {
+      const endless = open()
+      endless.socket.write(upload('endless', 'Transfer-Encoding: chunked'))
+      for (let chunk = 0; chunk < 8; chunk += 1)
+        endless.socket.write(`64\r\n${'x'.repeat(100)}\r\n`)
+      await settle()
+      expect(endless.received()).to.match(/^HTTP\/1\.1 503 /)
+      expect(endless.received()).to.match(/connection: close/i)
+      expect(bodyBudget.usedBytes).to.equal(0)
+    })
+
+    it('rejects a body that is not complete when the caller stops waiting', async () => {
+      const slow = open()
+      slow.socket.write(upload('slow', 'X-Timeout: 50\r\nContent-Length: 9', 'x'))
+      await settle()
+      expect(slow.received()).to.match(/^HTTP\/1\.1 408 /)
+      expect(ran).to.deep.equal([])
+    })
+
+    it('does not run a request whose body breaks off', async () => {
+      const broken = open()
+      broken.socket.end(upload('broken', 'Content-Length: 9', 'x'))
+      await settle()
+      expect(ran).to.deep.equal([])
+      expect(bodyBudget.usedBytes).to.equal(0)
+    })
+
+    it('asks for a body only if it will be read', async () => {
+      const accepted = open()
+      accepted.socket.write(upload('accepted', 'Expect: 100-continue\r\nContent-Length: 3'))
+      const refused = open()
+      refused.socket.write(upload('refused', 'Expect: 100-continue\r\nContent-Length: 2000'))
+      await settle()
+      expect(accepted.received()).to.match(/^HTTP\/1\.1 100 /)
+      expect(refused.received()).to.match(/^HTTP\/1\.1 503 /)
+      accepted.socket.write('xyz')
+      await settle()
+      expect(ran).to.deep.equal(['accepted'])
+    })
+  })
 })
--- a/src/entry/__tests__/entryLog.spec.ts
+++ b/src/entry/__tests__/entryLog.spec.ts
@@ -31,6 +31,7 @@
       droppedLogLines: 0,
       openedConnections: 9,
       restrictedRoutes: 0,
+      bufferedBodyBytes: 0,
       version: 7,
     }))
     metrics.answered('reveal', 200, 120)
--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -49,6 +49,8 @@
   NoRoute = 'noRoute',
   /** The route has a setting that this version does not know, so its requests are not served. */
   RouteNotServed = 'routeNotServed',
+  /** Too many bodies are buffered already; the request did not run. */
+  BodyMemory = 'bodyMemory',
   /** No slot was granted in time; the request did not run. */
   NoSlot = 'noSlot',
   /** The instance is shutting down and can't finish the request in time; it did not run. */
@@ -67,6 +69,7 @@
   [FailureKind.NoConfiguration]: 503,
   [FailureKind.NoRoute]: 404,
   [FailureKind.RouteNotServed]: 503,
+  [FailureKind.BodyMemory]: 503,
   [FailureKind.NoSlot]: 503,
   [FailureKind.Leaving]: 503,
   [FailureKind.NotRun]: 503,
@@ -79,6 +82,7 @@
   [FailureKind.NoConfiguration]: 'this instance has just started; ask another one or repeat',
   [FailureKind.NoRoute]: 'check host and path against the configured routes',
   [FailureKind.RouteNotServed]: 'not run; correct the route, or update this instance',
+  [FailureKind.BodyMemory]: 'not run; repeat after the stated time',
   [FailureKind.NoSlot]: 'not run; repeat after the stated time',
   [FailureKind.Leaving]: 'not run; ask another instance',
   [FailureKind.NotRun]: 'not run; repeat after the stated time',
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -2,10 +2,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer } from 'node:http'
 import type { Duplex } from 'node:stream'
+import type { ByteBudget, ByteReservation } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
 import { CONNECTION_HEADERS, findHeader, toHeaderPairs } from '../common/exchange.js'
 import { listen } from '../common/listen.js'
+import { BodyRejection, readCallerBody, reserveBody } from './callerBody.js'
 import type { CallerAnswer, CallerHeaders, CallerRequest } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { CallerLimits } from './routingConfiguration.js'
@@ -15,6 +17,8 @@
   readonly clock: Clock
   readonly limits: () => CallerLimits | undefined
   readonly run: (request: CallerRequest) => Promise<CallerAnswer>
+  /** Memory for the bodies of requests that are not answered yet. */
+  readonly bodyBudget: ByteBudget
   /** Whether the event loop was blocked recently, so that closes may be pending behind requests. */
   readonly isEventLoopDelayed: () => boolean
 }
@@ -23,6 +27,10 @@
 const MAX_HEAD_BYTES = 64 * 1024
 /** Added to configured timeouts, so that callers close idle connections before the server does. */
 const TIMEOUT_MARGIN_MS = 1000
+/** Time for the body of a request whose caller states no timeout. */
+const DEFAULT_BODY_TIMEOUT_MS = 30_000
+/** Retry-After when the memory for bodies is used up; others are answered meanwhile. */
+const BODY_MEMORY_RETRY_AFTER_MS = 500
 const HOP_BY_HOP_HEADERS = new Set([...CONNECTION_HEADERS, 'te', 'expect'])
 
 /** Reads requests, runs them, and writes the answers of each connection in request order. */
@@ -38,9 +46,11 @@
   constructor(dependencies: CallerServerDependencies) {
     this.#dependencies = dependencies
     this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, requireHostHeader: false })
-    this.#server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    const handle = (request: IncomingMessage, response: ServerResponse): void => {
       this.#handleRequest(request, response)
-    })
+    }
+    this.#server.on('request', handle)
+    this.#server.on('checkContinue', handle)
     this.#server.on('clientError', (error: Error & { code?: string }, socket) => {
       const isWritable = socket.writable && error.code !== 'ECONNRESET'
       const isBehindOthers = (this.#openRequestsBySocket.get(socket) ?? 0) > 0
@@ -100,41 +110,57 @@
       this.#write(socket, response, rejection, true)
       return
     }
-    this.#readBody(message, response, (body) => {
+    const reservation = this.#dependencies.bodyBudget.open()
+    const serve = (body: Buffer): void => {
+      if (socket.readableEnded || callerAbort.signal.aborted) {
+        reservation.release()
+        return
+      }
       const request = this.#createRequest(message, body, arrivedAtMs, callerAbort.signal)
-      const run = (): void => {
-        if (socket.readableEnded || callerAbort.signal.aborted) return
-        void this.#dependencies.run(request).then((answer) => {
-          this.#write(socket, response, answer, false)
+      void this.#dependencies.run(request).then((answer) => {
+        reservation.release()
+        this.#write(socket, response, answer, false)
+      })
+    }
+    this.#readBody(message, response, reservation, (body) => {
+      if (!this.#dependencies.isEventLoopDelayed()) serve(body)
+      else
+        afterPendingReads(() => {
+          serve(body)
         })
-      }
-      if (this.#dependencies.isEventLoopDelayed()) afterPendingReads(run)
-      else run()
     })
   }
 
   #readBody(
     message: IncomingMessage,
     response: ServerResponse,
+    reservation: ByteReservation,
     onBody: (body: Buffer) => void,
   ): void {
-    const limit = this.#dependencies.limits()?.bodyBytes ?? Number.POSITIVE_INFINITY
-    const chunks: Buffer[] = []
-    let size = 0
-    message.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size <= limit) chunks.push(chunk)
-      else if (!response.headersSent) {
-        this.#write(message.socket, response, rejectionAnswer(413, 'body too large'), true)
-      }
-    })
-    message.on('end', () => {
-      if (size <= limit) onBody(chunks.length === 1 ? (chunks[0] ?? EMPTY) : Buffer.concat(chunks))
-    })
-    message.on('error', () => {
-      // The caller aborted the upload; the 'close' event of the response ends the request.
-      chunks.length = 0
+    const { limits, headers } = this.#dependencies
+    const onRejected = (rejection: BodyRejection): void => {
+      reservation.release()
+      const { answer, isClosing } = ANSWER_BY_BODY_REJECTION[rejection]
+      this.#write(message.socket, response, answer, isClosing || isChunked(message))
+    }
+    const limitBytes = limits()?.bodyBytes ?? Number.POSITIVE_INFINITY
+    const buffer = reserveBody(message, limitBytes, reservation)
+    if (typeof buffer === 'string') {
+      onRejected(buffer)
+      message.resume()
+      return
+    }
+    const callerTimeoutMs = Number(message.headers[headers.callerTimeout] ?? Number.NaN)
+    readCallerBody(message, buffer, {
+      limitBytes,
+      timeoutMs: callerTimeoutMs > 0 ? callerTimeoutMs : DEFAULT_BODY_TIMEOUT_MS,
+      onBody,
+      onRejected,
+      onAbandoned: () => {
+        reservation.release()
+      },
     })
+    if (message.headers.expect !== undefined) response.writeContinue()
   }
 
   #validate(message: IncomingMessage): CallerAnswer | undefined {
@@ -217,7 +243,26 @@
   setImmediate(() => setImmediate(callback))
 }
 
-const EMPTY = Buffer.alloc(0)
+/**
+ * Answers to requests that were not run because of their body. A caller that sends a body of a
+ * stated length may read the answer only after it, so its connection stays open and the rest of
+ * the body is discarded.
+ */
+const ANSWER_BY_BODY_REJECTION: Readonly<
+  Record<BodyRejection, { readonly answer: CallerAnswer; readonly isClosing: boolean }>
+> = {
+  [BodyRejection.TooLarge]: { answer: rejectionAnswer(413, 'body too large'), isClosing: true },
+  [BodyRejection.NoMemory]: {
+    answer: failureAnswer(FailureKind.BodyMemory, BODY_MEMORY_RETRY_AFTER_MS),
+    isClosing: false,
+  },
+  [BodyRejection.TooSlow]: { answer: rejectionAnswer(408, 'body too slow'), isClosing: true },
+}
+
+function isChunked(message: IncomingMessage): boolean {
+  return message.headers['transfer-encoding'] !== undefined
+}
+
 const STATUSES_WITHOUT_BODY = new Set([204, 304])
 
 function rejectionAnswer(status: number, text: string): CallerAnswer {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -1,5 +1,6 @@
 /** Entry instance: serves callers' requests, coordinates services, and follows the store. */
 import type { Server } from 'node:http'
+import { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import { sleep } from '../common/clock.js'
 import { BackendServerRegistry } from './backendServerRegistry.js'
@@ -67,6 +68,7 @@
   readonly #coordination: Coordination
   readonly #slots: SlotClient
   readonly #pool: ConnectionPool
+  readonly #bodyBudget: ByteBudget
   readonly #callers: CallerServer
   readonly #metrics: EntryMetrics
   readonly #evacuatedZones = new Set<string>()
@@ -124,12 +126,14 @@
     })
     this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
     this.#pool = new ConnectionPool(platform.serverHeaders, clock)
+    this.#bodyBudget = new ByteBudget(settings.requestBodyBytes)
     this.#metrics = new EntryMetrics(() => ({
       ...this.#slots.stats,
       storeAgeMs: this.#contact.ageMs(clock()),
       droppedLogLines: droppedLogLines(),
       openedConnections: this.#pool.openedCount,
       version: this.#routing.current?.version ?? 0,
+      bufferedBodyBytes: this.#bodyBudget.usedBytes,
       restrictedRoutes: this.#routing.restrictedRoutes.length,
     }))
     const runner = new RequestRunner({
@@ -150,6 +154,7 @@
       headers: platform.callerHeaders,
       clock,
       limits: () => this.#routing.current?.limits,
+      bodyBudget: this.#bodyBudget,
       run: (request) => runner.run(request, this.#shutdown),
       isEventLoopDelayed: () => this.#eventLoopDelay.isDelayed(clock()),
     })
--- a/src/entry/entryMetrics.ts
+++ b/src/entry/entryMetrics.ts
@@ -14,6 +14,7 @@
   readonly openedConnections: number
   readonly version: number
   readonly restrictedRoutes: number
+  readonly bufferedBodyBytes: number
 }
 
 export class EntryMetrics {
@@ -52,6 +53,7 @@
     gauge('storeAgeMs', 'store_contact_age_milliseconds', 'Age of store news')
     gauge('droppedLogLines', 'dropped_log_lines', 'Log lines dropped')
     gauge('openedConnections', 'opened_connections', 'Connections opened to backend servers')
+    gauge('bufferedBodyBytes', 'buffered_body_bytes', 'Memory reserved for bodies of requests')
     gauge('version', 'configuration_version', 'Configuration in force')
     gauge(
       'restrictedRoutes',
--- a/src/entry/entryPlatform.ts
+++ b/src/entry/entryPlatform.ts
@@ -24,6 +24,8 @@
   readonly applyMs: number
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly graceMs: number
+  /** Memory for the bodies of callers' requests, in bytes. */
+  readonly requestBodyBytes: number
 }
 
 /** Decoded item of the store. */
