--- a/src/entry/connectionPool.ts
+++ b/src/entry/connectionPool.ts
@@ -1,4 +1,5 @@
 /** Pool of keep-alive connections to backend servers. */
+import { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import { ServerConnection } from './serverConnection.js'
 import type { SendOutcome, ServerHeaders, ServerRequest } from './serverExchange.js'
@@ -20,7 +21,11 @@
 /** Time after a reused connection broke during which the shorter idle limit applies. */
 const REDUCED_IDLE_PERIOD_MS = 15_000
 
+/** Memory for answers that are being read; several of the largest ones fit. */
+const ANSWER_MEMORY_BYTES = 48 * 1024 * 1024
+
 export class ConnectionPool {
+  readonly #answerBudget = new ByteBudget(ANSWER_MEMORY_BYTES)
   readonly #headers: ServerHeaders
   readonly #clock: Clock
   readonly #idle = new Map<string, ServerConnection[]>()
@@ -48,7 +53,7 @@
     request: ServerRequest,
     onEnd: (outcome: SendOutcome) => void,
   ): (kind: OutcomeKind.Abandoned | OutcomeKind.TimedOut) => void {
-    const connection = this.#takeIdle(key, request.isIdempotent) ?? this.#open(address, isRemote)
+    const connection = this.#takeIdle(key, request) ?? this.#open(address, isRemote)
     return connection.send(request, (outcome) => {
       const isBrokenReuse = outcome.kind === OutcomeKind.Broken && outcome.isReused
       if (isBrokenReuse && outcome.answer === undefined) {
@@ -85,7 +90,7 @@
     this.retain(new Set())
   }
 
-  #takeIdle(key: string, isIdempotent: boolean): ServerConnection | undefined {
+  #takeIdle(key: string, request: ServerRequest): ServerConnection | undefined {
     const connections = this.#idle.get(key)
     const nowMs = this.#clock()
     const maxIdleMs =
@@ -96,7 +101,8 @@
         latest.destroy()
         continue
       }
-      if (isIdempotent || latest.idleMs(nowMs) < maxIdleMs) return latest
+      const isFresh = request.isIdempotent || latest.idleMs(nowMs) < maxIdleMs
+      if (isFresh && !latest.hasRefused(request.requestId)) return latest
       connections?.push(latest)
       return undefined
     }
@@ -113,6 +119,12 @@
   #open(address: string, isRemote: boolean): ServerConnection {
     this.#openedCount += 1
     const connectTimeoutMs = isRemote ? REMOTE_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS
-    return new ServerConnection(address, this.#headers, connectTimeoutMs, this.#clock)
+    return new ServerConnection(
+      address,
+      this.#headers,
+      connectTimeoutMs,
+      this.#answerBudget,
+      this.#clock,
+    )
   }
 }
--- a/src/entry/sendOutcomes.ts
+++ b/src/entry/sendOutcomes.ts
@@ -15,12 +15,21 @@
   readonly mayHaveRun: boolean
 }
 
+/**
+ * Statuses that promise a caller that its request did not run. A server that answers with one of
+ * them, but does not state that it did not run the request, may have run it.
+ */
+const NOT_RUN_STATUSES: ReadonlySet<number | undefined> = new Set([408, 421, 429, 503])
+
 export const NEXT_STEP_BY_OUTCOME: Readonly<
   Record<OutcomeKind, (repeatability: Repeatability, outcome: SendOutcome) => NextStep>
 > = {
   [OutcomeKind.Answered]: (repeatability, { answer }) => {
     const isServerFailure = (answer?.status ?? 0) >= 500
     const isIdempotent = repeatability === Repeatability.Idempotent
+    if (!isIdempotent && NOT_RUN_STATUSES.has(answer?.status)) {
+      return { isFinal: true, failure: FailureKind.AnswerLost, mayHaveRun: true }
+    }
     return { isFinal: !(isServerFailure && isIdempotent), mayHaveRun: true }
   },
   [OutcomeKind.Declined]: () => ({ isFinal: false, mayHaveRun: false }),
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -1,11 +1,12 @@
 /** Connection to a backend server that carries one request at a time. */
 import type { Socket } from 'node:net'
 import { connect } from 'node:net'
+import type { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
 import { findHeader } from '../common/exchange.js'
 import { parseHostAndPort } from '../common/listen.js'
-import { ReadState, ResponseReader } from './responseReader.js'
+import { AnswerOrigin, ReadState, ResponseReader } from './responseReader.js'
 import type { SendOutcome, ServerAnswer, ServerHeaders, ServerRequest } from './serverExchange.js'
 import { OutcomeKind } from './serverExchange.js'
 
@@ -13,12 +14,17 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 4000
 /** Fraction of the stated idle timeout that is used; allows for network latency and late timers. */
 const IDLE_TIMEOUT_FRACTION = 0.7
+/** Refusals after which a connection is closed, because their identifiers are remembered. */
+const MAX_REFUSED_REQUESTS = 64
 
 /** Keep-alive connection; the pool decides when to reuse and when to close it. */
 export class ServerConnection {
   readonly #socket: Socket
   readonly #clock: Clock
   readonly #headers: ServerHeaders
+  readonly #answerBudget: ByteBudget
+  /** Identifiers of requests that the server refused on this connection. */
+  readonly #refusedRequestIds = new Set<string>()
   #reader: ResponseReader | undefined
   #finish: ((kind: OutcomeKind, detail: string) => void) | undefined
   #isOpen = true
@@ -28,8 +34,15 @@
   #maxIdleMs = DEFAULT_IDLE_TIMEOUT_MS
 
   /** @param address `host:port` */
-  constructor(address: string, headers: ServerHeaders, connectTimeoutMs: number, clock: Clock) {
+  constructor(
+    address: string,
+    headers: ServerHeaders,
+    connectTimeoutMs: number,
+    answerBudget: ByteBudget,
+    clock: Clock,
+  ) {
     this.#clock = clock
+    this.#answerBudget = answerBudget
     this.#headers = headers
     const socket = connect(parseHostAndPort(address))
     this.#socket = socket
@@ -70,6 +83,11 @@
     return this.idleMs(nowMs) < this.#maxIdleMs
   }
 
+  /** Whether a refusal that the server repeats could be taken for an answer to this request. */
+  hasRefused(requestId: string): boolean {
+    return this.#refusedRequestIds.has(requestId)
+  }
+
   /** Sends a request and calls `onEnd` once. The returned function aborts the send. */
   send(
     request: ServerRequest,
@@ -78,23 +96,29 @@
     const startedAtMs = this.#clock()
     const isReused = this.#requestCount > 0
     this.#requestCount += 1
-    const reader = new ResponseReader((headers, status) =>
-      this.#matchesRequest(request, headers, status),
+    const reservation = this.#answerBudget.open()
+    const reader = new ResponseReader(
+      (headers, status) => this.#originOf(request, headers, status, isReused),
+      reservation,
     )
     this.#reader = reader
     const finish = (kind: OutcomeKind, detail: string): void => {
       if (this.#finish !== finish) return
       this.#finish = undefined
       this.#reader = undefined
+      reservation.release()
       const nowMs = this.#clock()
       this.#idleSinceMs = nowMs
       const { answer } = reader
       const load = answer === undefined ? undefined : findHeader(answer.headers, this.#headers.load)
       const isAnswered = kind === OutcomeKind.Answered && answer !== undefined
       if (isAnswered) this.#recordIdleTimeout(answer)
-      if (!isAnswered || !reader.isReusable) this.destroy()
+      const outcomeKind = isAnswered ? this.#outcomeKindOf(answer) : kind
+      if (outcomeKind === OutcomeKind.Declined) this.#refusedRequestIds.add(request.requestId)
+      const isReusable = reader.isReusable && this.#refusedRequestIds.size < MAX_REFUSED_REQUESTS
+      if (!isAnswered || !isReusable) this.destroy()
       onEnd({
-        kind: isAnswered ? this.#outcomeKindOf(answer) : kind,
+        kind: outcomeKind,
         answer,
         report: load === undefined ? null : this.#headers.readLoad(load),
         durationMs: nowMs - startedAtMs,
@@ -123,10 +147,24 @@
     this.#socket.destroy()
   }
 
-  #matchesRequest(request: ServerRequest, headers: readonly HeaderPair[], status: number): boolean {
+  /**
+   * Servers echo the identifier of the request. A faulty one may repeat an earlier answer on a
+   * kept connection, so one without an identifier is accepted only if nothing was answered on the
+   * connection before, and never as a statement that the request did not run.
+   */
+  #originOf(
+    request: ServerRequest,
+    headers: readonly HeaderPair[],
+    status: number,
+    isReused: boolean,
+  ): AnswerOrigin {
     const echoed = findHeader(headers, this.#headers.requestId)
-    if (echoed !== undefined) return echoed === request.requestId
-    return status >= 300
+    if (echoed !== undefined) {
+      return echoed === request.requestId ? AnswerOrigin.Own : AnswerOrigin.Other
+    }
+    if (status < 300) return AnswerOrigin.Other
+    const isRefusal = status === 421 || findHeader(headers, this.#headers.notRun) !== undefined
+    return isReused || isRefusal ? AnswerOrigin.Unknown : AnswerOrigin.Own
   }
 
   #outcomeKindOf(answer: ServerAnswer): OutcomeKind {
@@ -151,17 +189,17 @@
       this.destroy()
       return
     }
-    this.#handleReadState(reader.read(bytes), 'malformed answer')
+    this.#handleReadState(reader.read(bytes), reader)
   }
 
   #handleEnd(): void {
     const reader = this.#reader
     this.#isOpen = false
-    if (reader !== undefined) this.#handleReadState(reader.end(), 'truncated answer')
+    if (reader !== undefined) this.#handleReadState(reader.end(), reader)
     this.destroy()
   }
 
-  #handleReadState(state: ReadState, problem: string): void {
+  #handleReadState(state: ReadState, { problem }: ResponseReader): void {
     if (state === ReadState.Complete) this.#finish?.(OutcomeKind.Answered, '')
     else if (state === ReadState.Malformed) this.#finish?.(OutcomeKind.Broken, problem)
   }
