perf(entry): an instance asks one peer for the store changes that it missed

Change: updates say which revision they follow; StoreMirror stays at the revision before a gap and moves on when it closes. Greetings list records only to a peer that knows fewer. A first listing is published as complete. Kinds of messages of a later release are ignored instead of ending the process; instances of the earlier release still get copies by their greeting.

--- a/src/entry/__tests__/peerMesh.spec.ts
+++ b/src/entry/__tests__/peerMesh.spec.ts
@@ -41,6 +41,7 @@
     clock: monotonicClock,
     log: noopLog,
     revision: () => 1,
+    latestChange: () => 1,
     storeAgeMs,
     isStoreReader: () => storeAgeMs() >= 0,
     listener: {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -14,7 +14,7 @@
 import { EntryMetrics } from './entryMetrics.js'
 import type { InstanceRecord } from './instanceRecord.js'
 import { coordinatorOrder, InstanceTable } from './instanceTable.js'
-import type { PeerMessage } from './peerMessages.js'
+import type { HelloMessage, PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
 import { handlePeerMessage } from './peerMessageHandlers.js'
 import { PeerMesh } from './peerMesh.js'
@@ -28,6 +28,7 @@
 import { SlotClient } from './slotClient.js'
 import type { SimpleAnswer } from './simpleAnswer.js'
 import { startSimpleServer } from './simpleHttpServer.js'
+import { StoreCatchUp } from './storeCatchUp.js'
 import { StoreContact } from './storeContact.js'
 import { StoreFollower } from './storeFollower.js'
 import { StoreMirror } from './storeMirror.js'
@@ -60,6 +61,7 @@
   readonly #routing = new RoutingView()
   readonly #contact: StoreContact
   readonly #mirror: StoreMirror
+  readonly #catchUp = new StoreCatchUp()
   readonly #follower: StoreFollower
   readonly #rosterWriter: RosterWriter
   readonly #rosters = new RosterIndex()
@@ -99,11 +101,12 @@
       clock,
       log,
       revision: () => this.#mirror.revision,
+      latestChange: () => this.#mirror.latestChange,
       storeAgeMs: () => this.#contact.ownAgeMs(clock()),
       isStoreReader: () => this.#contact.isReader(clock()),
       listener: {
         helloReceived: (peer, hello) => {
-          this.#handleHello(peer, hello.revision)
+          this.#handleHello(peer, hello)
         },
         messageReceived: (peer, message) => {
           this.#handleMessage(peer, message)
@@ -111,6 +114,7 @@
         linkLost: (peer) => {
           this.#coordination.handlePeerLoss(peer, clock())
           this.#slots.handlePeerLoss(peer)
+          this.#catchUp.removePeer(peer)
         },
       },
     })
@@ -215,6 +219,7 @@
   #tick(): void {
     const nowMs = this.#clock()
     this.#coordination.tick(nowMs)
+    this.#requestMissingChanges(nowMs)
     const intervalMs = this.#coordination.hasWaiters ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS
     this.#tickTimer = setTimeout(() => {
       this.#eventLoopDelay.recordTick(nowMs + intervalMs, this.#clock())
@@ -265,26 +270,43 @@
     )
   }
 
-  /**
-   * Sends a full copy of the store to a peer whose hello states an older revision. The peer's
-   * current revision can't be used: store updates received since its hello may have advanced it
-   * past changes that it missed.
-   */
-  #handleHello(peer: InstanceRecord, peerRevision: number): void {
+  #handleHello(peer: InstanceRecord, hello: HelloMessage): void {
+    const nowMs = this.#clock()
     // A peer that has just started may be the coordinator of a service at once.
-    this.#coordination.handOver(this.#clock())
-    if (this.#mirror.revision <= peerRevision) return
+    this.#coordination.handOver(nowMs)
     const isSameRegion = peer.region === this.#settings.record.region
-    if (isSameRegion || peerRevision === 0) this.#sendFullCopy(peer.name)
+    const { latestChange } = hello
+    if (latestChange !== undefined) {
+      // Other regions send no further changes, so they only serve for a first copy.
+      if (!isSameRegion && this.#mirror.revision > 0) return
+      this.#catchUp.recordPeer(peer.name, latestChange, this.#mirror.revision, nowMs)
+      this.#requestMissingChanges(nowMs)
+      return
+    }
+    if (this.#mirror.revision <= hello.revision) return
+    if (isSameRegion || hello.revision === 0) this.#sendChanges(peer.name, 0)
+  }
+
+  #requestMissingChanges(nowMs: number): void {
+    const since = this.#mirror.revision
+    const peer = this.#catchUp.nextPeer(since, nowMs)
+    if (peer !== undefined) this.#mesh.send(peer, { kind: PeerMessageKind.StoreRequest, since })
   }
 
-  #sendFullCopy(peer: string): void {
-    this.#log.event('copySent', { peer, revision: this.#mirror.revision })
+  /** Sends the changes after a revision, or a full copy if removals since are not known. */
+  #sendChanges(peer: string, since: number): void {
+    const { revision } = this.#mirror
+    if (revision <= since) return
+    const changes = since === 0 ? undefined : this.#mirror.changesSince(since)
+    const isComplete = changes === undefined
+    const items = changes ?? this.#mirror.items()
+    this.#log.event('changesSent', { peer, since, revision, items: items.length, isComplete })
     this.#mesh.send(peer, {
       kind: PeerMessageKind.StoreUpdate,
-      items: this.#mirror.items(),
-      revision: this.#mirror.revision,
-      isComplete: true,
+      items,
+      revision,
+      isComplete,
+      ...(isComplete ? {} : { since }),
     })
   }
 
@@ -299,6 +321,10 @@
         coordination: this.#coordination,
         contact: this.#contact,
         mirror: this.#mirror,
+        catchUp: this.#catchUp,
+        sendChanges: (to, since) => {
+          this.#sendChanges(to, since)
+        },
       },
       message,
     )
--- a/src/entry/peerMesh.ts
+++ b/src/entry/peerMesh.ts
@@ -50,6 +50,8 @@
   readonly listener: PeerMeshListener
   /** Store revision up to which this instance's copy is complete. */
   readonly revision: () => number
+  /** Revision of the latest change in this instance's copy of the store. */
+  readonly latestChange: () => number
   /** Time since the store last answered this instance itself, in milliseconds; -1 if never. */
   readonly storeAgeMs: () => number
   /** Whether this instance reads the store for its region. */
@@ -103,7 +105,7 @@
 
   /** Connects to an instance whose record is not known yet. @param address `host:port` */
   connectToSeed(address: string): void {
-    this.#connect(address)
+    this.#connect(address, 0)
   }
 
   /** Whether there is an open link to the peer. */
@@ -139,7 +141,8 @@
     connection.link.send(message)
   }
 
-  #connect(address: string): void {
+  /** @param peerKnownCount number of instances that the peer is assumed to know */
+  #connect(address: string, peerKnownCount: number): void {
     const socket = connect(parseHostAndPort(address))
     const timer = setTimeout(() => {
       socket.destroy(new Error('connection timed out'))
@@ -150,7 +153,7 @@
     socket.once('close', () => {
       clearTimeout(timer)
     })
-    this.#sendHello(this.#open(socket), this.#dependencies.table.self.region)
+    this.#sendHello(this.#open(socket), this.#dependencies.table.self.region, peerKnownCount)
   }
 
   #open(socket: Socket): Connection {
@@ -175,15 +178,23 @@
     return connection
   }
 
-  /** @param region only records of this region's instances are sent along */
-  #sendHello(connection: Connection, region: string): void {
-    const { table, revision } = this.#dependencies
+  /**
+   * Records of all instances in each greeting would be n³ records when a region of n starts.
+   * @param region only records of this region's instances are sent along
+   * @param peerKnownCount number of instances of the region that the peer knows already
+   */
+  #sendHello(connection: Connection, region: string, peerKnownCount = 0): void {
+    const { table, revision, latestChange } = this.#dependencies
     connection.isHelloSent = true
+    const others = table.others()
+    const known = others.filter((other) => other.region === region)
     connection.link.send({
       kind: PeerMessageKind.Hello,
       record: table.self,
-      known: table.others().filter((other) => other.region === region),
+      known: known.length > peerKnownCount ? known : [],
+      knownCount: others.filter((other) => other.region === table.self.region).length,
       revision: revision(),
+      latestChange: latestChange(),
     })
   }
 
@@ -210,7 +221,7 @@
       return
     }
     const nowMs = clock()
-    if (!connection.isHelloSent) this.#sendHello(connection, record.region)
+    if (!connection.isHelloSent) this.#sendHello(connection, record.region, hello.knownCount)
     connection.peer = record.name
     const previous = this.#connectionByPeer.get(record.name)
     this.#connectionByPeer.set(record.name, connection)
@@ -255,7 +266,7 @@
 
   /** Sends a heartbeat unless another message was just sent; the store reader always sends one. */
   #sendHeartbeat(connection: Connection, nowMs: number): void {
-    const { storeAgeMs, revision } = this.#dependencies
+    const { storeAgeMs, revision, latestChange } = this.#dependencies
     // Peers in the region start to read the store themselves unless the reader keeps reporting
     // the age of its contact.
     const isReader = this.#dependencies.isStoreReader()
@@ -264,7 +275,12 @@
     // The next check is one interval away, so a heartbeat is due half an interval early.
     const isDue = nowMs - connection.lastSentAtMs >= nextInMs - HEARTBEAT_INTERVAL_MS / 2
     if (!isDue && !isReader) return
-    const message = { storeAgeMs: storeAgeMs(), revision: revision(), nextInMs }
+    const message = {
+      storeAgeMs: storeAgeMs(),
+      revision: revision(),
+      latestChange: latestChange(),
+      nextInMs,
+    }
     this.#write(connection, { kind: PeerMessageKind.Heartbeat, ...message }, nowMs)
   }
 
@@ -274,6 +290,7 @@
     const lastConnectAtMs = this.#lastConnectAtMs.get(record.name) ?? Number.NEGATIVE_INFINITY
     if (nowMs - lastConnectAtMs < intervalMs) return
     this.#lastConnectAtMs.set(record.name, nowMs)
-    this.#connect(record.peerAddress)
+    // An instance that is known from the roster or a seed can learn of others the same way.
+    this.#connect(record.peerAddress, Number.POSITIVE_INFINITY)
   }
 }
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -4,6 +4,7 @@
 import type { PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
 import type { SlotClient } from './slotClient.js'
+import type { StoreCatchUp } from './storeCatchUp.js'
 import type { StoreContact } from './storeContact.js'
 import type { StoreMirror } from './storeMirror.js'
 
@@ -17,6 +18,9 @@
   readonly coordination: Coordination
   readonly contact: StoreContact
   readonly mirror: StoreMirror
+  readonly catchUp: StoreCatchUp
+  /** Sends a peer the changes of the store after a revision. */
+  readonly sendChanges: (peer: string, since: number) => void
 }
 
 type Handlers = {
@@ -28,9 +32,11 @@
 
 const HANDLER_BY_KIND: Handlers = {
   [PeerMessageKind.Hello]: () => undefined,
-  [PeerMessageKind.Heartbeat]: ({ contact, table, peer, nowMs }, { storeAgeMs }) => {
-    const isSameRegion = table.find(peer)?.region === table.self.region
-    if (isSameRegion) contact.recordPeerContact(storeAgeMs, nowMs)
+  [PeerMessageKind.Heartbeat]: (context, { storeAgeMs, latestChange = 0 }) => {
+    const { contact, table, peer, nowMs, mirror, catchUp } = context
+    if (table.find(peer)?.region !== table.self.region) return
+    contact.recordPeerContact(storeAgeMs, nowMs)
+    catchUp.recordPeer(peer, latestChange, mirror.revision, nowMs)
   },
   [PeerMessageKind.Leaving]: ({ table, peer }, { incarnation }) => {
     table.markLeaving(peer, incarnation)
@@ -54,9 +60,15 @@
   [PeerMessageKind.HeldSlots]: ({ coordination, peer, nowMs }, { service, uses }) => {
     coordination.adopt(service, peer, uses, nowMs)
   },
-  [PeerMessageKind.StoreUpdate]: ({ mirror }, { items, revision, isComplete }) => {
+  [PeerMessageKind.StoreUpdate]: (context, { items, revision, since, isComplete }) => {
+    const { mirror, catchUp, peer, nowMs } = context
     if (isComplete) mirror.applySnapshot(items, revision)
-    else mirror.applyChanges(items, revision)
+    else mirror.applyChanges(items, revision, since)
+    catchUp.recordChanges(peer)
+    catchUp.recordPeer(peer, revision, mirror.revision, nowMs)
+  },
+  [PeerMessageKind.StoreRequest]: ({ sendChanges, peer }, { since }) => {
+    sendChanges(peer, since)
   },
   [PeerMessageKind.Demand]: ({ coordination, nowMs }, message) => {
     coordination.handleDemand(message, nowMs)
@@ -69,11 +81,10 @@
   },
 }
 
-/** Calls the handler for the message's kind. */
+/** Calls the handler for the message's kind; kinds of a later release are ignored. */
 export function handlePeerMessage(context: PeerMessageContext, message: PeerMessage): void {
-  const handler = HANDLER_BY_KIND[message.kind] as (
-    context: PeerMessageContext,
-    message: PeerMessage,
-  ) => void
-  handler(context, message)
+  const handlers: Readonly<
+    Record<string, ((context: PeerMessageContext, message: PeerMessage) => void) | undefined>
+  > = HANDLER_BY_KIND as never
+  handlers[message.kind]?.(context, message)
 }
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -22,8 +22,10 @@
   ReleaseSlot = 'd',
   /** Reports the slots that the sender holds to a new coordinator. */
   HeldSlots = 'o',
-  /** Changes that the sender read from the store. */
+  /** Changes of the store. */
   StoreUpdate = 'n',
+  /** Requests the changes of the store that the sender missed. */
+  StoreRequest = 'q',
   /** Demand and capacity of a service in the sender's region. */
   Demand = 'm',
   /** Passes the remote share of a service on to its successor as coordinator in the same region. */
@@ -35,10 +37,17 @@
 export interface HelloMessage {
   readonly kind: PeerMessageKind.Hello
   readonly record: InstanceRecord
-  /** Other instances of one region in the sender's table. */
+  /** Other instances of one region in the sender's table; empty if the receiver knows as many. */
   readonly known: readonly InstanceRecord[]
+  /** Number of other instances of the sender's region in its table. */
+  readonly knownCount?: number
   /** Store revision up to which the sender's copy is complete; 0 if it has none. */
   readonly revision: number
+  /**
+   * Revision of the latest change in the sender's copy. Senders that state it request the changes
+   * that they miss; to others, of an earlier release, a full copy is sent.
+   */
+  readonly latestChange?: number
 }
 
 export interface HeartbeatMessage {
@@ -46,6 +55,7 @@
   /** Time since the store last answered the sender itself, in milliseconds; -1 if never. */
   readonly storeAgeMs: number
   readonly revision: number
+  readonly latestChange?: number
   /** Longest time until the next message on this link, in milliseconds. */
   readonly nextInMs: number
 }
@@ -148,10 +158,21 @@
   readonly kind: PeerMessageKind.StoreUpdate
   readonly items: readonly StoreUpdateItem[]
   readonly revision: number
+  /**
+   * The changes follow this revision without a gap; a receiver whose copy ends before it missed
+   * some. Not set in full copies and by earlier releases.
+   */
+  readonly since?: number
   /** Whether `items` holds all items of the store at `revision`, rather than changes. */
   readonly isComplete: boolean
 }
 
+export interface StoreRequestMessage {
+  readonly kind: PeerMessageKind.StoreRequest
+  /** Revision up to which the sender's copy is complete; 0 if it has none. */
+  readonly since: number
+}
+
 export interface DemandMessage {
   readonly kind: PeerMessageKind.Demand
   readonly service: string
@@ -194,6 +215,7 @@
   | ReleaseSlotMessage
   | HeldSlotsMessage
   | StoreUpdateMessage
+  | StoreRequestMessage
   | DemandMessage
   | RemoteShareMessage
   | LendSlotsMessage
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -111,15 +111,21 @@
       items.push(...listing.val.items)
       revision = Math.min(revision, listing.val.revision)
     }
-    const applied = this.#dependencies.mirror.applySnapshot(items.map(toUpdateItem), revision)
+    const { mirror } = this.#dependencies
+    const since = mirror.latestChange
+    const applied = mirror.applySnapshot(items.map(toUpdateItem), revision)
     this.#needsListing = false
-    this.#recordSuccess(applied, revision)
+    this.#recordSuccess()
+    // Removals before a first listing are not known here, but peers may hold the removed items.
+    if (since === 0) this.#publish({ items: applied, revision, isComplete: true })
+    else this.#publish({ items: applied, revision, since, isComplete: false })
     return true
   }
 
   async #watch(): Promise<boolean> {
     const { store, mirror, contact } = this.#dependencies
-    const changes = await store.watch('', mirror.revision, contact.watchMs)
+    const watchedFrom = mirror.revision
+    const changes = await store.watch('', watchedFrom, contact.watchMs)
     if (changes.err) return this.#recordFailure('watch', changes.val.message)
     if (changes.val === HISTORY_COMPACTED) {
       this.#dependencies.log.event('storeHistoryGone', { revision: mirror.revision })
@@ -130,18 +136,23 @@
     const wanted = events.filter(({ key }) =>
       this.#dependencies.prefixes.some((prefix) => key.startsWith(prefix)),
     )
-    const applied = mirror.applyChanges(wanted.map(toUpdateItem), revision)
-    this.#recordSuccess(applied, revision)
+    const since = mirror.latestChange
+    const applied = mirror.applyChanges(wanted.map(toUpdateItem), revision, watchedFrom)
+    this.#recordSuccess()
+    this.#publish({ items: applied, revision, since, isComplete: false })
     return true
   }
 
-  #recordSuccess(applied: readonly StoreUpdateItem[], revision: number): void {
-    const { contact, clock, log, publish } = this.#dependencies
+  #recordSuccess(): void {
+    const { contact, clock, log, mirror } = this.#dependencies
     contact.recordOwnContact(clock())
-    if (this.#isFailing) log.event('storeRegained', { revision })
+    if (this.#isFailing) log.event('storeRegained', { revision: mirror.revision })
     this.#isFailing = false
-    if (applied.length === 0) return
-    publish({ kind: PeerMessageKind.StoreUpdate, items: applied, revision, isComplete: false })
+  }
+
+  #publish(update: Omit<StoreUpdateMessage, 'kind'>): void {
+    if (update.items.length === 0) return
+    this.#dependencies.publish({ kind: PeerMessageKind.StoreUpdate, ...update })
   }
 
   #recordFailure(call: string, reason: string): boolean {
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -15,12 +15,25 @@
  */
 const MAX_TOMBSTONES = 5000
 
+/** Ranges of changes kept beyond a gap; more only cost a larger request. */
+const MAX_PENDING_RANGES = 64
+
+/** Changes that were applied although earlier ones were missing. */
+interface AppliedRange {
+  readonly since: number
+  readonly revision: number
+}
+
 /** Mirror of store items; an item is only ever replaced by a later revision of it. */
 export class StoreMirror {
   readonly #items = new Map<string, MirroredItem>()
   readonly #tombstones: string[] = []
   readonly #listener: MirrorListener
   #revision = 0
+  #latestChange = 0
+  /** Revision since which all removals are known. */
+  #removalsKnownSince = 0
+  #pendingRanges: AppliedRange[] = []
 
   constructor(listener: MirrorListener) {
     this.#listener = listener
@@ -31,10 +44,24 @@
     return this.#revision
   }
 
-  /** Applies changes and returns those that were newer than the mirrored items. */
-  applyChanges(items: readonly StoreUpdateItem[], revision: number): StoreUpdateItem[] {
+  /** Revision of the latest change; later revisions changed no item that is mirrored. */
+  get latestChange(): number {
+    return this.#latestChange
+  }
+
+  /**
+   * Applies changes and returns those that were newer than the mirrored items. The revision stays
+   * behind a gap, so that the missing changes can still be requested.
+   * @param since revision that the changes follow without a gap
+   */
+  applyChanges(
+    items: readonly StoreUpdateItem[],
+    revision: number,
+    since = this.#revision,
+  ): StoreUpdateItem[] {
     const applied = items.filter((item) => this.#apply(item))
-    this.#revision = Math.max(this.#revision, revision)
+    this.#pendingRanges.push({ since, revision })
+    this.#advance()
     return applied
   }
 
@@ -44,9 +71,21 @@
     const missing = [...this.#items]
       .filter(([key, item]) => item.value !== null && item.revision <= revision && !listed.has(key))
       .map(([key]): StoreUpdateItem => ({ key, revision, value: null }))
+    if (this.#revision === 0) this.#removalsKnownSince = revision
     return this.applyChanges([...items, ...missing], revision)
   }
 
+  /**
+   * Changes after a revision, with removals; `undefined` if not all removals since are known, so
+   * that only a full copy helps.
+   */
+  changesSince(revision: number): StoreUpdateItem[] | undefined {
+    if (revision < this.#removalsKnownSince) return undefined
+    return [...this.#items]
+      .filter(([, item]) => item.revision > revision)
+      .map(([key, item]) => ({ key, ...item }))
+  }
+
   /** All existing items. */
   items(): StoreUpdateItem[] {
     return [...this.#items]
@@ -57,10 +96,11 @@
   #apply({ key, revision, value }: StoreUpdateItem): boolean {
     const existing = this.#items.get(key)
     if (existing !== undefined && existing.revision >= revision) return false
-    if (existing === undefined && value === null) return false
     this.#items.set(key, { revision, value })
+    this.#latestChange = Math.max(this.#latestChange, revision)
     if (value === null) this.#addTombstone(key)
-    if (existing?.value !== value) this.#listener(key, value ?? undefined, revision)
+    // A removal of an item that was never seen is kept, in case an older copy of it comes later.
+    if ((existing?.value ?? null) !== value) this.#listener(key, value ?? undefined, revision)
     return true
   }
 
@@ -68,6 +108,22 @@
     this.#tombstones.push(key)
     if (this.#tombstones.length <= MAX_TOMBSTONES) return
     const oldest = this.#tombstones.shift()
-    if (oldest !== undefined && this.#items.get(oldest)?.value === null) this.#items.delete(oldest)
+    const item = oldest === undefined ? undefined : this.#items.get(oldest)
+    if (oldest === undefined || item?.value !== null) return
+    this.#items.delete(oldest)
+    this.#removalsKnownSince = Math.max(this.#removalsKnownSince, item.revision)
+  }
+
+  /** Moves the revision over all ranges that follow it without a gap. */
+  #advance(): void {
+    let isAdvancing = true
+    while (isAdvancing) {
+      const reached = this.#pendingRanges.filter(({ since }) => since <= this.#revision)
+      this.#pendingRanges = this.#pendingRanges.filter(({ since }) => since > this.#revision)
+      const next = Math.max(this.#revision, ...reached.map(({ revision }) => revision))
+      isAdvancing = next > this.#revision
+      this.#revision = next
+    }
+    this.#pendingRanges = this.#pendingRanges.slice(-MAX_PENDING_RANGES)
   }
 }
