--- a/src/entry/__tests__/storeFollower.spec.ts
+++ b/src/entry/__tests__/storeFollower.spec.ts
@@ -96,6 +96,29 @@
     expect(store.watchCalls).to.be.below(12)
   })
 
+  // Guards against removed items that stay in use at peers: an instance that starts beside them
+  // lists the store before it has their copies, and does not know what was removed.
+  it('publishes a first listing as complete, and a later one as changes', async () => {
+    const published: StoreUpdateMessage[] = []
+    for (const initialRevision of [0, 3]) {
+      const store = new FakeStore()
+      const followed = follow(store, initialRevision)
+      if (initialRevision > 0) {
+        followed.mirror.applyChanges([{ key: 'items/old', revision: 2, value: 'b2xk' }], 3)
+      }
+      const running = followed.follower.run()
+      await sleep(60)
+      followed.follower.stop()
+      await running
+      published.push(...followed.published)
+    }
+    expect(published.map(({ isComplete }) => isComplete)).to.deep.equal([true, false])
+    expect(published[1]?.items.map(({ key, value }) => [key, value])).to.deep.include([
+      'items/old',
+      null,
+    ])
+  })
+
   it('calls an unreachable store rarely and keeps the mirrored items', async () => {
     const store = new FakeStore()
     store.isUnreachable = true
