perf(entry): the coordinator compares candidates instead of all servers, and keeps its queue in order

Cause: every request compared all servers of a service, every release looked for its slot through all of them, sorted the whole queue and asked all servers for free slots up to 32 times. Change: ServerIndex (holders of an object, the eight servers its hash prefers, up to eight free ones; all servers up to 16, so small services decide as before; open servers and servers by request are kept). RequestQueue keeps groups by route, priority and return in the order of targets; lateness is a prefix of each group. A waiter stays in the queue while a slot is looked for.

--- a/src/entry/requestQueue.ts
+++ b/src/entry/requestQueue.ts
@@ -17,9 +17,31 @@
   onRefused(reason: string, retryAfterMs: number): void
 }
 
-/** Unordered set of waiters; sorted at each use, because lateness changes with time. */
+/** Waiters that differ only in their target, in the order of it. */
+interface WaiterGroup {
+  readonly route: string
+  readonly priority: number
+  readonly isReturn: boolean
+  readonly waiters: Waiter[]
+}
+
+/** Part of a group that is being merged with parts of others. */
+interface GroupRange {
+  readonly group: WaiterGroup
+  next: number
+  readonly end: number
+}
+
+/** Expected duration of a route's requests, in milliseconds. */
+type ServiceTimeOf = (route: string) => number
+
+/**
+ * Waiters in groups by route, priority and whether they are retries. Within a group the waiters
+ * that can't meet their target any more come first, so lateness needs no new sorting.
+ */
 export class RequestQueue {
   readonly #waiters = new Map<string, Waiter>()
+  readonly #groups = new Map<string, WaiterGroup>()
 
   get length(): number {
     return this.#waiters.size
@@ -27,48 +49,123 @@
 
   add(waiter: Waiter): void {
     this.#waiters.set(waiter.key, waiter)
+    const { waiters } = this.#groupOf(waiter)
+    waiters.splice(firstIndexAfter(waiters, waiter.targetAtMs), 0, waiter)
   }
 
   remove(key: string): Waiter | undefined {
     const waiter = this.#waiters.get(key)
+    if (waiter === undefined) return undefined
     this.#waiters.delete(key)
+    const { waiters } = this.#groupOf(waiter)
+    const index = waiters.indexOf(waiter, firstIndexFrom(waiters, waiter.targetAtMs))
+    waiters.splice(index, 1)
+    if (waiters.length === 0) this.#groups.delete(groupKey(waiter))
     return waiter
   }
 
+  has(key: string): boolean {
+    return this.#waiters.has(key)
+  }
+
   all(): Waiter[] {
     return [...this.#waiters.values()]
   }
 
   /**
-   * Waiters in the order of service: those that can still meet their target first,
-   * then by priority, then retries before first attempts, then by target.
-   * @param latestStartAtMs latest start time at which a waiter meets its target
+   * First waiters in the order of service: those that can still meet their target first, then by
+   * priority, then retries before first attempts, then by target.
    */
-  ordered(latestStartAtMs: (waiter: Waiter) => number, nowMs: number): Waiter[] {
-    return this.all()
-      .map((waiter) => ({ waiter, isLate: latestStartAtMs(waiter) < nowMs }))
-      .sort(
-        (left, right) =>
-          Number(left.isLate) - Number(right.isLate) ||
-          left.waiter.request.priority - right.waiter.request.priority ||
-          Number(right.waiter.request.isReturn) - Number(left.waiter.request.isReturn) ||
-          left.waiter.targetAtMs - right.waiter.targetAtMs,
-      )
-      .map(({ waiter }) => waiter)
+  first(count: number, serviceMsOf: ServiceTimeOf, nowMs: number): Waiter[] {
+    const inTime: GroupRange[] = []
+    const late: GroupRange[] = []
+    for (const group of this.#groups.values()) {
+      const firstInTime = firstIndexFrom(group.waiters, nowMs + serviceMsOf(group.route))
+      inTime.push({ group, next: firstInTime, end: group.waiters.length })
+      late.push({ group, next: 0, end: firstInTime })
+    }
+    const first = merge(inTime, count)
+    return [...first, ...merge(late, count - first.length)]
   }
 
   /** Counts the waiters that are served before a request with this priority. */
   countAhead(
     request: SlotRequestDetails,
-    latestStartAtMs: (waiter: Waiter) => number,
+    serviceMsOf: ServiceTimeOf,
     nowMs: number,
   ): { readonly inTime: number; readonly late: number } {
     let inTime = 0
     let late = 0
-    for (const waiter of this.#waiters.values()) {
-      if (latestStartAtMs(waiter) < nowMs) late += 1
-      else if (waiter.request.priority <= request.priority) inTime += 1
+    for (const { route, priority, waiters } of this.#groups.values()) {
+      const lateCount = firstIndexFrom(waiters, nowMs + serviceMsOf(route))
+      late += lateCount
+      if (priority <= request.priority) inTime += waiters.length - lateCount
     }
     return { inTime, late }
   }
+
+  #groupOf(waiter: Waiter): WaiterGroup {
+    const { route, priority, isReturn } = waiter.request
+    const key = groupKey(waiter)
+    const existing = this.#groups.get(key)
+    if (existing !== undefined) return existing
+    const created = { route, priority, isReturn, waiters: [] }
+    this.#groups.set(key, created)
+    return created
+  }
+}
+
+function groupKey({ request: { route, priority, isReturn } }: Waiter): string {
+  return `${priority}/${isReturn}/${route}`
+}
+
+/** Takes up to `count` waiters from the ranges in the order of service. */
+function merge(ranges: GroupRange[], count: number): Waiter[] {
+  const merged: Waiter[] = []
+  while (merged.length < count) {
+    let best: GroupRange | undefined
+    for (const range of ranges) {
+      if (range.next >= range.end) continue
+      if (best === undefined || isServedBefore(range, best)) best = range
+    }
+    const waiter = best?.group.waiters[best.next]
+    if (best === undefined || waiter === undefined) break
+    merged.push(waiter)
+    best.next += 1
+  }
+  return merged
+}
+
+function isServedBefore(left: GroupRange, right: GroupRange): boolean {
+  const byRank =
+    left.group.priority - right.group.priority ||
+    Number(right.group.isReturn) - Number(left.group.isReturn)
+  if (byRank !== 0) return byRank < 0
+  return targetAt(left) < targetAt(right)
+}
+
+function targetAt({ group, next }: GroupRange): number {
+  return group.waiters[next]?.targetAtMs ?? Number.POSITIVE_INFINITY
+}
+
+/** Index of the first waiter whose target is not before the time. */
+function firstIndexFrom(waiters: readonly Waiter[], targetAtMs: number): number {
+  return lowerBound(waiters, (waiter) => waiter.targetAtMs >= targetAtMs)
+}
+
+/** Index of the first waiter whose target is after the time. */
+function firstIndexAfter(waiters: readonly Waiter[], targetAtMs: number): number {
+  return lowerBound(waiters, (waiter) => waiter.targetAtMs > targetAtMs)
+}
+
+function lowerBound(waiters: readonly Waiter[], isReached: (waiter: Waiter) => boolean): number {
+  let low = 0
+  let high = waiters.length
+  while (low < high) {
+    const middle = (low + high) >>> 1
+    const waiter = waiters[middle]
+    if (waiter !== undefined && isReached(waiter)) high = middle
+    else low = middle + 1
+  }
+  return low
 }
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -4,6 +4,7 @@
 import { hashText } from '../common/hashing.js'
 import type { ObjectCacheEstimate } from './objectCacheEstimate.js'
 import { SlotOutcome } from './peerMessages.js'
+import type { ObjectHolders } from './serverIndex.js'
 
 /** A backend server with the slots that the coordinator may use. */
 export interface CoordinatedServer {
@@ -59,6 +60,7 @@
   readonly #lastUseByObject = new Map<string, number>()
   #objectRequests = 0
   readonly #objectCache: ObjectCacheEstimate
+  readonly #holders: ObjectHolders
   readonly #coldBucket: TokenBucket
   #slowdown = 1
   #failureFraction = 0
@@ -70,8 +72,14 @@
   /** Hash of the identifier, for the affinity of objects to servers. */
   readonly hash: number
 
-  constructor(server: CoordinatedServer, objectCache: ObjectCacheEstimate, nowMs: number) {
+  constructor(
+    server: CoordinatedServer,
+    objectCache: ObjectCacheEstimate,
+    holders: ObjectHolders,
+    nowMs: number,
+  ) {
     this.#server = server
+    this.#holders = holders
     this.hash = hashText(server.id)
     this.#objectCache = objectCache
     this.#coldBucket = new TokenBucket(1, nowMs)
@@ -110,6 +118,11 @@
     return sequenceNumber === undefined ? undefined : this.#objectRequests - sequenceNumber
   }
 
+  /** Objects of the latest requests. */
+  trackedObjects(): Iterable<string> {
+    return this.#lastUseByObject.keys()
+  }
+
   /** Whether the server is expected to have the object cached. */
   hasCached(object: string): boolean {
     const reuseDistance = this.reuseDistanceOf(object)
@@ -206,9 +219,12 @@
     this.#objectRequests += 1
     this.#lastUseByObject.delete(object)
     this.#lastUseByObject.set(object, this.#objectRequests)
+    this.#holders.add(object, this)
     if (this.#lastUseByObject.size <= this.#objectCache.trackedObjects) return
     const oldest = this.#lastUseByObject.keys().next().value
-    if (oldest !== undefined) this.#lastUseByObject.delete(oldest)
+    if (oldest === undefined) return
+    this.#lastUseByObject.delete(oldest)
+    this.#holders.remove(oldest, this)
   }
 }
 
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -23,6 +23,7 @@
   targetRemoteShare,
 } from './remoteShare.js'
 import type { CoordinatedServer, RunningRequest } from './serverState.js'
+import { ServerIndex } from './serverIndex.js'
 import { ServerState } from './serverState.js'
 import type { RegionDemand } from './slotLending.js'
 import { chooseLentSlots } from './slotLending.js'
@@ -68,7 +69,7 @@
   readonly #region: string
   readonly #random: () => number
   /** Also holds removed servers while requests still run there. */
-  readonly #servers = new Map<string, ServerState>()
+  readonly #servers: ServerIndex
   readonly #estimates = new DurationEstimates()
   readonly #objectCache = new ObjectCacheEstimate()
   readonly #queue = new RequestQueue()
@@ -94,6 +95,7 @@
   constructor(service: string, region: string, random: () => number, nowMs: number) {
     this.#service = service
     this.#region = region
+    this.#servers = new ServerIndex(region)
     this.#random = random
     this.#arrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#remoteShare = new RemoteShare(nowMs)
@@ -121,7 +123,11 @@
     this.#assumedDemand.recordRequest(nowMs)
     if (request.excludedServers.length === 0) this.#arrivals.add(1, nowMs)
     const isQueueEmpty = this.#queue.length === 0
-    if (isQueueEmpty && this.#tryGrant(waiter, nowMs)) return
+    const state = isQueueEmpty ? this.#findSlot(waiter, nowMs) : undefined
+    if (state !== undefined) {
+      this.#grant(waiter, state, nowMs)
+      return
+    }
     if (!this.#hasServerFor(waiter)) {
       this.#stopAwaiting(waiter.key)
       const need = this.#needOf(waiter, nowMs)
@@ -157,12 +163,11 @@
     report: LoadReport | null,
     nowMs: number,
   ): void {
-    for (const state of this.#servers.values()) {
-      const running = state.running.get(key)
-      if (running === undefined) continue
-      state.endRequest(key, use, durationMs, report, nowMs)
-      if (use === SlotOutcome.Completed) this.#recordDuration(running, state, durationMs, nowMs)
-      break
+    const state = this.#servers.takeRequest(key)
+    const running = state?.endRequest(key, use, durationMs, report, nowMs)
+    if (state !== undefined) this.#servers.refresh(state)
+    if (state !== undefined && running !== undefined && use === SlotOutcome.Completed) {
+      this.#recordDuration(running, state, durationMs, nowMs)
     }
     this.#dispatch(nowMs)
   }
@@ -210,11 +215,14 @@
   /** Counts slots in use that another coordinator granted. */
   adopt(instance: string, uses: readonly HeldSlotReport[], nowMs: number): void {
     for (const { askId, serverId, route, forMs } of uses) {
-      const state = this.#servers.get(serverId)
+      const state = this.#servers.find(serverId)
+      if (state === undefined) continue
       const expectedMs = this.#estimates.expectedMs(route, this.#region, true)
       const startedAtMs = nowMs - forMs
       const request = { route, object: '', startedAtMs, expectedMs, reuseDistance: undefined }
-      state?.startRequest(`${instance}/${askId}`, request, nowMs)
+      const key = `${instance}/${askId}`
+      state.startRequest(key, request, nowMs)
+      this.#servers.setRequest(key, state)
     }
   }
 
@@ -224,10 +232,13 @@
     for (const waiter of this.#queue.all()) {
       if (waiter.key.startsWith(prefix)) this.#removeWaiter(waiter.key)
     }
-    for (const state of this.#servers.values()) {
+    for (const state of this.#servers.all()) {
       for (const key of [...state.running.keys()]) {
-        if (key.startsWith(prefix)) state.running.delete(key)
+        if (!key.startsWith(prefix)) continue
+        state.running.delete(key)
+        this.#servers.takeRequest(key)
       }
+      this.#servers.refresh(state)
     }
     this.#dispatch(nowMs)
   }
@@ -326,7 +337,7 @@
     const expired = [...this.#borrowedSlots].filter(([, { untilMs }]) => untilMs <= nowMs)
     for (const [region] of expired) this.#borrowedSlots.delete(region)
     if (expired.length > 0) this.#rebuildServers(nowMs)
-    const borrowedSlots = [...this.#servers.values()]
+    const borrowedSlots = [...this.#servers.all()]
       .filter(({ server }) => server.region !== this.#region)
       .reduce((sum, { server }) => sum + server.slots / this.#pipelineFactor(), 0)
     const { neededSlots, slots } = this.demand(nowMs)
@@ -344,7 +355,7 @@
   stats(nowMs: number): CoordinatorStats {
     let slots = 0
     let running = 0
-    for (const state of this.#servers.values()) {
+    for (const state of this.#servers.all()) {
       slots += state.server.slots
       running += state.running.size
     }
@@ -377,44 +388,48 @@
         servers.set(serverId, { ...server, slots: Math.round(count * this.#pipelineFactor()) })
       }
     }
-    for (const [id, state] of this.#servers) {
-      const server = servers.get(id)
-      if (server !== undefined) state.update(server)
-      else if (state.running.size === 0) this.#servers.delete(id)
-      else state.update({ ...state.server, slots: 0 })
+    for (const state of [...this.#servers.all()]) {
+      const server = servers.get(state.server.id)
+      if (server === undefined && state.running.size === 0) {
+        this.#servers.remove(state)
+        continue
+      }
+      state.update(server ?? { ...state.server, slots: 0 })
+      this.#servers.refresh(state)
     }
     for (const [id, server] of servers) {
-      const isNew = !this.#servers.has(id)
-      if (isNew) this.#servers.set(id, new ServerState(server, this.#objectCache, nowMs))
+      if (this.#servers.find(id) !== undefined) continue
+      const { holders } = this.#servers
+      this.#servers.add(new ServerState(server, this.#objectCache, holders, nowMs))
     }
     this.#totalSlots = 0
-    for (const { server } of this.#servers.values()) this.#totalSlots += server.slots
+    for (const { server } of this.#servers.all()) this.#totalSlots += server.slots
   }
 
   #dispatch(nowMs: number): void {
-    if (this.#queue.length === 0 || !this.#hasFreeSlot(nowMs)) return
-    const ordered = this.#queue.ordered((waiter) => this.#latestStartAtMs(waiter), nowMs)
-    for (const waiter of ordered.slice(0, MAX_DISPATCH_CANDIDATES)) {
-      if (!this.#hasFreeSlot(nowMs)) return
-      // Removed first, because the grant may call back into this coordinator.
-      if (this.#queue.remove(waiter.key) === undefined) continue
-      if (!this.#tryGrant(waiter, nowMs)) this.#queue.add(waiter)
+    if (this.#queue.length === 0 || !this.#servers.hasFree(nowMs)) return
+    const serviceMsOf = (route: string): number => this.#serviceMs(route)
+    for (const waiter of this.#queue.first(MAX_DISPATCH_CANDIDATES, serviceMsOf, nowMs)) {
+      if (!this.#servers.hasFree(nowMs)) return
+      // A grant may call back into this coordinator and withdraw other waiters.
+      if (!this.#queue.has(waiter.key)) continue
+      const state = this.#findSlot(waiter, nowMs)
+      if (state === undefined) continue
+      this.#queue.remove(waiter.key)
+      this.#grant(waiter, state, nowMs)
     }
   }
 
-  #hasFreeSlot(nowMs: number): boolean {
-    for (const state of this.#servers.values()) if (state.freeSlots(nowMs) > 0) return true
-    return false
-  }
-
-  #tryGrant(waiter: Waiter, nowMs: number): boolean {
+  /** Returns the server for a request if it has a free slot; else the request awaits it. */
+  #findSlot(waiter: Waiter, nowMs: number): ServerState | undefined {
     this.#stopAwaiting(waiter.key)
     const state = this.#selectServer(waiter, nowMs)
-    if (state === undefined) return false
-    if (state.freeSlots(nowMs) <= 0) {
-      this.#startAwaiting(waiter.key, state.server.id)
-      return false
-    }
+    if (state === undefined || state.freeSlots(nowMs) > 0) return state
+    this.#startAwaiting(waiter.key, state.server.id)
+    return undefined
+  }
+
+  #grant(waiter: Waiter, state: ServerState, nowMs: number): void {
     const { route, object } = waiter.request
     const { id, region } = state.server
     const expectedMs = this.#estimates.expectedMs(route, region, state.hasCached(object))
@@ -424,9 +439,9 @@
       { route, object, startedAtMs: nowMs, expectedMs, reuseDistance },
       nowMs,
     )
+    this.#servers.setRequest(waiter.key, state)
     this.#remoteShare.recordRequest(region !== this.#region, nowMs)
     waiter.onGranted(id)
-    return true
   }
 
   /** Returns the server with the earliest expected completion, which may be a full one. */
@@ -451,11 +466,13 @@
   ): { readonly state: ServerState; readonly costMs: number } | undefined {
     let best: ServerState | undefined
     let bestMs = Number.POSITIVE_INFINITY
-    for (const state of this.#servers.values()) {
+    const { object } = waiter.request
+    const slotTimeWeight = this.#slotTimeWeight(waiter)
+    for (const state of this.#servers.candidates(object, objectHash, isLocal, nowMs)) {
       const { id, region, slots } = state.server
       if ((region === this.#region) !== isLocal || slots <= 0 || state.isSuspended(nowMs)) continue
       if (waiter.request.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
-      const costMs = this.#costMs(waiter, objectHash, state, nowMs)
+      const costMs = this.#costMs(waiter, objectHash, slotTimeWeight, state, nowMs)
       if (costMs < bestMs) {
         best = state
         bestMs = costMs
@@ -468,7 +485,13 @@
    * Expected time until completion on the server, plus small terms that spread the work.
    * A full server that has the object cached is often worth the short wait for a slot.
    */
-  #costMs(waiter: Waiter, objectHash: number, state: ServerState, nowMs: number): number {
+  #costMs(
+    waiter: Waiter,
+    objectHash: number,
+    slotTimeWeight: number,
+    state: ServerState,
+    nowMs: number,
+  ): number {
     const { route, object } = waiter.request
     const { id, region, zone, slots } = state.server
     const waiterCount = this.#waiterCounts.get(id) ?? 0
@@ -481,7 +504,7 @@
     const waitMs = isFull ? ((waiterCount + 1) * this.#meanHoldTimeMs() * slowdown) / slots : 0
     return (
       waitMs +
-      usualMs * slowdown * this.#slotTimeWeight() +
+      usualMs * slowdown * slotTimeWeight +
       usualMs * (LOAD_WEIGHT * load + OBJECT_AFFINITY_WEIGHT * preference) +
       (zone === waiter.zone ? 0 : CROSS_ZONE_COST_MS)
     )
@@ -489,10 +512,11 @@
 
   /**
    * Weight of slot time relative to the duration of the request itself: each extra
-   * millisecond in a slot delays all queued requests.
+   * millisecond in a slot delays all other queued requests.
    */
-  #slotTimeWeight(): number {
-    return 1 + this.#queue.length / Math.max(1, this.#totalSlots)
+  #slotTimeWeight({ key }: Waiter): number {
+    const others = this.#queue.length - Number(this.#queue.has(key))
+    return 1 + others / Math.max(1, this.#totalSlots)
   }
 
   #isAllowed(waiter: Waiter, region: string): boolean {
@@ -501,7 +525,7 @@
   }
 
   #hasServerFor(waiter: Waiter): boolean {
-    for (const { server } of this.#servers.values()) {
+    for (const { server } of this.#servers.all()) {
       if (server.slots > 0 && this.#isAllowed(waiter, server.region)) return true
     }
     return false
@@ -509,23 +533,19 @@
 
   #needOf(waiter: Waiter, nowMs: number): RequestNeed {
     return {
-      serviceMs: this.#estimates.expectedMs(waiter.request.route, this.#region, true),
+      serviceMs: this.#serviceMs(waiter.request.route),
       targetInMs: waiter.targetAtMs - nowMs,
       deadlineInMs: waiter.deadlineAtMs - nowMs,
       isReturn: waiter.request.isReturn,
     }
   }
 
-  #latestStartAtMs(waiter: Waiter): number {
-    return waiter.targetAtMs - this.#estimates.expectedMs(waiter.request.route, this.#region, true)
+  #serviceMs(route: string): number {
+    return this.#estimates.expectedMs(route, this.#region, true)
   }
 
   #queueState(waiter: Waiter, nowMs: number): QueueState {
-    const ahead = this.#queue.countAhead(
-      waiter.request,
-      (other) => this.#latestStartAtMs(other),
-      nowMs,
-    )
+    const ahead = this.#queue.countAhead(waiter.request, (route) => this.#serviceMs(route), nowMs)
     return {
       aheadInTime: ahead.inTime,
       aheadLate: ahead.late,
