--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,7 @@
   drain: async () => (await import('./drainBench.js')).runDrainBench,
   failover: async () => (await import('./failoverBench.js')).runFailoverBench,
   lookup: async () => (await import('./lookupBench.js')).runLookupBench,
+  scale: async () => (await import('./scaleBench.js')).runScaleBench,
   shift: async () => (await import('./shiftBench.js')).runShiftBench,
 }
 
--- a/src/entry/__tests__/serviceCoordinator.spec.ts
+++ b/src/entry/__tests__/serviceCoordinator.spec.ts
@@ -4,8 +4,8 @@
 import type { CoordinatedServer } from '../serverState.js'
 import { ServiceCoordinator } from '../serviceCoordinator.js'
 import type { Waiter } from '../requestQueue.js'
-import type { LoadOptions } from './loadSimulation.js'
-import { simulateLoad } from './loadSimulation.js'
+import type { LoadOptions } from '../../../testing/loadSimulation.js'
+import { simulateLoad } from '../../../testing/loadSimulation.js'
 
 const CACHED_MS = 60
 const LOAD: LoadOptions = {
--- a/src/lookup/__tests__/lookupDaemon.spec.ts
+++ b/src/lookup/__tests__/lookupDaemon.spec.ts
@@ -19,6 +19,8 @@
 
 /** Value of the setting `leaveDelayMs` of the daemon under test. */
 const LEAVE_DELAY_MS = 1000
+/** Time for a line of the daemon's output to arrive here. */
+const MAX_LOG_DELAY_MS = 1000
 const TOKEN = 'token-of-the-lookup-daemon-test'
 
 /** The lookup daemon runs as a process; the runtime of a gateway runs in the test process. */
@@ -146,7 +148,18 @@
     const answer = JSON.parse(text) as { revision: number; entries: { address: string }[] }
     expect(answer.revision).to.equal(1)
     expect(answer.entries.map(({ address }) => address)).to.deep.equal(['127.0.0.1:9'])
-    expect(daemon.lines.filter((line) => line.includes('"type":"decision"'))).to.have.length(1)
+    const decisions = (): string[] =>
+      daemon.lines.filter((line) => line.includes('"type":"decision"'))
+    // The daemon writes the line before it answers, but the pipe may deliver it after the answer.
+    for (
+      let waitedMs = 0;
+      decisions().length === 0 && waitedMs < MAX_LOG_DELAY_MS;
+      waitedMs += 10
+    ) {
+      await sleep(10)
+    }
+    await sleep(50)
+    expect(decisions()).to.have.length(1)
   })
 
   it('does not log the token', () => {
--- a/src/entry/__tests__/loadSimulation.ts
+++ b/testing/loadSimulation.ts
@@ -1,8 +1,8 @@
 /** Simulation of a service coordinator under load, with simulated backend servers and time. */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
-import { SlotOutcome } from '../peerMessages.js'
-import type { CoordinatedServer } from '../serverState.js'
-import { ServiceCoordinator } from '../serviceCoordinator.js'
+import { SlotOutcome } from '../src/entry/peerMessages.js'
+import type { CoordinatedServer } from '../src/entry/serverState.js'
+import { ServiceCoordinator } from '../src/entry/serviceCoordinator.js'
 
 /** Load and servers of a simulation. */
 export interface LoadOptions {
