fix(entry): slots of a silent instance stay in use, and old permissions are not acted on after a pause

Cause: a coordinator freed the slots of an instance as soon as its link was lost, though its requests still ran; their slots were filled a second time. A coordinator that was silent and came back was told only of the slots that others had granted. Borrowed slots expired with a timer, and after a pause the socket is read before timers fire; so was a grant after its request's deadline, which was then sent with 1 ms left. Ruled out: freeing slots only at the requests' deadlines (a lost zone would block them for 15 s). Change: UnconfirmedSlots keeps the slots of a lost link until the requests have usually ended (1 s at most if the link was closed); an instance reports all held slots when a link is new; another incarnation frees them at once. PauseDetector (gaps of the steady clock, or of the time of day against it) gives up borrowed slots and renews undecided slot requests. A grant that is read after the deadline is given back. Not covered: grants that a paused coordinator makes to its own requests before its peers have reported to it.

--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -1,10 +1,12 @@
 /** Runs the service coordinators of this instance, for slot requests of peers and of its own. */
 import type { BackendServerRegistry, RegisteredBackendServer } from './backendServerRegistry.js'
+import type { InstanceRecord } from './instanceRecord.js'
 import type { InstanceTable } from './instanceTable.js'
 import { coordinatorOrder } from './instanceTable.js'
 import type { LoadReport } from './loadReport.js'
 import type {
   HeldSlotReport,
+  HeldSlotsMessage,
   SlotRequestMessage,
   DemandMessage,
   LendSlotsMessage,
@@ -19,6 +21,7 @@
 import type { RegionDemand } from './slotLending.js'
 import { slotsToLend } from './slotLending.js'
 import type { Waiter } from './requestQueue.js'
+import type { LinkLoss } from './unconfirmedSlots.js'
 
 /** Interval at which demand and lent slots are sent to other regions, in milliseconds. */
 const EXCHANGE_INTERVAL_MS = 400
@@ -64,6 +67,8 @@
 export class Coordination implements LocalCoordinators {
   readonly #dependencies: CoordinationDependencies
   readonly #services = new Map<string, CoordinatedService>()
+  /** Incarnation of each peer that has greeted this instance, by name. */
+  readonly #incarnations = new Map<string, string>()
   #exchangedAtMs = Number.NEGATIVE_INFINITY
 
   constructor(dependencies: CoordinationDependencies) {
@@ -133,8 +138,33 @@
     this.releaseSlot(service, key, SlotOutcome.Abandoned, 0, null, nowMs)
   }
 
-  handlePeerLoss(peer: string, nowMs: number): void {
-    for (const { coordinator } of this.#services.values()) coordinator.removeInstance(peer, nowMs)
+  /** Handles the report of a peer about the slots that it holds. */
+  handleHeldSlots(
+    peer: string,
+    { service, uses, isComplete }: HeldSlotsMessage,
+    nowMs: number,
+  ): void {
+    if (isComplete !== true) this.adopt(service, peer, uses, nowMs)
+    else this.#getOrCreate(service, nowMs).coordinator.confirmInstance(peer, uses, nowMs)
+  }
+
+  handlePeerLoss(peer: string, loss: LinkLoss, nowMs: number): void {
+    for (const { coordinator } of this.#services.values()) {
+      coordinator.suspectInstance(peer, loss, nowMs)
+    }
+  }
+
+  /** Handles the greeting of a peer; another incarnation of it no longer runs earlier requests. */
+  handlePeerUp({ name, incarnation }: InstanceRecord, nowMs: number): void {
+    const previous = this.#incarnations.get(name)
+    this.#incarnations.set(name, incarnation)
+    if (previous === undefined || previous === incarnation) return
+    for (const { coordinator } of this.#services.values()) coordinator.removeInstance(name, nowMs)
+  }
+
+  /** Gives up what other regions lent, after a pause in which it may have expired. */
+  handlePause(nowMs: number): void {
+    for (const { coordinator } of this.#services.values()) coordinator.giveUpBorrowedSlots(nowMs)
   }
 
   handleDemand(message: DemandMessage, nowMs: number): void {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http'
 import { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
-import { sleep } from '../common/clock.js'
+import { sleep, systemClock } from '../common/clock.js'
 import { BackendServerRegistry } from './backendServerRegistry.js'
 import { CallerServer } from './callerServer.js'
 import { ConnectionPool } from './connectionPool.js'
@@ -19,6 +19,7 @@
 import { handlePeerMessage } from './peerMessageHandlers.js'
 import { PeerMesh } from './peerMesh.js'
 import { EventLoopDelay } from './eventLoopDelay.js'
+import { PauseDetector } from './pauseDetector.js'
 import { RequestRunner } from './requestRunner.js'
 import { RosterIndex, parseRoster } from './rosterIndex.js'
 import { ROSTER_PREFIX, RosterWriter } from './rosterWriter.js'
@@ -66,6 +67,7 @@
   readonly #rosterWriter: RosterWriter
   readonly #rosters = new RosterIndex()
   readonly #eventLoopDelay = new EventLoopDelay()
+  readonly #pauses: PauseDetector
   readonly #mesh: PeerMesh
   readonly #coordination: Coordination
   readonly #slots: SlotClient
@@ -78,6 +80,7 @@
   readonly #timers: NodeJS.Timeout[] = []
   #tickTimer: NodeJS.Timeout | undefined
   #shutdown: Shutdown | undefined
+  #stopped: Promise<void> | undefined
   #wasStoreUnreachable = false
 
   constructor(
@@ -93,6 +96,7 @@
     this.#log = log
     this.#table = new InstanceTable(settings.record)
     this.#contact = new StoreContact(settings.applyMs, clock())
+    this.#pauses = new PauseDetector(clock(), systemClock())
     this.#mirror = new StoreMirror((key, value, revision) => {
       this.#applyItem(key, value === undefined ? undefined : Buffer.from(value, 'base64'), revision)
     })
@@ -111,8 +115,8 @@
         messageReceived: (peer, message) => {
           this.#handleMessage(peer, message)
         },
-        linkLost: (peer) => {
-          this.#coordination.handlePeerLoss(peer, clock())
+        linkLost: (peer, loss) => {
+          this.#coordination.handlePeerLoss(peer, loss, clock())
           this.#slots.handlePeerLoss(peer)
           this.#catchUp.removePeer(peer)
         },
@@ -218,6 +222,7 @@
 
   #tick(): void {
     const nowMs = this.#clock()
+    this.#checkPause(nowMs)
     this.#coordination.tick(nowMs)
     this.#requestMissingChanges(nowMs)
     const intervalMs = this.#coordination.hasWaiters ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS
@@ -227,12 +232,29 @@
     }, intervalMs)
   }
 
+  /**
+   * Gives up permissions that may have run out while the process was paused. Called before
+   * messages as well, because they can be read before a timer fires.
+   */
+  #checkPause(nowMs: number): void {
+    const pausedMs = this.#pauses.observe(nowMs, systemClock())
+    if (pausedMs === 0) return
+    this.#log.event('paused', { pausedMs: Math.round(pausedMs) })
+    this.#coordination.handlePause(nowMs)
+    this.#slots.renewPending()
+  }
+
   /**
    * Shuts down without dropping requests: leaves the directory, waits for open requests until
-   * shortly before the end of the grace period, and then closes everything.
+   * shortly before the end of the grace period, and then closes everything. Further calls wait for
+   * the same shutdown, because the program exits once it is done.
    */
-  async stop(): Promise<void> {
-    if (this.#shutdown !== undefined) return
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop()
+    return this.#stopped
+  }
+
+  async #stop(): Promise<void> {
     const startedAtMs = this.#clock()
     const endAtMs = startedAtMs + this.#settings.graceMs - EXIT_BEFORE_KILL_MS
     this.#shutdown = new Shutdown(startedAtMs, endAtMs)
@@ -252,6 +274,8 @@
     this.#callers.stop()
     this.#follower.stop()
     await Promise.race([this.#rosterWriter.stop(), sleep(LAST_STORE_CALL_TIMEOUT_MS)])
+    // Requests that were under way when the listener closed were read since.
+    while (this.#callers.openRequests > 0 && this.#clock() < endAtMs) await sleep(TICK_INTERVAL_MS)
     for (const timer of this.#timers) clearInterval(timer)
     clearTimeout(this.#tickTimer)
     this.#mesh.stop()
@@ -272,6 +296,9 @@
 
   #handleHello(peer: InstanceRecord, hello: HelloMessage): void {
     const nowMs = this.#clock()
+    this.#checkPause(nowMs)
+    this.#coordination.handlePeerUp(peer, nowMs)
+    this.#slots.handlePeerUp(peer.name)
     // A peer that has just started may be the coordinator of a service at once.
     this.#coordination.handOver(nowMs)
     const isSameRegion = peer.region === this.#settings.record.region
@@ -312,6 +339,7 @@
 
   #handleMessage(peer: string, message: PeerMessage): void {
     const nowMs = this.#clock()
+    this.#checkPause(nowMs)
     handlePeerMessage(
       {
         peer,
--- a/src/entry/peerMesh.ts
+++ b/src/entry/peerMesh.ts
@@ -11,6 +11,7 @@
 import { PeerLink } from './peerLink.js'
 import type { HelloMessage, PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
+import { LinkLoss } from './unconfirmedSlots.js'
 
 /** Interval of link checks, and of heartbeats on links that carry work. */
 const HEARTBEAT_INTERVAL_MS = 300
@@ -40,7 +41,7 @@
   helloReceived(peer: InstanceRecord, hello: HelloMessage): void
   messageReceived(peer: string, message: PeerMessage): void
   /** Called when the link used for a peer closes. */
-  linkLost(peer: string): void
+  linkLost(peer: string, loss: LinkLoss): void
 }
 
 export interface PeerMeshDependencies {
@@ -69,6 +70,8 @@
   peerIntervalMs: number
   /** Whether this side has sent its hello; the accepting side waits for the peer's hello first. */
   isHelloSent: boolean
+  /** Whether this side closes the connection because nothing was received for too long. */
+  isSilent: boolean
 }
 
 /** Opens, monitors and closes the links of this process to its peers. */
@@ -173,6 +176,7 @@
       lastActiveAtMs: nowMs,
       peerIntervalMs: HEARTBEAT_INTERVAL_MS,
       isHelloSent: false,
+      isSilent: false,
     }
     this.#connections.add(connection)
     return connection
@@ -244,7 +248,7 @@
     const { table, log, listener, clock } = this.#dependencies
     table.setLinkState(peer, LinkState.Down, clock())
     log.event('peerDown', { peer, reason })
-    listener.linkLost(peer)
+    listener.linkLost(peer, connection.isSilent ? LinkLoss.Silent : LinkLoss.Closed)
   }
 
   #checkLinks(nowMs: number): void {
@@ -253,7 +257,10 @@
     for (const connection of [...this.#connections]) {
       const timeoutMs = connection.peerIntervalMs * MAX_LOST_HEARTBEATS + LINK_TIMEOUT_MARGIN_MS
       if (wasPaused) connection.lastReceivedAtMs = nowMs
-      else if (nowMs - connection.lastReceivedAtMs > timeoutMs) connection.link.close()
+      else if (nowMs - connection.lastReceivedAtMs > timeoutMs) {
+        connection.isSilent = true
+        connection.link.close()
+      }
     }
     for (const connection of this.#connectionByPeer.values()) this.#sendHeartbeat(connection, nowMs)
     const { table } = this.#dependencies
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -57,8 +57,8 @@
     const { service, askId, use, durationMs, report } = message
     coordination.releaseSlot(service, `${peer}/${askId}`, use, durationMs, report, nowMs)
   },
-  [PeerMessageKind.HeldSlots]: ({ coordination, peer, nowMs }, { service, uses }) => {
-    coordination.adopt(service, peer, uses, nowMs)
+  [PeerMessageKind.HeldSlots]: ({ coordination, peer, nowMs }, message) => {
+    coordination.handleHeldSlots(peer, message, nowMs)
   },
   [PeerMessageKind.StoreUpdate]: (context, { items, revision, since, isComplete }) => {
     const { mirror, catchUp, peer, nowMs } = context
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -20,7 +20,7 @@
   Refuse = 'r',
   /** Releases a slot and reports how its request ended. */
   ReleaseSlot = 'd',
-  /** Reports the slots that the sender holds to a new coordinator. */
+  /** Reports the slots that the sender holds to a coordinator that may not know them. */
   HeldSlots = 'o',
   /** Changes of the store. */
   StoreUpdate = 'n',
@@ -131,7 +131,7 @@
   readonly report: LoadReport | null
 }
 
-/** Slot that an instance holds, as reported to a new coordinator. */
+/** Slot that an instance holds, as reported to a coordinator. */
 export interface HeldSlotReport {
   readonly askId: number
   readonly serverId: string
@@ -144,6 +144,8 @@
   readonly kind: PeerMessageKind.HeldSlots
   readonly service: string
   readonly uses: readonly HeldSlotReport[]
+  /** Whether `uses` are all slots that the sender holds, so that any other has been released. */
+  readonly isComplete?: boolean
 }
 
 /** Item of the store at one revision. */
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -138,6 +138,12 @@
         }
         continue
       }
+      if (state.deadlineAtMs - clock() < MIN_TIME_TO_SEND_MS / 2) {
+        // The grant was read before the timer of the deadline fired, as after a pause.
+        slot.grant.release(SlotOutcome.Abandoned, 0, null)
+        const late = { reason: 'granted too late', retryAfterMs: 0, coordinator: '' }
+        return this.#handleRefusal(state, late, uncertainOutcome)
+      }
       const outcome = await this.#send(state, slot.grant, server)
       const next = NEXT_STEP_BY_OUTCOME[outcome.kind](state.route.repeatability, outcome)
       if (next.isFinal) return this.#finish(state, outcome, next.failure)
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -29,6 +29,8 @@
 import { chooseLentSlots } from './slotLending.js'
 import type { Waiter } from './requestQueue.js'
 import { RequestQueue } from './requestQueue.js'
+import type { LinkLoss } from './unconfirmedSlots.js'
+import { UnconfirmedSlots, reportedUntilMs, unconfirmedUntilMs } from './unconfirmedSlots.js'
 
 /** Time constant of the arrival rate, in ms; short enough to follow a burst of some seconds. */
 const ARRIVAL_WINDOW_MS = 1500
@@ -81,6 +83,7 @@
   /** Server that each queued request waits for, and number of waiting requests by server. */
   readonly #awaitedServers = new Map<string, string>()
   readonly #waiterCounts = new Map<string, number>()
+  readonly #unconfirmedSlots = new UnconfirmedSlots()
   readonly #lentSlots = new Map<string, readonly LentSlots[]>()
   readonly #borrowedSlots = new Map<
     string,
@@ -120,6 +123,7 @@
   /** Grants a slot, refuses it (both call back synchronously), or queues the request. */
   requestSlot(waiter: Waiter, nowMs: number): void {
     const { request } = waiter
+    this.#expireBorrowedSlots(nowMs)
     this.#assumedDemand.recordRequest(nowMs)
     if (request.excludedServers.length === 0) this.#arrivals.add(1, nowMs)
     const isQueueEmpty = this.#queue.length === 0
@@ -163,6 +167,8 @@
     report: LoadReport | null,
     nowMs: number,
   ): void {
+    this.#expireBorrowedSlots(nowMs)
+    this.#unconfirmedSlots.remove(key)
     const state = this.#servers.takeRequest(key)
     const running = state?.endRequest(key, use, durationMs, report, nowMs)
     if (state !== undefined) this.#servers.refresh(state)
@@ -215,40 +221,92 @@
   /** Counts slots in use that another coordinator granted. */
   adopt(instance: string, uses: readonly HeldSlotReport[], nowMs: number): void {
     for (const { askId, serverId, route, forMs } of uses) {
+      const key = `${instance}/${askId}`
       const state = this.#servers.find(serverId)
-      if (state === undefined) continue
+      if (state === undefined || state.running.has(key)) continue
       const expectedMs = this.#estimates.expectedMs(route, this.#region, true)
       const startedAtMs = nowMs - forMs
       const request = { route, object: '', startedAtMs, expectedMs, reuseDistance: undefined }
-      const key = `${instance}/${askId}`
       state.startRequest(key, request, nowMs)
       this.#servers.setRequest(key, state)
+      this.#unconfirmedSlots.add(key, reportedUntilMs(request))
     }
   }
 
-  /** Drops the queued requests and releases the slots of a failed or unreachable instance. */
-  removeInstance(instance: string, nowMs: number): void {
-    const prefix = `${instance}/`
-    for (const waiter of this.#queue.all()) {
-      if (waiter.key.startsWith(prefix)) this.#removeWaiter(waiter.key)
+  /** Drops the queued requests of an instance without a link; its slots stay in use for a time. */
+  suspectInstance(instance: string, loss: LinkLoss, nowMs: number): void {
+    this.#removeWaitersOf(instance)
+    for (const { key, request } of this.#requestsOf(instance)) {
+      this.#unconfirmedSlots.add(key, unconfirmedUntilMs(request, loss, nowMs))
     }
-    for (const state of this.#servers.all()) {
-      for (const key of [...state.running.keys()]) {
-        if (!key.startsWith(prefix)) continue
-        state.running.delete(key)
-        this.#servers.takeRequest(key)
-      }
-      this.#servers.refresh(state)
+    this.#dispatch(nowMs)
+  }
+
+  /** Keeps the slots that an instance still holds after its link was lost, and frees the others. */
+  confirmInstance(instance: string, uses: readonly HeldSlotReport[], nowMs: number): void {
+    const heldKeys = new Set(uses.map(({ askId }) => `${instance}/${askId}`))
+    for (const key of this.#unconfirmedSlots.withPrefix(`${instance}/`)) {
+      this.#unconfirmedSlots.remove(key)
+      if (!heldKeys.has(key)) this.#freeSlot(key)
+    }
+    this.adopt(instance, uses, nowMs)
+    this.#dispatch(nowMs)
+  }
+
+  /** Drops the queued requests and releases the slots of a process that has ended. */
+  removeInstance(instance: string, nowMs: number): void {
+    this.#removeWaitersOf(instance)
+    for (const { key } of this.#requestsOf(instance)) {
+      this.#unconfirmedSlots.remove(key)
+      this.#freeSlot(key)
     }
     this.#dispatch(nowMs)
   }
 
+  #removeWaitersOf(instance: string): void {
+    for (const { key } of this.#queue.all()) {
+      if (key.startsWith(`${instance}/`)) this.#removeWaiter(key)
+    }
+  }
+
+  #requestsOf(instance: string): { readonly key: string; readonly request: RunningRequest }[] {
+    return [...this.#servers.all()].flatMap(({ running }) =>
+      [...running]
+        .filter(([key]) => key.startsWith(`${instance}/`))
+        .map(([key, request]) => ({ key, request })),
+    )
+  }
+
+  /** Frees a slot whose request has ended in an unknown way. */
+  #freeSlot(key: string): void {
+    const state = this.#servers.takeRequest(key)
+    if (state === undefined) return
+    state.running.delete(key)
+    this.#servers.refresh(state)
+  }
+
   /** Adds or renews the slots that another region lends. */
   borrow(region: string, slots: readonly LentSlots[], nowMs: number): void {
     this.#borrowedSlots.set(region, { slots, untilMs: nowMs + BORROWED_SLOTS_TTL_MS })
     this.#rebuildServers(nowMs)
   }
 
+  /** Gives up all borrowed slots; the lenders renew those that are still lent. */
+  giveUpBorrowedSlots(nowMs: number): void {
+    this.#expireBorrowedSlots(Number.POSITIVE_INFINITY)
+    this.#dispatch(nowMs)
+  }
+
+  #expireBorrowedSlots(nowMs: number): void {
+    let hasExpired = false
+    for (const [region, { untilMs }] of this.#borrowedSlots) {
+      if (untilMs > nowMs) continue
+      this.#borrowedSlots.delete(region)
+      hasExpired = true
+    }
+    if (hasExpired) this.#rebuildServers(nowMs)
+  }
+
   /**
    * Chooses the slots to lend.
    * @param counts number of slots by borrowing region
@@ -334,9 +392,8 @@
    * requests.
    */
   tick(nowMs: number): void {
-    const expired = [...this.#borrowedSlots].filter(([, { untilMs }]) => untilMs <= nowMs)
-    for (const [region] of expired) this.#borrowedSlots.delete(region)
-    if (expired.length > 0) this.#rebuildServers(nowMs)
+    this.#expireBorrowedSlots(nowMs)
+    for (const key of this.#unconfirmedSlots.takeExpired(nowMs)) this.#freeSlot(key)
     const borrowedSlots = [...this.#servers.all()]
       .filter(({ server }) => server.region !== this.#region)
       .reduce((sum, { server }) => sum + server.slots / this.#pipelineFactor(), 0)
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -95,11 +95,23 @@
 
   /** Requests a slot; the returned function withdraws a request that is still undecided. */
   acquire(request: LocalSlotRequest, listener: SlotListener): () => void {
-    this.#lastId += 1
-    const askId = this.#lastId
-    this.#sendRequest(askId, request, listener)
+    this.#sendRequest(this.#nextId(), request, listener)
     return () => {
+      for (const [askId, pending] of this.#pending) {
+        if (pending.listener === listener) this.#withdraw(askId)
+      }
+    }
+  }
+
+  /**
+   * Withdraws the undecided requests and sends them anew. After a pause, a grant that was on its
+   * way may be for a slot that its coordinator has granted to another instance since.
+   */
+  renewPending(): void {
+    for (const [askId, { coordinator, request, listener }] of [...this.#pending]) {
+      if (coordinator === this.#table.self.name) continue
       this.#withdraw(askId)
+      this.#sendRequest(this.#nextId(), request, listener)
     }
   }
 
@@ -130,6 +142,19 @@
     }
   }
 
+  /** Handles a new link: reports the slots in use to a coordinator that may have given them up. */
+  handlePeerUp(peer: string): void {
+    const nowMs = this.#clock()
+    for (const [service, coordinator] of this.#lastCoordinator) {
+      if (coordinator === peer) this.#sendHeldSlots(service, coordinator, nowMs)
+    }
+  }
+
+  #nextId(): number {
+    this.#lastId += 1
+    return this.#lastId
+  }
+
   /** Current coordinator of a service; this instance if no other is reachable. */
   coordinatorOf(service: string, nowMs: number): string {
     const { self } = this.#table
@@ -182,17 +207,23 @@
     if (this.#lastCoordinator.get(service) === coordinator) return
     const isFirst = !this.#lastCoordinator.has(service)
     this.#lastCoordinator.set(service, coordinator)
-    if (isFirst) return
+    if (!isFirst) this.#sendHeldSlots(service, coordinator, nowMs)
+  }
+
+  /** The coordinator may have granted some of the slots itself and given them up since. */
+  #sendHeldSlots(service: string, coordinator: string, nowMs: number): void {
     const uses: HeldSlotReport[] = []
     for (const [askId, held] of this.#heldSlots) {
-      if (held.service !== service || held.coordinator === coordinator) continue
+      if (held.service !== service) continue
       const { serverId, route, sinceMs } = held
       uses.push({ askId, serverId, route, forMs: Math.round(nowMs - sinceMs) })
     }
-    if (uses.length === 0) return
     const { self } = this.#table
     if (coordinator === self.name) this.#local.adopt(service, self.name, uses, nowMs)
-    else this.#peers.send(coordinator, { kind: PeerMessageKind.HeldSlots, service, uses })
+    else {
+      const kind = PeerMessageKind.HeldSlots
+      this.#peers.send(coordinator, { kind, service, uses, isComplete: true })
+    }
   }
 
   #acceptGrant(askId: number, pending: PendingRequest, serverId: string): void {
