fix(entry): an overloaded region uses all slots that other regions lend it

A replay of three regions on the coordinators shows why: the remote share was worked out of all requests, also of those that are refused and run nowhere, so it fell as the overload grew (0.47 to 0.27) and lent slots stayed idle while 30 requests waited; and callers that came back counted as further demand (170/s of 100/s). Change: the target of the share is of what runs; demand counts first attempts.

--- a/src/entry/remoteShare.ts
+++ b/src/entry/remoteShare.ts
@@ -126,7 +126,11 @@
 /** Load fraction above which a region's own slots are considered full. */
 const FULL_LOAD_FRACTION = 0.85
 
-/** Share of the requests that exceeds the own slots and fits into the lent ones. */
+/**
+ * Share of the requests that run which exceeds the own slots and fits into the lent ones. Requests
+ * that don't fit anywhere are refused and run nowhere: if they counted, an overloaded region would
+ * leave lent slots idle.
+ */
 export function targetRemoteShare(
   neededSlots: number,
   ownSlots: number,
@@ -134,7 +138,8 @@
 ): number {
   if (neededSlots <= 0 || lentSlots <= 0) return 0
   const excess = neededSlots - ownSlots * FULL_LOAD_FRACTION
-  return Math.max(0, Math.min(excess, lentSlots)) / neededSlots
+  const remoteSlots = Math.max(0, Math.min(excess, lentSlots))
+  return remoteSlots / Math.min(neededSlots, ownSlots + remoteSlots)
 }
 
 /** Load assumed for all regions together before the first request, as a fraction of all slots. */
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -76,6 +76,8 @@
   readonly #objectCache = new ObjectCacheEstimate()
   readonly #queue = new RequestQueue()
   readonly #arrivals: DecayingRate
+  /** Arrivals without retries, which would count the demand of a refused caller twice. */
+  readonly #firstArrivals: DecayingRate
   readonly #holdTimeMs = new MovingMean(HOLD_TIME_WEIGHT)
   readonly #remoteHoldTimeMs = new MovingMean(HOLD_TIME_WEIGHT)
   readonly #remoteShare: RemoteShare
@@ -101,6 +103,7 @@
     this.#servers = new ServerIndex(region)
     this.#random = random
     this.#arrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
+    this.#firstArrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#remoteShare = new RemoteShare(nowMs)
   }
 
@@ -125,7 +128,10 @@
     const { request } = waiter
     this.#expireBorrowedSlots(nowMs)
     this.#assumedDemand.recordRequest(nowMs)
-    if (request.excludedServers.length === 0) this.#arrivals.add(1, nowMs)
+    if (request.excludedServers.length === 0) {
+      this.#arrivals.add(1, nowMs)
+      if (!request.isReturn) this.#firstArrivals.add(1, nowMs)
+    }
     const isQueueEmpty = this.#queue.length === 0
     const state = isQueueEmpty ? this.#findSlot(waiter, nowMs) : undefined
     if (state !== undefined) {
@@ -630,7 +636,7 @@
   }
 
   #neededSlots(nowMs: number): number {
-    return (this.#arrivals.perSecond(nowMs) * this.#meanHoldTimeMs()) / 1000
+    return (this.#firstArrivals.perSecond(nowMs) * this.#meanHoldTimeMs()) / 1000
   }
 
   /**
--- a/testing/loadSimulation.ts
+++ b/testing/loadSimulation.ts
@@ -3,18 +3,17 @@
 import { SlotOutcome } from '../src/entry/peerMessages.js'
 import type { CoordinatedServer } from '../src/entry/serverState.js'
 import { ServiceCoordinator } from '../src/entry/serviceCoordinator.js'
+import { EventQueue } from './eventQueue.js'
+import type { ServerModel } from './simulatedServers.js'
+import { SimulatedServers } from './simulatedServers.js'
 
 /** Load and servers of a simulation. */
-export interface LoadOptions {
+export interface LoadOptions extends ServerModel {
   readonly seed: number
   readonly servers: number
   readonly slots: number
   /** Number of objects, requested with equal probability. */
   readonly objects: number
-  /** Object cache size of a server. */
-  readonly cacheSize: number
-  readonly cachedMs: number
-  readonly uncachedMs: number
   readonly targetMs: number
   readonly deadlineMs: number
   readonly seconds: number
@@ -36,26 +35,15 @@
   readonly longestRefusedWaitMs: number
 }
 
-interface ScheduledEvent {
-  readonly atMs: number
-  readonly run: () => void
-}
-
 const REGION = 'here'
-const STRAGGLER_FRACTION = 0.03
-const STRAGGLER_FACTOR = 7
 const TICK_MS = 25
 
 /** Runs the simulation to its end. */
 export function simulateLoad(options: LoadOptions): LoadResult {
   const generator = xoroshiro128plus(options.seed)
   const random = (): number => (generator.next() >>> 0) / 2 ** 32
-  const queue: ScheduledEvent[] = []
-  const schedule = (atMs: number, run: () => void): void => {
-    let index = queue.length
-    while (index > 0 && (queue[index - 1]?.atMs ?? 0) > atMs) index -= 1
-    queue.splice(index, 0, { atMs, run })
-  }
+  const queue = new EventQueue()
+  const simulated = new SimulatedServers(options, random)
   const coordinator = new ServiceCoordinator('service', REGION, random, 0)
   coordinator.setTargetLatency('route', options.targetMs)
   const servers = Array.from({ length: options.servers }, (_, index): CoordinatedServer => ({
@@ -67,15 +55,11 @@
     coldRequestsPerSecond: 10,
   }))
   coordinator.updateServers(servers, (id) => servers.find((server) => server.id === id), 0)
-  const caches = new Map<string, string[]>(servers.map(({ id }) => [id, []]))
-  const running = new Map<string, number>()
   const result = {
     requests: 0,
     inTime: 0,
     late: 0,
     refused: 0,
-    peakConcurrency: 0,
-    cacheMisses: 0,
     longestRefusedWaitMs: 0,
   }
 
@@ -86,21 +70,10 @@
     arrivedAtMs: number,
     nowMs: number,
   ) => {
-    const cache = caches.get(serverId) ?? []
-    const isCached = cache.includes(object)
-    caches.set(
-      serverId,
-      [...cache.filter((other) => other !== object), object].slice(-options.cacheSize),
-    )
-    if (!isCached) result.cacheMisses += 1
-    const count = (running.get(serverId) ?? 0) + 1
-    running.set(serverId, count)
-    result.peakConcurrency = Math.max(result.peakConcurrency, count)
-    const factor = random() < STRAGGLER_FRACTION ? STRAGGLER_FACTOR : 0.85 + 0.3 * random()
-    const durationMs = (isCached ? options.cachedMs : options.uncachedMs) * factor
-    schedule(nowMs + durationMs, () => {
-      const endMs = nowMs + durationMs
-      running.set(serverId, (running.get(serverId) ?? 1) - 1)
+    const durationMs = simulated.start(serverId, object)
+    queue.schedule(nowMs + durationMs, () => {
+      const endMs = queue.nowMs
+      simulated.end(serverId)
       if (endMs - arrivedAtMs <= options.targetMs) result.inTime += 1
       else result.late += 1
       coordinator.releaseSlot(key, SlotOutcome.Completed, durationMs, null, endMs)
@@ -133,34 +106,31 @@
           regions: [],
         },
         onGranted: (serverId) => {
-          run(key, serverId, object, nowMs, currentMs)
+          run(key, serverId, object, nowMs, queue.nowMs)
         },
         onRefused: () => {
           result.refused += 1
-          result.longestRefusedWaitMs = Math.max(result.longestRefusedWaitMs, currentMs - nowMs)
+          result.longestRefusedWaitMs = Math.max(result.longestRefusedWaitMs, queue.nowMs - nowMs)
         },
       },
       nowMs,
     )
   }
   const endMs = options.seconds * 1000
-  let currentMs = 0
   for (let atMs = 0; atMs < endMs;) {
     const arrivedAtMs = atMs
-    schedule(arrivedAtMs, () => {
+    queue.schedule(arrivedAtMs, () => {
       arrive(arrivedAtMs)
     })
     atMs += -Math.log(1 - random()) * (1000 / options.rateAt(atMs / 1000))
   }
   for (let atMs = TICK_MS; atMs < endMs + options.deadlineMs; atMs += TICK_MS) {
     const tickAtMs = atMs
-    schedule(tickAtMs, () => {
+    queue.schedule(tickAtMs, () => {
       coordinator.tick(tickAtMs)
     })
   }
-  for (let event = queue.shift(); event !== undefined; event = queue.shift()) {
-    currentMs = event.atMs
-    event.run()
-  }
-  return result
+  queue.run()
+  const { peakConcurrency, cacheMisses } = simulated
+  return { ...result, peakConcurrency, cacheMisses }
 }
