fix(entry): single requests before the traffic don't end the preparation of a region

Operators test a configuration with a few requests before callers come; the first of them started the measurement, and three seconds later the assumed demand was gone. After a kill of all instances the share was adopted freely for 1.2 s, before the first exchange had brought any slots. Change: the assumption lasts until the demand reaches a tenth of it (20 s at most); without traffic the share moves freely; after a cold start it does for 2.5 s.

--- a/src/entry/__tests__/decisions.spec.ts
+++ b/src/entry/__tests__/decisions.spec.ts
@@ -94,7 +94,7 @@
     const share = new RemoteShare(0)
     const remoteByWindow = new Map<number, { remote: number; total: number }>()
     for (let nowMs = 0; nowMs < 20_000; nowMs += 5) {
-      share.moveTowards(nowMs % 6000 < 3000 ? 0.6 : 0, nowMs)
+      share.moveTowards(nowMs % 6000 < 3000 ? 0.6 : 0, nowMs, true)
       const isRemote =
         share.mustRunRemotely(nowMs) || (nowMs % 10 === 0 && share.mayRunRemotely(nowMs))
       share.recordRequest(isRemote, nowMs)
@@ -113,7 +113,7 @@
   it('adopts the target at once at the start, before it has converged', () => {
     const share = new RemoteShare(0)
     share.recordRequest(false, 0)
-    share.moveTowards(0.4, 500)
+    share.moveTowards(0.4, 500, true)
     expect(share.share).to.equal(0.4)
   })
 
--- a/src/entry/__tests__/serviceCoordinator.spec.ts
+++ b/src/entry/__tests__/serviceCoordinator.spec.ts
@@ -237,6 +237,28 @@
       expect(coordinator.stats(400).remoteShare).to.be.closeTo(before, 0.03)
     })
 
+    // Operators test a configuration with single requests before the traffic starts.
+    it('keeps the assumed demand and its share through single requests before the traffic', () => {
+      const coordinator = regionWithFewServers()
+      const neededSlots = coordinator.demand(0).neededSlots
+      for (let nowMs = 0; nowMs <= 6000; nowMs += 100) {
+        coordinator.borrow('there', lent, nowMs)
+        coordinator.tick(nowMs)
+        if (nowMs % 2000 === 500) coordinator.requestSlot(waiter(`r${nowMs}`, nowMs), nowMs)
+      }
+      expect(coordinator.stats(6000).remoteShare).to.be.above(0.4)
+      expect(coordinator.advertisedDemand(6000).neededSlots).to.equal(neededSlots)
+    })
+
+    it('measures the demand of a service that gets few requests after some time', () => {
+      const coordinator = regionWithFewServers()
+      for (let nowMs = 0; nowMs <= 26_000; nowMs += 500) {
+        coordinator.tick(nowMs)
+        if (nowMs % 2000 === 500) coordinator.requestSlot(waiter(`r${nowMs}`, nowMs), nowMs)
+      }
+      expect(coordinator.demand(26_000).neededSlots).to.be.below(1)
+    })
+
     it('continues with the remote share of the previous coordinator', () => {
       const coordinator = regionWithFewServers()
       coordinator.acceptHandover(0.3, 9, 50)
--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -244,7 +244,7 @@
     const { serviceNames, table } = this.#dependencies
     for (const service of serviceNames()) {
       const existing = this.#services.get(service)
-      if (existing?.coordinator.hasRequests === true) continue
+      if (existing?.coordinator.hasTraffic === true) continue
       const live = table.liveInstances(table.self.region, nowMs)
       if (coordinatorOrder(service, live)[0]?.name !== table.self.name) continue
       const coordinated = existing ?? this.#getOrCreate(service, nowMs)
--- a/src/entry/remoteShare.ts
+++ b/src/entry/remoteShare.ts
@@ -5,8 +5,11 @@
  * two windows of 2 s; using two thirds of that leaves a margin for random variation.
  */
 const MAX_SHARE_CHANGE_PER_SECOND = 0.05
-/** Time after the first request with unlimited change, in ms; the share has not converged yet. */
-const UNLIMITED_START_MS = 1200
+/**
+ * Time after the first request with unlimited change, in ms; after a cold start, other regions lend
+ * slots after an exchange or two.
+ */
+const UNLIMITED_START_MS = 2500
 /** Time after the first request in which a handover is still accepted, in milliseconds. */
 const HANDOVER_ACCEPTED_MS = 2000
 /**
@@ -66,12 +69,17 @@
     this.#unlimitedMs = 0
   }
 
-  /** Moves the share towards `target`, which is in 0..1. */
-  moveTowards(target: number, nowMs: number): void {
+  /**
+   * Moves the share towards `target`, which is in 0..1.
+   * @param hasTraffic whether more than single requests arrive; without, any change is harmless
+   */
+  moveTowards(target: number, nowMs: number, hasTraffic: boolean): void {
     const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs)
     this.#updatedAtMs = Math.max(nowMs, this.#updatedAtMs)
     const isUnlimited =
-      this.#firstRequestAtMs === undefined || nowMs - this.#firstRequestAtMs < this.#unlimitedMs
+      !hasTraffic ||
+      this.#firstRequestAtMs === undefined ||
+      nowMs - this.#firstRequestAtMs < this.#unlimitedMs
     const isHandedOver = nowMs - this.#handedOverAtMs < LIMITED_AFTER_HANDOVER_MS
     if (isUnlimited && !isHandedOver) {
       this.#share = target
@@ -142,31 +150,42 @@
   return remoteSlots / Math.min(neededSlots, ownSlots + remoteSlots)
 }
 
-/** Load assumed for all regions together before the first request, as a fraction of all slots. */
+/** Load assumed for all regions together before traffic starts, as a fraction of all slots. */
 const ASSUMED_LOAD_FRACTION = 0.6
 /**
- * Time after the first request in which measurements replace the assumption, in ms; enough for
- * some requests to complete.
+ * Time after the start of the traffic in which measurements replace the assumption, in ms; enough
+ * for some requests to complete.
  */
 const ASSUMPTION_FADE_OUT_MS = 3000
+/** Demand from which traffic has started, as a fraction of the assumed one. */
+const TRAFFIC_FRACTION = 0.1
+/** Time after the first request after which also a lower demand counts as traffic, in ms. */
+const MAX_ASSUMPTION_MS = 20_000
 
 /**
- * Slots that a region is assumed to need before its first request: an even fraction of a
- * usual load.
+ * Slots that a region is assumed to need before its traffic starts: an even fraction of a usual
+ * load.
  *
  * Needed when traffic starts at full rate and backend servers are unevenly distributed. With
  * measurements alone, the region with the fewest servers would refuse callers until its remote
- * share has grown at the limited rate.
+ * share has grown at the limited rate. Single requests, such as those by which operators test a
+ * configuration, don't end the assumption.
  */
 export class AssumedDemand {
   #neededSlots = 0
   #firstRequestAtMs: number | undefined
+  #trafficSinceMs: number | undefined
 
   /** Whether a slot has been requested. */
   get hasRequests(): boolean {
     return this.#firstRequestAtMs !== undefined
   }
 
+  /** Whether the region's callers have started to send requests. */
+  get hasTraffic(): boolean {
+    return this.#neededSlots === 0 ? this.hasRequests : this.#trafficSinceMs !== undefined
+  }
+
   get isSet(): boolean {
     return this.#neededSlots > 0
   }
@@ -183,7 +202,11 @@
   /** Needed slots, weighted between the assumption and the measurement. */
   blend(measuredSlots: number, nowMs: number): number {
     if (this.#neededSlots === 0) return measuredSlots
-    const ageMs = this.#firstRequestAtMs === undefined ? 0 : nowMs - this.#firstRequestAtMs
+    const isMeasurable =
+      measuredSlots >= this.#neededSlots * TRAFFIC_FRACTION ||
+      nowMs - (this.#firstRequestAtMs ?? nowMs) > MAX_ASSUMPTION_MS
+    if (this.hasRequests && isMeasurable) this.#trafficSinceMs ??= nowMs
+    const ageMs = nowMs - (this.#trafficSinceMs ?? nowMs)
     const weight = Math.max(0, 1 - ageMs / ASSUMPTION_FADE_OUT_MS)
     return this.#neededSlots * weight + measuredSlots * (1 - weight)
   }
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -337,11 +337,11 @@
   }
 
   /**
-   * Assumes an even demand before the first request, so that slots are borrowed in time.
+   * Assumes an even demand before traffic starts, so that slots are borrowed in time.
    * @param totalSlots slots of the service in all regions
    */
   prepare(totalSlots: number, regionCount: number): void {
-    if (this.#assumedDemand.hasRequests) return
+    if (this.#assumedDemand.hasTraffic) return
     this.#assumedDemand.assume(evenDemand(totalSlots, regionCount))
     this.#remoteShare.markConverged()
   }
@@ -367,7 +367,7 @@
   /** Demand sent to other regions, limited to what the remote share can use soon. */
   advertisedDemand(nowMs: number): RegionDemand {
     const { region, neededSlots, slots } = this.demand(nowMs)
-    const usable = this.#assumedDemand.hasRequests
+    const usable = this.#assumedDemand.hasTraffic
       ? usableSlots(neededSlots, slots, this.#remoteShare.share)
       : neededSlots
     return { region, neededSlots: usable, slots }
@@ -388,6 +388,11 @@
     return this.#assumedDemand.hasRequests
   }
 
+  /** Whether more than single requests have arrived here. */
+  get hasTraffic(): boolean {
+    return this.#assumedDemand.hasTraffic
+  }
+
   /** Whether any request is queued. */
   get hasWaiters(): boolean {
     return this.#queue.length > 0
@@ -404,7 +409,8 @@
       .filter(({ server }) => server.region !== this.#region)
       .reduce((sum, { server }) => sum + server.slots / this.#pipelineFactor(), 0)
     const { neededSlots, slots } = this.demand(nowMs)
-    this.#remoteShare.moveTowards(targetRemoteShare(neededSlots, slots, borrowedSlots), nowMs)
+    const target = targetRemoteShare(neededSlots, slots, borrowedSlots)
+    this.#remoteShare.moveTowards(target, nowMs, this.#assumedDemand.hasTraffic)
     this.#dispatch(nowMs)
     this.#refuseOverdue(nowMs)
   }
--- a/testing/regionSimulation.ts
+++ b/testing/regionSimulation.ts
@@ -33,6 +33,8 @@
   readonly targetMs: number
   readonly deadlineMs: number
   readonly seconds: number
+  /** Times before the traffic, in ms, at which an operator sends one request in each region. */
+  readonly probesBeforeMs?: readonly number[]
 }
 
 /** Outcomes of the requests of one region's callers. */
@@ -120,6 +122,9 @@
     const { seconds, deadlineMs } = this.#options
     const endMs = LEAD_MS + seconds * 1000
     for (const state of this.#states.values()) {
+      for (const beforeMs of this.#options.probesBeforeMs ?? []) {
+        this.#scheduleRequest(state, LEAD_MS - beforeMs)
+      }
       for (let atMs = TICK_MS; atMs < endMs + deadlineMs; atMs += TICK_MS) {
         this.#queue.schedule(atMs, () => {
           state.coordination.tick(this.#queue.nowMs)
