--- a/bench/main.ts
+++ b/bench/main.ts
@@ -16,6 +16,7 @@
   lookup: async () => (await import('./lookupBench.js')).runLookupBench,
   scale: async () => (await import('./scaleBench.js')).runScaleBench,
   shift: async () => (await import('./shiftBench.js')).runShiftBench,
+  upload: async () => (await import('./uploadBench.js')).runUploadBench,
 }
 
 const DEFAULT_SEED = 20261204
