perf(entry): the store reader of a large region no longer fills its link

Each change went to 64 peers as a message of its own (505 registrations: 19 MB a region), rosters of 12 KB likewise. Their links filled, their peers found them silent (2,033 links lost, 6,089 instances lapsed), rosters were written anew for each link that broke, and the next small instance took over; again at 0, 4, 5, 7 and 9 s. Ruled out: heartbeats (2 MB/s of the 25), copies of the store (526, mostly empty). Change: readers are ordered by capacity; changes that follow each other within 100 ms are one message, a single one goes at once; updates from 1 KB on are compressed (once, for all peers that state a latest change, as this release does); an instance stays on the roster for 1.5 s after its link broke.

--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -13,7 +13,7 @@
 import type { EntryLog } from './entryLog.js'
 import { EntryMetrics } from './entryMetrics.js'
 import type { InstanceRecord } from './instanceRecord.js'
-import { coordinatorOrder, InstanceTable } from './instanceTable.js'
+import { InstanceTable, storeReaderOrder } from './instanceTable.js'
 import type { HelloMessage, PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
 import { handlePeerMessage } from './peerMessageHandlers.js'
@@ -186,7 +186,7 @@
       clock,
       log,
       isReader: () => this.#follower.isReading,
-      members: () => this.#table.linkedInstances(),
+      members: () => this.#table.rosterInstances(clock()),
       isListedElsewhere: () =>
         this.#rosters.isListedElsewhere(record.name, RosterWriter.keyOf(record)),
     })
@@ -287,7 +287,7 @@
   /** Position of this instance in its region's order of store readers, from 0. */
   #storeReaderPosition(): number {
     const { region, name } = this.#settings.record
-    const order = coordinatorOrder('store reader', this.#table.liveInstances(region, this.#clock()))
+    const order = storeReaderOrder(this.#table.liveInstances(region, this.#clock()))
     return Math.max(
       0,
       order.findIndex((instance) => instance.name === name),
@@ -344,6 +344,7 @@
       {
         peer,
         nowMs,
+        log: this.#log,
         table: this.#table,
         slots: this.#slots,
         coordination: this.#coordination,
--- a/src/entry/instanceTable.ts
+++ b/src/entry/instanceTable.ts
@@ -19,6 +19,11 @@
 const FIRST_CONTACT_GRACE_MS = 1500
 /** Time for a broken link to reconnect before the instance counts as failed, in milliseconds. */
 const RECONNECT_GRACE_MS = 300
+/**
+ * Time after which an instance whose link broke is taken off the region's roster, in ms. Each roster
+ * goes to all instances of all regions, and a link that breaks is usually back within a second.
+ */
+const ROSTER_GRACE_MS = 1500
 /**
  * Time after which an instance without a link whose store entry expired counts as failed, in
  * milliseconds. Its lease was not renewed for longer than that already.
@@ -118,12 +123,16 @@
     return instances
   }
 
-  /** Instances of the own region with a working link that are not leaving; may include this one. */
-  linkedInstances(): InstanceRecord[] {
+  /**
+   * Instances of the own region that are linked, or were until a moment ago, and are not leaving;
+   * may include this one.
+   */
+  rosterInstances(nowMs: number): InstanceRecord[] {
     const instances = this.#isSelfLeaving ? [] : [this.self]
-    for (const { record, link, isLeaving } of this.#instances.values()) {
-      const isConnected = link === LinkState.Up && !isLeaving
-      if (isConnected && record.region === this.self.region) instances.push(record)
+    for (const { record, link, linkChangedAtMs, isLeaving } of this.#instances.values()) {
+      const wasLinked = link === LinkState.Down && nowMs - linkChangedAtMs < ROSTER_GRACE_MS
+      const isMember = (link === LinkState.Up || wasLinked) && !isLeaving
+      if (isMember && record.region === this.self.region) instances.push(record)
     }
     return instances
   }
@@ -151,6 +160,16 @@
         nowMs - instance.registeredAtMs < FIRST_CONTACT_GRACE_MS,
 }
 
+/**
+ * Order in which the instances of a region read the store for the others: those with the most
+ * capacity first, because the reader sends each change to all others, which fills a small link.
+ */
+export function storeReaderOrder(instances: readonly InstanceRecord[]): InstanceRecord[] {
+  return coordinatorOrder('store reader', instances).sort(
+    (left, right) => right.capacity - left.capacity,
+  )
+}
+
 /**
  * Coordinator order of the given instances for a service; the first live one is the
  * coordinator. Weighted rendezvous hashing, so that each instance coordinates services in
--- a/src/entry/peerLink.ts
+++ b/src/entry/peerLink.ts
@@ -52,8 +52,13 @@
   }
 
   send(message: PeerMessage): void {
+    this.sendLine(JSON.stringify(message))
+  }
+
+  /** Sends a message that was serialized before, for several links. */
+  sendLine(line: string): void {
     if (this.#isClosed) return
-    this.#unsentLines.push(JSON.stringify(message))
+    this.#unsentLines.push(line)
     if (this.#isFlushScheduled) return
     this.#isFlushScheduled = true
     // `setImmediate` would cost an extra turn of the event loop, and thus a wake-up, per message.
--- a/src/entry/peerMesh.ts
+++ b/src/entry/peerMesh.ts
@@ -9,8 +9,9 @@
 import type { InstanceTable } from './instanceTable.js'
 import { LinkState } from './instanceTable.js'
 import { PeerLink } from './peerLink.js'
-import type { HelloMessage, PeerMessage } from './peerMessages.js'
+import type { HelloMessage, PeerMessage, StoreUpdateMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
+import { packStoreUpdate } from './storeUpdatePacking.js'
 import { LinkLoss } from './unconfirmedSlots.js'
 
 /** Interval of link checks, and of heartbeats on links that carry work. */
@@ -72,6 +73,8 @@
   isHelloSent: boolean
   /** Whether this side closes the connection because nothing was received for too long. */
   isSilent: boolean
+  /** Whether the peer is of a release that unpacks store updates. */
+  canUnpack: boolean
 }
 
 /** Opens, monitors and closes the links of this process to its peers. */
@@ -81,6 +84,8 @@
   readonly #connections = new Set<Connection>()
   readonly #connectionByPeer = new Map<string, Connection>()
   readonly #lastConnectAtMs = new Map<string, number>()
+  /** Serialized forms of store updates, which go to many peers. */
+  readonly #packedLines = new WeakMap<StoreUpdateMessage, string>()
   #timer: NodeJS.Timeout | undefined
   #lastCheckAtMs = 0
 
@@ -141,7 +146,17 @@
   #write(connection: Connection, message: PeerMessage, nowMs: number): void {
     connection.lastSentAtMs = nowMs
     if (message.kind !== PeerMessageKind.Heartbeat) connection.lastActiveAtMs = nowMs
-    connection.link.send(message)
+    if (message.kind === PeerMessageKind.StoreUpdate && connection.canUnpack) {
+      connection.link.sendLine(this.#packedLine(message))
+    } else connection.link.send(message)
+  }
+
+  #packedLine(update: StoreUpdateMessage): string {
+    const existing = this.#packedLines.get(update)
+    if (existing !== undefined) return existing
+    const line = JSON.stringify(packStoreUpdate(update))
+    this.#packedLines.set(update, line)
+    return line
   }
 
   /** @param peerKnownCount number of instances that the peer is assumed to know */
@@ -177,6 +192,7 @@
       peerIntervalMs: HEARTBEAT_INTERVAL_MS,
       isHelloSent: false,
       isSilent: false,
+      canUnpack: false,
     }
     this.#connections.add(connection)
     return connection
@@ -227,6 +243,7 @@
     const nowMs = clock()
     if (!connection.isHelloSent) this.#sendHello(connection, record.region, hello.knownCount)
     connection.peer = record.name
+    connection.canUnpack = hello.latestChange !== undefined
     const previous = this.#connectionByPeer.get(record.name)
     this.#connectionByPeer.set(record.name, connection)
     table.register(record, nowMs)
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -1,5 +1,6 @@
 /** Dispatches messages of peers to the components of this instance. */
 import type { Coordination } from './coordination.js'
+import type { EntryLog } from './entryLog.js'
 import type { InstanceTable } from './instanceTable.js'
 import type { PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
@@ -7,12 +8,14 @@
 import type { StoreCatchUp } from './storeCatchUp.js'
 import type { StoreContact } from './storeContact.js'
 import type { StoreMirror } from './storeMirror.js'
+import { unpackItems } from './storeUpdatePacking.js'
 
 /** State that the message handlers read and change. */
 export interface PeerMessageContext {
   /** Name of the sender. */
   readonly peer: string
   readonly nowMs: number
+  readonly log: EntryLog
   readonly table: InstanceTable
   readonly slots: SlotClient
   readonly coordination: Coordination
@@ -60,8 +63,16 @@
   [PeerMessageKind.HeldSlots]: ({ coordination, peer, nowMs }, message) => {
     coordination.handleHeldSlots(peer, message, nowMs)
   },
-  [PeerMessageKind.StoreUpdate]: (context, { items, revision, since, isComplete }) => {
+  [PeerMessageKind.StoreUpdate]: (context, message) => {
     const { mirror, catchUp, peer, nowMs } = context
+    const { revision, since, isComplete } = message
+    const unpacked = unpackItems(message)
+    if (unpacked.err) {
+      // The revision stays behind, so that the changes are requested from a peer.
+      context.log.event('unreadableStoreUpdate', { peer, problem: unpacked.val.message })
+      return
+    }
+    const items = unpacked.val
     if (isComplete) mirror.applySnapshot(items, revision)
     else mirror.applyChanges(items, revision, since)
     catchUp.recordChanges(peer)
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -167,6 +167,8 @@
   readonly since?: number
   /** Whether `items` holds all items of the store at `revision`, rather than changes. */
   readonly isComplete: boolean
+  /** Compressed items, which replace `items`; only sent to peers that state `latestChange`. */
+  readonly packed?: string
 }
 
 export interface StoreRequestMessage {
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -8,6 +8,8 @@
 import { PeerMessageKind } from './peerMessages.js'
 import type { StoreContact } from './storeContact.js'
 import type { StoreMirror } from './storeMirror.js'
+import type { StoreUpdate } from './storeUpdateBatch.js'
+import { StoreUpdateBatch } from './storeUpdateBatch.js'
 
 /** Pause after a failed call, in ms; a second of outage costs the first reader two calls. */
 const RETRY_PAUSE_MS = 500
@@ -40,6 +42,8 @@
 export class StoreFollower {
   readonly #dependencies: StoreFollowerDependencies
   readonly #abort = new AbortController()
+  readonly #batch = new StoreUpdateBatch()
+  #publishTimer: NodeJS.Timeout | undefined
   #needsListing = false
   #isFailing = false
   #isReading = false
@@ -72,6 +76,8 @@
 
   stop(): void {
     this.#abort.abort()
+    clearTimeout(this.#publishTimer)
+    this.#publishBatch()
   }
 
   /** Whether this instance currently reads the store. */
@@ -150,9 +156,25 @@
     this.#isFailing = false
   }
 
-  #publish(update: Omit<StoreUpdateMessage, 'kind'>): void {
+  #publish(update: StoreUpdate): void {
     if (update.items.length === 0) return
-    this.#dependencies.publish({ kind: PeerMessageKind.StoreUpdate, ...update })
+    const { clock } = this.#dependencies
+    this.#batch.add(update)
+    const dueInMs = this.#batch.dueInMs(clock())
+    if (dueInMs === 0) this.#publishBatch()
+    else {
+      this.#publishTimer ??= setTimeout(() => {
+        this.#publishBatch()
+      }, dueInMs)
+    }
+  }
+
+  #publishBatch(): void {
+    clearTimeout(this.#publishTimer)
+    this.#publishTimer = undefined
+    for (const update of this.#batch.take(this.#dependencies.clock())) {
+      this.#dependencies.publish({ kind: PeerMessageKind.StoreUpdate, ...update })
+    }
   }
 
   #recordFailure(call: string, reason: string): boolean {
