feat(cli): explain a request from the log lines of all instances

tamarackdrift explain REQUEST-ID [FILES...] prints the decisions of a request in the order of time, the state of the coordinator before each, and the cause in the last line; without files it reads the standard input.

--- a/src/cli/operatorProgram.ts
+++ b/src/cli/operatorProgram.ts
@@ -8,6 +8,7 @@
 import { CLI_SETTINGS } from './cliSettings.js'
 import { ControlClient } from './controlClient.js'
 import { ExitCode, exitCodeOf } from './exitCodes.js'
+import { EXPLAIN_HELP, explainRequest } from './explainCommand.js'
 import { addPlanCommands } from './intentFlags.js'
 import type { Terminal } from './operatorCommands.js'
 import { OperatorCommands } from './operatorCommands.js'
@@ -56,6 +57,13 @@
   }
   describeProgram(program, terminal)
   addCommands(program, terminal, run)
+  program
+    .command('explain <requestId> [files...]')
+    .description("explain one request from entry instances' log files, or from standard input")
+    .addHelpText('after', EXPLAIN_HELP)
+    .action(async (requestId: string, files: string[]) => {
+      exitCode = await explainRequest(requestId, files, terminal)
+    })
   try {
     await program.parseAsync([...argv], { from: 'user' })
   } catch (error) {
