perf(entry): the comparison of servers allocates nothing and looks durations up once

Cause: profile of the scale bench: each comparison built a set of candidates and looked the route's durations up for each of them (three maps each). Change: candidates are marked and collected in one reused list; durations are looked up once a region.

--- a/src/entry/serverIndex.ts
+++ b/src/entry/serverIndex.ts
@@ -52,6 +52,9 @@
   /** Preferred servers in this region, and in others, by object. */
   readonly #preferredLocal = new Map<string, readonly ServerState[]>()
   readonly #preferredRemote = new Map<string, readonly ServerState[]>()
+  /** Candidates of the latest call, reused because each request compares some dozens of times. */
+  readonly #selected: ServerState[] = []
+  #selection = 0
 
   constructor(region: string) {
     this.#region = region
@@ -104,7 +107,7 @@
 
   /**
    * Servers to compare for an object: all of a small service; else those that hold the object,
-   * those that its hash prefers, and some that are free.
+   * those that its hash prefers, and some that are free. Valid until the next call.
    */
   candidates(
     object: string,
@@ -113,16 +116,24 @@
     nowMs: number,
   ): Iterable<ServerState> {
     if (this.#states.size <= MAX_COMPARED_SERVERS) return this.#states.values()
-    const candidates = new Set(this.holders.of(object))
-    for (const state of this.#preferredOf(object, objectHash, isLocal)) candidates.add(state)
+    this.#selection += 1
+    this.#selected.length = 0
+    for (const state of this.holders.of(object)) this.#select(state)
+    for (const state of this.#preferredOf(object, objectHash, isLocal)) this.#select(state)
     let freeCount = 0
     for (const state of this.#open) {
       if (this.#isLocal(state) !== isLocal || state.freeSlots(nowMs) <= 0) continue
-      candidates.add(state)
+      this.#select(state)
       freeCount += 1
       if (freeCount >= MAX_FREE_CANDIDATES) break
     }
-    return candidates
+    return this.#selected
+  }
+
+  #select(state: ServerState): void {
+    if (state.selection === this.#selection) return
+    state.selection = this.#selection
+    this.#selected.push(state)
   }
 
   #isLocal(state: ServerState): boolean {
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -71,6 +71,8 @@
   #cachedSlowdown = 1
   /** Hash of the identifier, for the affinity of objects to servers. */
   readonly hash: number
+  /** Number of the latest selection of candidates that contains the server. */
+  selection = 0
 
   constructor(
     server: CoordinatedServer,
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -65,6 +65,13 @@
   readonly remoteShare: number
 }
 
+/** Expected durations of a route in one region. */
+interface UsualDurations {
+  readonly region: string
+  readonly cachedMs: number
+  readonly uncachedMs: number
+}
+
 /** Owns the slots, the queue and the duration estimates of one service. */
 export class ServiceCoordinator {
   readonly #service: string
@@ -535,13 +542,15 @@
   ): { readonly state: ServerState; readonly costMs: number } | undefined {
     let best: ServerState | undefined
     let bestMs = Number.POSITIVE_INFINITY
-    const { object } = waiter.request
+    const { object, route } = waiter.request
     const slotTimeWeight = this.#slotTimeWeight(waiter)
+    let durations: UsualDurations | undefined
     for (const state of this.#servers.candidates(object, objectHash, isLocal, nowMs)) {
       const { id, region, slots } = state.server
       if ((region === this.#region) !== isLocal || slots <= 0 || state.isSuspended(nowMs)) continue
       if (waiter.request.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
-      const costMs = this.#costMs(waiter, objectHash, slotTimeWeight, state, nowMs)
+      if (durations?.region !== region) durations = this.#usualDurations(route, region)
+      const costMs = this.#costMs(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
       if (costMs < bestMs) {
         best = state
         bestMs = costMs
@@ -550,6 +559,14 @@
     return best === undefined ? undefined : { state: best, costMs: bestMs }
   }
 
+  #usualDurations(route: string, region: string): UsualDurations {
+    return {
+      region,
+      cachedMs: this.#estimates.expectedMs(route, region, true),
+      uncachedMs: this.#estimates.expectedMs(route, region, false),
+    }
+  }
+
   /**
    * Expected time until completion on the server, plus small terms that spread the work.
    * A full server that has the object cached is often worth the short wait for a slot.
@@ -559,13 +576,13 @@
     objectHash: number,
     slotTimeWeight: number,
     state: ServerState,
+    durations: UsualDurations,
     nowMs: number,
   ): number {
-    const { route, object } = waiter.request
-    const { id, region, zone, slots } = state.server
+    const { object } = waiter.request
+    const { id, zone, slots } = state.server
     const waiterCount = this.#waiterCounts.get(id) ?? 0
-    const isCached = state.hasCached(object)
-    const usualMs = this.#estimates.expectedMs(route, region, isCached)
+    const usualMs = state.hasCached(object) ? durations.cachedMs : durations.uncachedMs
     const slowdown = state.slowdownAt(nowMs)
     const load = state.running.size / Math.max(1, slots)
     const preference = object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32
