test(entry): model of a region's slots under random faults

Three instances, each coordinator and holder, with delayed messages, silent and closed links, pauses and restarts. Checked: no slot filled twice while links hold, each request granted or refused once, an outcome for each request of a living instance, no slot in use at the end.

--- /dev/null
+++ b/src/entry/__tests__/slotModel.spec.ts
@@ -0,0 +1,384 @@
+/**
+ * Model of a region: instances that coordinate and hold slots, messages that are delayed or lost,
+ * links that go silent, pauses and restarts, in random order. `TAMARACKDRIFT_MODEL_RUNS` sets the
+ * number of runs.
+ */
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { BackendServerRegistry } from '../backendServerRegistry.js'
+import { Coordination } from '../coordination.js'
+import { noopLog } from '../entryLog.js'
+import type { InstanceRecord } from '../instanceRecord.js'
+import { InstanceTable, LinkState } from '../instanceTable.js'
+import { handlePeerMessage } from '../peerMessageHandlers.js'
+import type { PeerMessage } from '../peerMessages.js'
+import { SlotOutcome } from '../peerMessages.js'
+import type { SlotGrant } from '../slotClient.js'
+import { SlotClient } from '../slotClient.js'
+import { LinkLoss } from '../unconfirmedSlots.js'
+
+const SEED = 20261204
+const RUNS = Number(process.env.TAMARACKDRIFT_MODEL_RUNS ?? 1500)
+const NAMES = ['a', 'b', 'c']
+const SERVERS = 2
+const SLOTS = 2
+const TARGET_MS = 500
+const DEADLINE_MS = 3000
+/** Ten times the longest expected duration, after which lost releases are made up for. */
+const SETTLE_MS = 20_000
+
+interface ModelRequest {
+  readonly instance: string
+  readonly incarnation: number
+  readonly deadlineAtMs: number
+  grants: number
+  refusals: number
+}
+
+interface RunningRequest {
+  readonly instance: string
+  readonly grant: SlotGrant
+}
+
+interface ModelInstance {
+  incarnation: number
+  table: InstanceTable
+  coordination: Coordination
+  slots: SlotClient
+}
+
+function recordOf(name: string, incarnation: number): InstanceRecord {
+  return {
+    name,
+    incarnation: `${name}-${incarnation}`,
+    region: 'here',
+    zone: 'zone',
+    callerAddress: '127.0.0.1:1',
+    peerAddress: '127.0.0.1:2',
+    capacity: 1,
+  }
+}
+
+/** The region, with a message queue for each direction of each link. */
+class RegionModel {
+  nowMs = 0
+  readonly requests: ModelRequest[] = []
+  readonly running: RunningRequest[] = []
+  peakRunning = 0
+  readonly #registry = new BackendServerRegistry()
+  readonly #instances = new Map<string, ModelInstance>()
+  readonly #messages = new Map<string, PeerMessage[]>()
+  readonly #cutLinks = new Set<string>()
+
+  constructor() {
+    for (let index = 0; index < SERVERS; index += 1) {
+      const id = `server-${index}`
+      const server = {
+        id,
+        service: 'service',
+        address: '127.0.0.1:1',
+        zone: 'zone',
+        slots: SLOTS,
+        isDraining: false,
+        startedAtMs: 0,
+        coldForMs: 0,
+      }
+      this.#registry.apply({ id, revision: 1, server }, 0)
+    }
+    for (const name of NAMES) this.#instances.set(name, this.#createInstance(name, 1))
+    for (const name of NAMES) for (const peer of NAMES) if (peer !== name) this.#link(name, peer)
+  }
+
+  request(name: string): void {
+    const { slots, incarnation } = this.#instance(name)
+    const deadlineAtMs = this.nowMs + DEADLINE_MS
+    const request = { instance: name, incarnation, deadlineAtMs, grants: 0, refusals: 0 }
+    this.requests.push(request)
+    slots.acquire(
+      {
+        service: 'service',
+        route: 'route',
+        object: '',
+        priority: 1,
+        targetAtMs: this.nowMs + TARGET_MS,
+        deadlineAtMs,
+        isReturn: false,
+        excludedServers: [],
+        regions: [],
+      },
+      {
+        onGranted: (grant) => {
+          request.grants += 1
+          this.running.push({ instance: name, grant })
+          const atServer = this.running.filter((each) => each.grant.serverId === grant.serverId)
+          this.peakRunning = Math.max(this.peakRunning, atServer.length)
+        },
+        onRefused: () => {
+          request.refusals += 1
+        },
+      },
+    )
+  }
+
+  finish(index: number): void {
+    const [ended] = this.running.splice(index % Math.max(1, this.running.length), 1)
+    ended?.grant.release(SlotOutcome.Completed, 100, null)
+  }
+
+  /** Delivers the first message of a link. */
+  deliver(index: number): void {
+    const queues = [...this.#messages].filter(([, messages]) => messages.length > 0)
+    const [key = '', messages] = queues[index % Math.max(1, queues.length)] ?? []
+    const message = messages?.shift()
+    const [from = '', to = ''] = key.split('>')
+    if (message === undefined) return
+    const { table, coordination, slots } = this.#instance(to)
+    handlePeerMessage(
+      { peer: from, nowMs: this.nowMs, log: noopLog, table, slots, coordination } as never,
+      message,
+    )
+  }
+
+  /** Drops a message although its link holds; a planted fault. */
+  lose(index: number): void {
+    const queues = [...this.#messages.values()].filter((messages) => messages.length > 0)
+    queues[index % Math.max(1, queues.length)]?.shift()
+  }
+
+  /** Makes a coordinator free the slots of a peer that still uses them; a planted fault. */
+  forget(name: string, peer: string): void {
+    const { coordination } = this.#instance(name)
+    coordination.handlePeerUp(recordOf(peer, -1), this.nowMs)
+    coordination.handlePeerUp(recordOf(peer, -2), this.nowMs)
+  }
+
+  deliverAll(): void {
+    while ([...this.#messages.values()].some((messages) => messages.length > 0)) this.deliver(0)
+  }
+
+  advance(elapsedMs: number): void {
+    this.nowMs += elapsedMs
+    for (const { coordination } of this.#instances.values()) coordination.tick(this.nowMs)
+  }
+
+  cut(name: string, peer: string, loss: LinkLoss): void {
+    if (name === peer || this.#cutLinks.has(linkOf(name, peer))) return
+    this.#cutLinks.add(linkOf(name, peer))
+    for (const [from, to] of [
+      [name, peer],
+      [peer, name],
+    ] as const) {
+      this.#messages.delete(`${from}>${to}`)
+      const { table, coordination, slots } = this.#instance(from)
+      table.setLinkState(to, LinkState.Down, this.nowMs)
+      coordination.handlePeerLoss(to, loss, this.nowMs)
+      slots.handlePeerLoss(to)
+    }
+  }
+
+  restore(name: string, peer: string): void {
+    if (!this.#cutLinks.delete(linkOf(name, peer))) return
+    this.#link(name, peer)
+    this.#link(peer, name)
+  }
+
+  pause(name: string): void {
+    const { coordination, slots } = this.#instance(name)
+    coordination.handlePause(this.nowMs)
+    slots.renewPending()
+  }
+
+  /** Ends the process and its requests, and starts another one. */
+  restart(name: string): void {
+    for (const peer of NAMES) this.cut(name, peer, LinkLoss.Closed)
+    for (let index = this.running.length - 1; index >= 0; index -= 1) {
+      if (this.running[index]?.instance === name) this.running.splice(index, 1)
+    }
+    this.#instances.set(name, this.#createInstance(name, this.#instance(name).incarnation + 1))
+    for (const peer of NAMES) this.restore(name, peer)
+  }
+
+  /** Restores all links, ends all requests and lets the longest time limit pass. */
+  settle(): void {
+    for (const name of NAMES) for (const peer of NAMES) this.restore(name, peer)
+    for (let elapsedMs = 0; elapsedMs < SETTLE_MS; elapsedMs += 100) {
+      while (this.running.length > 0) this.finish(0)
+      this.deliverAll()
+      this.advance(100)
+    }
+  }
+
+  /** Slots that a coordinator counts as used. */
+  usedSlots(): number {
+    return [...this.#instances.values()]
+      .flatMap(({ coordination }) => coordination.stats(this.nowMs))
+      .reduce((sum, { running, waiting }) => sum + running + waiting, 0)
+  }
+
+  isCurrent({ instance, incarnation }: ModelRequest): boolean {
+    return this.#instance(instance).incarnation === incarnation
+  }
+
+  #instance(name: string): ModelInstance {
+    const instance = this.#instances.get(name)
+    if (instance === undefined) throw new Error(`no instance ${name}`)
+    return instance
+  }
+
+  #createInstance(name: string, incarnation: number): ModelInstance {
+    const table = new InstanceTable(recordOf(name, incarnation))
+    const peers = {
+      isUp: (peer: string) => !this.#cutLinks.has(linkOf(name, peer)),
+      send: (peer: string, message: PeerMessage) => {
+        if (this.#cutLinks.has(linkOf(name, peer))) return false
+        const key = `${name}>${peer}`
+        const messages = this.#messages.get(key) ?? []
+        // Messages are serialized on a link.
+        messages.push(JSON.parse(JSON.stringify(message)) as PeerMessage)
+        this.#messages.set(key, messages)
+        return true
+      },
+    }
+    const coordination = new Coordination({
+      table,
+      registry: this.#registry,
+      peers,
+      random: () => 0.5,
+      regionOfZone: () => 'here',
+      serviceSettings: () => undefined,
+      serviceNames: () => [],
+      targetLatencyMs: () => TARGET_MS,
+    })
+    const slots = new SlotClient(table, peers, coordination, () => this.nowMs)
+    return { incarnation, table, coordination, slots }
+  }
+
+  #link(name: string, peer: string): void {
+    const { table, coordination, slots } = this.#instance(name)
+    const record = recordOf(peer, this.#instances.get(peer)?.incarnation ?? 1)
+    table.register(record, this.nowMs)
+    table.setLinkState(peer, LinkState.Up, this.nowMs)
+    coordination.handlePeerUp(record, this.nowMs)
+    slots.handlePeerUp(peer)
+  }
+}
+
+function linkOf(name: string, peer: string): string {
+  return [name, peer].sort().join('-')
+}
+
+type Step = (model: RegionModel) => void
+
+const instanceName = fc.constantFrom(...NAMES)
+const index = fc.nat(7)
+const calmSteps: fc.Arbitrary<Step>[] = [
+  instanceName.map((name) => (model) => {
+    model.request(name)
+  }),
+  index.map((at) => (model) => {
+    model.deliver(at)
+  }),
+  index.map((at) => (model) => {
+    model.finish(at)
+  }),
+  fc.integer({ min: 1, max: 400 }).map((elapsedMs) => (model) => {
+    model.advance(elapsedMs)
+  }),
+]
+const faults: fc.Arbitrary<Step>[] = [
+  fc
+    .tuple(instanceName, instanceName, fc.constantFrom(LinkLoss.Silent, LinkLoss.Closed))
+    .map(([name, peer, loss]) => (model: RegionModel) => {
+      model.cut(name, peer, loss)
+    }),
+  fc.tuple(instanceName, instanceName).map(([name, peer]) => (model: RegionModel) => {
+    model.restore(name, peer)
+  }),
+  instanceName.map((name) => (model: RegionModel) => {
+    model.pause(name)
+  }),
+  instanceName.map((name) => (model: RegionModel) => {
+    model.restart(name)
+  }),
+]
+
+function check(steps: fc.Arbitrary<Step>[], verify: (model: RegionModel) => void): void {
+  fc.assert(
+    fc.property(fc.array(fc.oneof(...steps), { maxLength: 120 }), (sequence) => {
+      const model = new RegionModel()
+      for (const step of sequence) step(model)
+      verify(model)
+    }),
+    { seed: SEED, numRuns: RUNS },
+  )
+}
+
+describe('slots of a region under random faults', function () {
+  this.timeout(600_000)
+
+  it('are never filled twice while links hold', () => {
+    check(calmSteps, (model) => {
+      expect(model.peakRunning).to.be.at.most(SLOTS)
+    })
+  })
+
+  it('are granted or refused at most once for each request', () => {
+    check([...calmSteps, ...calmSteps, ...faults], (model) => {
+      model.settle()
+      for (const { grants, refusals } of model.requests) expect(grants + refusals).to.be.at.most(1)
+    })
+  })
+
+  it('are granted or refused in the end for each request of an instance that lives', () => {
+    check([...calmSteps, ...calmSteps, ...faults], (model) => {
+      model.settle()
+      for (const request of model.requests) {
+        if (model.isCurrent(request)) expect(request.grants + request.refusals).to.equal(1)
+      }
+    })
+  })
+
+  it('are all free once no request runs any more', () => {
+    check([...calmSteps, ...calmSteps, ...faults], (model) => {
+      model.settle()
+      expect(model.usedSlots()).to.equal(0)
+    })
+  })
+
+  describe('with a planted fault', () => {
+    const lose: fc.Arbitrary<Step> = index.map((at) => (model) => {
+      model.lose(at)
+    })
+
+    it('finds slots that a coordinator forgets', () => {
+      const forget: fc.Arbitrary<Step> = fc
+        .tuple(instanceName, instanceName)
+        .map(([name, peer]) => (model: RegionModel) => {
+          model.forget(name, peer)
+        })
+      expect(() => {
+        check([...calmSteps, forget], (model) => {
+          expect(model.peakRunning).to.be.at.most(SLOTS)
+        })
+      }).to.throw('Property failed')
+    })
+
+    it('finds requests without an outcome after a message was lost', () => {
+      expect(() => {
+        check([...calmSteps, lose], (model) => {
+          model.settle()
+          for (const { grants, refusals } of model.requests) expect(grants + refusals).to.equal(1)
+        })
+      }).to.throw('Property failed')
+    })
+
+    it('finds slots that stay in use after a message was lost', () => {
+      expect(() => {
+        check([...calmSteps, lose], (model) => {
+          model.settle()
+          expect(model.usedSlots()).to.equal(0)
+        })
+      }).to.throw('Property failed')
+    })
+  })
+})
