fix(entry): a reported slot moves to the server that its instance uses

The first server's slot stayed in use at a for good. Change: a report for a request that a knows at another server frees that slot first.

--- a/src/entry/__tests__/permissions.spec.ts
+++ b/src/entry/__tests__/permissions.spec.ts
@@ -144,6 +144,22 @@
       expect(service.granted).to.deep.equal(['silent/1', 'other/1'])
     })
 
+    // A request that was sent to another coordinator meanwhile keeps its number.
+    it('move with the request if another coordinator granted it a slot of another server', () => {
+      const two = new SingleSlotService([server('first'), server('second')])
+      two.request('silent', 1, 0)
+      two.request('busy', 1, 0)
+      two.coordinator.releaseSlot('busy/1', SlotOutcome.Completed, 10, null, 10)
+      two.coordinator.suspectInstance('silent', LinkLoss.Silent, 100)
+      for (const serverId of ['first', 'second']) {
+        const report = { askId: 1, serverId, route: 'route', forMs: 50 }
+        two.coordinator.confirmInstance('silent', [report], 150)
+        expect(two.coordinator.stats(150).running).to.equal(1)
+      }
+      two.coordinator.releaseSlot('silent/1', SlotOutcome.Completed, 100, null, 200)
+      expect(two.coordinator.stats(200).running).to.equal(0)
+    })
+
     it('count once if they are reported twice', () => {
       service.coordinator.confirmInstance('silent', [held(1, 150)], 150)
       service.coordinator.adopt('silent', [held(1, 160)], 160)
--- a/src/entry/serverIndex.ts
+++ b/src/entry/serverIndex.ts
@@ -93,6 +93,11 @@
     this.refresh(state)
   }
 
+  /** Server at which a request runs. */
+  ofRequest(key: string): ServerState | undefined {
+    return this.#stateByRequest.get(key)
+  }
+
   /** Forgets a request that has ended; returns its server. */
   takeRequest(key: string): ServerState | undefined {
     const state = this.#stateByRequest.get(key)
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -236,7 +236,10 @@
     for (const { askId, serverId, route, forMs } of uses) {
       const key = `${instance}/${askId}`
       const state = this.#servers.find(serverId)
-      if (state === undefined || state.running.has(key)) continue
+      const known = this.#servers.ofRequest(key)
+      if (state === undefined || state === known) continue
+      // Another coordinator granted the request a slot of another server while this one was away.
+      if (known !== undefined) this.#freeSlot(key)
       const expectedMs = this.#estimates.expectedMs(route, this.#region, true)
       const startedAtMs = nowMs - forMs
       const request = { route, object: '', startedAtMs, expectedMs, reuseDistance: undefined }
