--- a/src/entry/__tests__/permissions.spec.ts
+++ b/src/entry/__tests__/permissions.spec.ts
@@ -7,13 +7,13 @@
 import type { HeldSlotReport, PeerMessage, SlotRequestDetails } from '../peerMessages.js'
 import { PeerMessageKind, SlotOutcome } from '../peerMessages.js'
 import { InstanceTable, LinkState } from '../instanceTable.js'
-import type { InstanceRecord } from '../instanceRecord.js'
 import { PauseDetector } from '../pauseDetector.js'
 import type { CoordinatedServer } from '../serverState.js'
 import { ServiceCoordinator } from '../serviceCoordinator.js'
 import type { LocalCoordinators, SlotGrant } from '../slotClient.js'
 import { SlotClient } from '../slotClient.js'
 import { LinkLoss } from '../unconfirmedSlots.js'
+import { testInstance } from './testInstance.js'
 
 const TARGET_MS = 1000
 /** The coordinator expects this duration until it has observed one. */
@@ -244,18 +244,6 @@
   adopt: () => undefined,
 }
 
-function record(name: string, capacity: number): InstanceRecord {
-  return {
-    name,
-    incarnation: `${name}-1`,
-    region: 'here',
-    zone: 'zone',
-    callerAddress: '127.0.0.1:1',
-    peerAddress: '127.0.0.1:2',
-    capacity,
-  }
-}
-
 describe('SlotClient', () => {
   let peers: FakePeers
   let table: InstanceTable
@@ -268,9 +256,9 @@
     nowMs = 0
     grants = []
     // The capacities make `a` the coordinator, then `b`.
-    table = new InstanceTable(record('self', 1e-9))
-    table.register(record('a', 1e9), 0)
-    table.register(record('b', 1), 0)
+    table = new InstanceTable(testInstance('self', { capacity: 1e-9 }))
+    table.register(testInstance('a', { capacity: 1e9 }), 0)
+    table.register(testInstance('b', { capacity: 1 }), 0)
     for (const name of ['a', 'b']) table.setLinkState(name, LinkState.Up, 0)
     client = new SlotClient(table, peers, NO_LOCAL, () => nowMs)
   })
--- a/src/entry/__tests__/slotModel.spec.ts
+++ b/src/entry/__tests__/slotModel.spec.ts
@@ -16,6 +16,7 @@
 import type { SlotGrant } from '../slotClient.js'
 import { SlotClient } from '../slotClient.js'
 import { LinkLoss } from '../unconfirmedSlots.js'
+import { testInstance } from './testInstance.js'
 
 const SEED = 20261204
 const RUNS = Number(process.env.TAMARACKDRIFT_MODEL_RUNS ?? 400)
@@ -48,15 +49,7 @@
 }
 
 function recordOf(name: string, incarnation: number): InstanceRecord {
-  return {
-    name,
-    incarnation: `${name}-${incarnation}`,
-    region: 'here',
-    zone: 'zone',
-    callerAddress: '127.0.0.1:1',
-    peerAddress: '127.0.0.1:2',
-    capacity: 1,
-  }
+  return testInstance(name, { incarnation: `${name}-${incarnation}` })
 }
 
 /** The region, with a message queue for each direction of each link. */
--- a/src/entry/__tests__/storeUpdates.spec.ts
+++ b/src/entry/__tests__/storeUpdates.spec.ts
@@ -6,6 +6,7 @@
 import { StoreMirror } from '../storeMirror.js'
 import { StoreUpdateBatch } from '../storeUpdateBatch.js'
 import { packStoreUpdate, unpackItems } from '../storeUpdatePacking.js'
+import { testInstance } from './testInstance.js'
 
 const SERVERS = 505
 const PEERS = 64
@@ -26,23 +27,11 @@
   return { kind: PeerMessageKind.StoreUpdate, items, revision, since, isComplete: false }
 }
 
-function record(name: string, capacity: number) {
-  return {
-    name,
-    incarnation: `${name}-1`,
-    region: 'here',
-    zone: 'zone',
-    callerAddress: '127.0.0.1:1',
-    peerAddress: '127.0.0.1:2',
-    capacity,
-  }
-}
-
 describe('storeReaderOrder', () => {
   // A reader with a small link is silent for its peers while it sends all changes to all of them.
   it('begins with the instances with the most capacity, the same on all instances', () => {
     const records = ['a', 'b', 'c', 'd', 'e', 'f'].map((name, index) =>
-      record(name, index % 3 === 0 ? 1.35 : 0.2),
+      testInstance(name, { capacity: index % 3 === 0 ? 1.35 : 0.2 }),
     )
     const order = storeReaderOrder(records).map(({ name }) => name)
     expect(order.slice(0, 2)).to.have.members(['a', 'd'])
@@ -143,8 +132,8 @@
 describe('InstanceTable.rosterInstances', () => {
   // Rosters that list and omit an instance in turn went to all instances of all regions.
   it('keeps an instance whose link breaks for a moment, and omits one that stays away', () => {
-    const table = new InstanceTable(record('self', 1))
-    table.register(record('other', 1), 0)
+    const table = new InstanceTable(testInstance('self'))
+    table.register(testInstance('other'), 0)
     table.setLinkState('other', LinkState.Up, 100)
     table.setLinkState('other', LinkState.Down, 1000)
     expect(table.rosterInstances(2000).map(({ name }) => name)).to.deep.equal(['self', 'other'])
@@ -152,8 +141,8 @@
   })
 
   it('omits a leaving instance at once', () => {
-    const table = new InstanceTable(record('self', 1))
-    table.register(record('other', 1), 0)
+    const table = new InstanceTable(testInstance('self'))
+    table.register(testInstance('other'), 0)
     table.setLinkState('other', LinkState.Up, 100)
     table.markLeaving('other', 'other-1')
     expect(table.rosterInstances(200).map(({ name }) => name)).to.deep.equal(['self'])
