fix(entry): a share that has not converged is not handed over

The instance that started last coordinated the service for its first callers, and handed a share of 0 to the next one, which must change a share that was handed over slowly. Change: a share is handed over once it has followed the demand.

--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -201,6 +201,8 @@
     const live = table.liveInstances(table.self.region, nowMs)
     for (const [service, { coordinator, usedAtMs }] of this.#services) {
       if (!coordinator.hasRequests || nowMs - usedAtMs > HANDOVER_TTL_MS) continue
+      // After a start of all instances, the successor would have to grow a share of 0 slowly.
+      if (coordinator.isShareUnlimited(nowMs)) continue
       const successor = coordinatorOrder(service, live).find(({ name }) => name !== table.self.name)
       if (successor === undefined) continue
       const { share, neededSlots } = coordinator.handoverState(nowMs)
--- a/src/entry/remoteShare.ts
+++ b/src/entry/remoteShare.ts
@@ -76,12 +76,7 @@
   moveTowards(target: number, nowMs: number, hasTraffic: boolean): void {
     const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs)
     this.#updatedAtMs = Math.max(nowMs, this.#updatedAtMs)
-    const isUnlimited =
-      !hasTraffic ||
-      this.#firstRequestAtMs === undefined ||
-      nowMs - this.#firstRequestAtMs < this.#unlimitedMs
-    const isHandedOver = nowMs - this.#handedOverAtMs < LIMITED_AFTER_HANDOVER_MS
-    if (isUnlimited && !isHandedOver) {
+    if (this.isUnlimited(nowMs, hasTraffic)) {
       this.#share = target
       return
     }
@@ -89,6 +84,16 @@
     this.#share += Math.max(-maxChange, Math.min(maxChange, target - this.#share))
   }
 
+  /** Whether the share follows its target at once, before it has converged. */
+  isUnlimited(nowMs: number, hasTraffic: boolean): boolean {
+    if (nowMs - this.#handedOverAtMs < LIMITED_AFTER_HANDOVER_MS) return false
+    return (
+      !hasTraffic ||
+      this.#firstRequestAtMs === undefined ||
+      nowMs - this.#firstRequestAtMs < this.#unlimitedMs
+    )
+  }
+
   /** Whether the next request may run in another region. */
   mayRunRemotely(nowMs: number): boolean {
     return this.measuredShare(nowMs) < this.#share + SHARE_TOLERANCE && this.#share > 0
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -388,6 +388,11 @@
     return this.#assumedDemand.isSet
   }
 
+  /** Whether the remote share still follows its target at once, as after a cold start. */
+  isShareUnlimited(nowMs: number): boolean {
+    return this.#remoteShare.isUnlimited(nowMs, this.hasTraffic)
+  }
+
   /** State that is handed over to the next coordinator. */
   handoverState(nowMs: number): { readonly share: number; readonly neededSlots: number } {
     return { share: this.#remoteShare.share, neededSlots: this.demand(nowMs).neededSlots }
