feat(entry): turns of the event loop and accepted connections in log and metrics

A busy instance now logs turns, their mean length and accepted connections twice a second, and exports both counters.

--- a/src/entry/__tests__/entryLog.spec.ts
+++ b/src/entry/__tests__/entryLog.spec.ts
@@ -32,6 +32,8 @@
       openedConnections: 9,
       restrictedRoutes: 0,
       bufferedBodyBytes: 0,
+      acceptedConnections: 0,
+      eventLoopTurns: 0,
       version: 7,
     }))
     metrics.answered('reveal', 200, 120)
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -42,6 +42,7 @@
   /** Connections on which an answer with `Connection: close` was written. */
   readonly #closingSockets = new WeakSet<Duplex>()
   #isLeaving = false
+  #acceptedConnections = 0
 
   constructor(dependencies: CallerServerDependencies) {
     this.#dependencies = dependencies
@@ -49,6 +50,9 @@
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
       this.#handleRequest(request, response)
     }
+    this.#server.on('connection', () => {
+      this.#acceptedConnections += 1
+    })
     this.#server.on('request', handle)
     this.#server.on('checkContinue', handle)
     this.#server.on('clientError', (error: Error & { code?: string }, socket) => {
@@ -66,6 +70,11 @@
     return total
   }
 
+  /** Number of connections accepted since the start. */
+  get acceptedConnections(): number {
+    return this.#acceptedConnections
+  }
+
   /** Port in use, for tests that listen on port 0; 0 while not listening. */
   get port(): number {
     const address = this.#server.address()
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -18,6 +18,7 @@
 import { PeerMessageKind } from './peerMessages.js'
 import { handlePeerMessage } from './peerMessageHandlers.js'
 import { PeerMesh } from './peerMesh.js'
+import { EventLoopActivity, readEventLoopCounters } from './eventLoopActivity.js'
 import { EventLoopDelay } from './eventLoopDelay.js'
 import { PauseDetector } from './pauseDetector.js'
 import { RequestRunner } from './requestRunner.js'
@@ -39,6 +40,8 @@
 /** Interval of coordination while no request is queued; each tick wakes the process. */
 const IDLE_TICK_INTERVAL_MS = 200
 const HOUSEKEEPING_INTERVAL_MS = 500
+/** Utilization of the event loop from which it is logged. */
+const LOGGED_UTILIZATION = 0.8
 /** Time for which a lost instance still counts when retry budgets are divided. */
 const LOST_INSTANCE_RETENTION_MS = 30_000
 /** Time after SIGTERM during which connections are accepted; callers cache directory answers. */
@@ -67,6 +70,7 @@
   readonly #rosterWriter: RosterWriter
   readonly #rosters = new RosterIndex()
   readonly #eventLoopDelay = new EventLoopDelay()
+  readonly #eventLoopActivity: EventLoopActivity
   readonly #pauses: PauseDetector
   readonly #mesh: PeerMesh
   readonly #coordination: Coordination
@@ -97,6 +101,7 @@
     this.#table = new InstanceTable(settings.record)
     this.#contact = new StoreContact(settings.applyMs, clock())
     this.#pauses = new PauseDetector(clock(), systemClock())
+    this.#eventLoopActivity = new EventLoopActivity(readEventLoopCounters(), clock())
     this.#mirror = new StoreMirror((key, value, revision) => {
       this.#applyItem(key, value === undefined ? undefined : Buffer.from(value, 'base64'), revision)
     })
@@ -142,6 +147,8 @@
       openedConnections: this.#pool.openedCount,
       version: this.#routing.current?.version ?? 0,
       bufferedBodyBytes: this.#bodyBudget.usedBytes,
+      acceptedConnections: this.#callers.acceptedConnections,
+      eventLoopTurns: readEventLoopCounters().turns,
       restrictedRoutes: this.#routing.restrictedRoutes.length,
     }))
     const runner = new RequestRunner({
@@ -436,6 +443,7 @@
     this.#wasStoreUnreachable = isStoreUnreachable
     this.#table.removeExpired(nowMs, LOST_INSTANCE_RETENTION_MS)
     this.#pool.closeExpired(nowMs)
+    this.#logEventLoop(nowMs)
     for (const stats of this.#coordination.stats(nowMs)) {
       if (stats.arrivalsPerSecond < 0.5) continue
       this.#log.event('coordinating', {
@@ -446,6 +454,21 @@
     }
   }
 
+  #logEventLoop(nowMs: number): void {
+    const { turns, turnMs, utilization, accepted } = this.#eventLoopActivity.measure(
+      readEventLoopCounters(),
+      this.#callers.acceptedConnections,
+      nowMs,
+    )
+    if (utilization < LOGGED_UTILIZATION) return
+    this.#log.event('eventLoop', {
+      turns,
+      turnMs: Math.round(turnMs * 10) / 10,
+      utilization: Math.round(utilization * 100) / 100,
+      accepted,
+    })
+  }
+
   #readiness(url: URL): SimpleAnswer | undefined {
     if (url.pathname !== this.#platform.readinessPath) return undefined
     const isReady = this.#shutdown === undefined && this.#routing.current !== undefined
--- a/src/entry/entryMetrics.ts
+++ b/src/entry/entryMetrics.ts
@@ -15,6 +15,8 @@
   readonly version: number
   readonly restrictedRoutes: number
   readonly bufferedBodyBytes: number
+  readonly acceptedConnections: number
+  readonly eventLoopTurns: number
 }
 
 export class EntryMetrics {
@@ -53,6 +55,8 @@
     gauge('storeAgeMs', 'store_contact_age_milliseconds', 'Age of store news')
     gauge('droppedLogLines', 'dropped_log_lines', 'Log lines dropped')
     gauge('openedConnections', 'opened_connections', 'Connections opened to backend servers')
+    gauge('acceptedConnections', 'accepted_connections', 'Connections accepted from callers')
+    gauge('eventLoopTurns', 'event_loop_turns', 'Turns of the event loop since the start')
     gauge('bufferedBodyBytes', 'buffered_body_bytes', 'Memory reserved for bodies of requests')
     gauge('version', 'configuration_version', 'Configuration in force')
     gauge(
