test(entry): requests of callers that left before their connection was accepted, known red

Node.js accepts one connection in each turn of the event loop; request and close of a waiting connection are then read in two turns.

--- a/src/entry/__tests__/callerServer.spec.ts
+++ b/src/entry/__tests__/callerServer.spec.ts
@@ -26,22 +26,39 @@
   })
 })
 
+/** Blocks the event loop. */
+function block(durationMs: number): void {
+  const untilMs = monotonicClock() + durationMs
+  while (monotonicClock() < untilMs);
+}
+
+async function waitUntil(isDone: () => boolean): Promise<void> {
+  const untilMs = monotonicClock() + 5000
+  while (!isDone() && monotonicClock() < untilMs) await sleep(10)
+}
+
 describe('CallerServer', () => {
   let server: CallerServer
   let ran: string[]
   let bodyBudget: ByteBudget
+  let isEventLoopDelayed: boolean
+  /** Time for which each request blocks the event loop, in milliseconds. */
+  let blockingMs: number
 
   beforeEach(async () => {
     ran = []
+    isEventLoopDelayed = true
+    blockingMs = 0
     bodyBudget = new ByteBudget(BODY_BUDGET_BYTES)
     server = new CallerServer({
       headers: HEADERS,
       clock: monotonicClock,
       bodyBudget,
       limits: () => undefined,
-      isEventLoopDelayed: () => true,
+      isEventLoopDelayed: () => isEventLoopDelayed,
       run: (request: CallerRequest) => {
         ran.push(request.requestId)
+        block(blockingMs)
         return Promise.resolve({ status: 200, headers: [], body: Buffer.from('done') })
       },
     })
@@ -62,14 +79,30 @@
     leaving.end(requestText('left'))
     const staying = connect(server.port, '127.0.0.1')
     staying.write(requestText('stayed'))
-    // Blocks the event loop, so that the request and the close are pending together.
-    const untilMs = monotonicClock() + 200
-    while (monotonicClock() < untilMs);
+    // Request and close are pending together.
+    block(200)
     await sleep(100)
     staying.destroy()
     expect(ran).to.deep.equal(['stayed'])
   })
 
+  // Guards against forwarding requests of callers that disconnected while their connections waited
+  // to be accepted: Node.js accepts one connection per turn, and no timer need be late meanwhile.
+  it('does not run a request whose caller disconnected before its connection was accepted', async () => {
+    isEventLoopDelayed = false
+    blockingMs = 10
+    const staying: Socket[] = []
+    for (let index = 0; index < 20; index += 1) {
+      connect(server.port, '127.0.0.1').end(requestText(`left-${index}`))
+      const socket = connect(server.port, '127.0.0.1')
+      socket.write(requestText(`stayed-${index}`))
+      staying.push(socket)
+    }
+    await waitUntil(() => ran.filter((id) => id.startsWith('stayed')).length === staying.length)
+    for (const socket of staying) socket.destroy()
+    expect(ran.filter((id) => id.startsWith('left'))).to.deep.equal([])
+  })
+
   describe('bodies', () => {
     const sockets: Socket[] = []
     afterEach(() => {
