fix(entry): no request runs before the close that may be pending behind it is read

Callers saw nothing: they had left. Cause: Node.js accepts one connection in each turn of the event loop. Request and close of a waiting connection are then read in two turns, and the request was run in the first. The detection of a blocked event loop did not apply, because turns of 7 to 33 ms make no timer 50 ms late. Change: the first request of a connection runs after what is pending behind it is read, whether or not the event loop is behind. Requests on kept connections are read in each turn and still wait only after a late timer.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -41,6 +41,8 @@
   readonly #openRequestsBySocket = new Map<Duplex, number>()
   /** Connections on which an answer with `Connection: close` was written. */
   readonly #closingSockets = new WeakSet<Duplex>()
+  /** Connections from which a request was read. */
+  readonly #knownSockets = new WeakSet<Duplex>()
   #isLeaving = false
   #acceptedConnections = 0
 
@@ -119,6 +121,9 @@
       this.#write(socket, response, rejection, true)
       return
     }
+    // A connection waits to be accepted for up to a second on a busy instance.
+    const isFirst = !this.#knownSockets.has(socket)
+    this.#knownSockets.add(socket)
     const reservation = this.#dependencies.bodyBudget.open()
     const serve = (body: Buffer): void => {
       if (socket.readableEnded || callerAbort.signal.aborted) {
@@ -132,7 +137,7 @@
       })
     }
     this.#readBody(message, response, reservation, (body) => {
-      if (!this.#dependencies.isEventLoopDelayed()) serve(body)
+      if (!isFirst && !this.#dependencies.isEventLoopDelayed()) serve(body)
       else
         afterPendingReads(() => {
           serve(body)
@@ -245,8 +250,8 @@
 }
 
 /**
- * Calls back after pending socket events were processed. After the event loop was blocked, the
- * close of a connection is processed one turn of the event loop after the request before it.
+ * Calls back after pending socket events were processed. A request and the close behind it that
+ * are pending together are read in two turns of the event loop.
  */
 function afterPendingReads(callback: () => void): void {
   setImmediate(() => setImmediate(callback))
