--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -8,6 +8,7 @@
 import { CONNECTION_HEADERS, findHeader, toHeaderPairs } from '../common/exchange.js'
 import { listen } from '../common/listen.js'
 import { BodyRejection, readCallerBody, reserveBody } from './callerBody.js'
+import { CallerConnection } from './callerConnection.js'
 import type { CallerAnswer, CallerHeaders, CallerRequest } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { CallerLimits } from './routingConfiguration.js'
@@ -37,12 +38,7 @@
 export class CallerServer {
   readonly #dependencies: CallerServerDependencies
   readonly #server: Server
-  /** Number of requests per connection that were read and are not answered yet. */
-  readonly #openRequestsBySocket = new Map<Duplex, number>()
-  /** Connections on which an answer with `Connection: close` was written. */
-  readonly #closingSockets = new WeakSet<Duplex>()
-  /** Connections from which a request was read. */
-  readonly #knownSockets = new WeakSet<Duplex>()
+  readonly #connections = new Map<Duplex, CallerConnection>()
   #isLeaving = false
   #acceptedConnections = 0
 
@@ -52,14 +48,15 @@
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
       this.#handleRequest(request, response)
     }
-    this.#server.on('connection', () => {
+    this.#server.on('connection', (socket) => {
       this.#acceptedConnections += 1
+      this.#addConnection(socket)
     })
     this.#server.on('request', handle)
     this.#server.on('checkContinue', handle)
     this.#server.on('clientError', (error: Error & { code?: string }, socket) => {
       const isWritable = socket.writable && error.code !== 'ECONNRESET'
-      const isBehindOthers = (this.#openRequestsBySocket.get(socket) ?? 0) > 0
+      const isBehindOthers = (this.#connections.get(socket)?.openRequests ?? 0) > 0
       if (!isWritable || isBehindOthers) socket.destroy()
       else socket.end(`HTTP/1.1 ${statusForParserError(error.code)}\r\nConnection: close\r\n\r\n`)
     })
@@ -68,7 +65,7 @@
   /** Number of requests that were read and are not answered yet. */
   get openRequests(): number {
     let total = 0
-    for (const count of this.#openRequestsBySocket.values()) total += count
+    for (const { openRequests } of this.#connections.values()) total += openRequests
     return total
   }
 
@@ -104,16 +101,26 @@
     this.#server.closeIdleConnections()
   }
 
+  #addConnection(socket: Duplex): void {
+    const connection = new CallerConnection()
+    this.#connections.set(socket, connection)
+    socket.once('close', () => {
+      this.#connections.delete(socket)
+      // Of several pipelined requests, Node.js closes only the response of the first.
+      connection.abortRequests()
+    })
+  }
+
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = this.#dependencies.clock()
     const { socket } = message
-    if (this.#closingSockets.has(socket)) return
-    this.#openRequestsBySocket.set(socket, (this.#openRequestsBySocket.get(socket) ?? 0) + 1)
-    const callerAbort = new AbortController()
+    const connection = this.#connections.get(socket)
+    if (connection === undefined || connection.isClosing) return
+    // A connection waits to be accepted for up to a second on a busy instance.
+    const isFirst = !connection.hasRead
+    const callerAbort = connection.openRequest()
     response.once('close', () => {
-      const remaining = (this.#openRequestsBySocket.get(socket) ?? 1) - 1
-      if (remaining > 0) this.#openRequestsBySocket.set(socket, remaining)
-      else this.#openRequestsBySocket.delete(socket)
+      connection.endRequest(callerAbort)
       if (!response.writableFinished) callerAbort.abort()
     })
     const rejection = this.#validate(message)
@@ -121,9 +128,6 @@
       this.#write(socket, response, rejection, true)
       return
     }
-    // A connection waits to be accepted for up to a second on a busy instance.
-    const isFirst = !this.#knownSockets.has(socket)
-    this.#knownSockets.add(socket)
     const reservation = this.#dependencies.bodyBudget.open()
     const serve = (body: Buffer): void => {
       if (socket.readableEnded || callerAbort.signal.aborted) {
@@ -225,9 +229,10 @@
   }
 
   #write(socket: Duplex, response: ServerResponse, original: CallerAnswer, close: boolean): void {
-    if (response.headersSent || response.destroyed) return
+    const connection = this.#connections.get(socket)
+    if (connection === undefined || response.headersSent || response.destroyed) return
     // Closing the connection would cut off other requests that were already read from it.
-    const isLast = (this.#openRequestsBySocket.get(socket) ?? 1) <= 1
+    const isLast = connection.openRequests <= 1
     // A body that may be truncated must not get a Content-Length that makes it look complete.
     const isDelimitedByClose = original.isDelimitedByClose === true && isLast
     const isCompletenessUnknown = original.isDelimitedByClose === true && !isLast
@@ -240,7 +245,7 @@
       rawHeaders.push('Content-Length', String(answer.body.length))
     }
     if (isClosing) {
-      this.#closingSockets.add(socket)
+      connection.isClosing = true
       rawHeaders.push('Connection', 'close')
     }
     if (answer.statusText === undefined) response.writeHead(answer.status, rawHeaders)
