--- a/src/entry/__tests__/callerServer.spec.ts
+++ b/src/entry/__tests__/callerServer.spec.ts
@@ -19,11 +19,21 @@
 describe('EventLoopDelay', () => {
   it('reports a blocked event loop for a while after a late timer', () => {
     const delay = new EventLoopDelay()
-    delay.recordTick(100, 110)
+    delay.expectTick(100)
+    delay.recordTick(110)
     expect(delay.isDelayed(110)).to.equal(false)
-    delay.recordTick(200, 900)
+    delay.expectTick(200)
+    delay.recordTick(900)
     expect([delay.isDelayed(900), delay.isDelayed(2000)]).to.deep.equal([true, false])
   })
+
+  // Guards against forwarding a request of a caller that left during a long callback: events that
+  // were pending with that callback are processed before the timer.
+  it('reports a blocked event loop before the late timer fires', () => {
+    const delay = new EventLoopDelay()
+    delay.expectTick(200)
+    expect([delay.isDelayed(240), delay.isDelayed(900)]).to.deep.equal([false, true])
+  })
 })
 
 /** Blocks the event loop. */
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -233,8 +233,9 @@
     this.#coordination.tick(nowMs)
     this.#requestMissingChanges(nowMs)
     const intervalMs = this.#coordination.hasWaiters ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS
+    this.#eventLoopDelay.expectTick(nowMs + intervalMs)
     this.#tickTimer = setTimeout(() => {
-      this.#eventLoopDelay.recordTick(nowMs + intervalMs, this.#clock())
+      this.#eventLoopDelay.recordTick(this.#clock())
       this.#tick()
     }, intervalMs)
   }
--- a/src/entry/eventLoopDelay.ts
+++ b/src/entry/eventLoopDelay.ts
@@ -8,13 +8,25 @@
 /** Monitors the lateness of a periodic timer. */
 export class EventLoopDelay {
   #delayedUntilMs = Number.NEGATIVE_INFINITY
+  #dueAtMs = Number.POSITIVE_INFINITY
 
-  /** Records that the timer fired. @param dueAtMs time at which it was due */
-  recordTick(dueAtMs: number, nowMs: number): void {
-    if (nowMs - dueAtMs >= DELAY_THRESHOLD_MS) this.#delayedUntilMs = nowMs + DELAYED_PERIOD_MS
+  /** Records that the timer was set. */
+  expectTick(dueAtMs: number): void {
+    this.#dueAtMs = dueAtMs
   }
 
+  /** Records that the timer fired. */
+  recordTick(nowMs: number): void {
+    if (this.#isOverdue(nowMs)) this.#delayedUntilMs = nowMs + DELAYED_PERIOD_MS
+    this.#dueAtMs = Number.POSITIVE_INFINITY
+  }
+
+  /** Socket events that follow a long callback are processed before the overdue timer. */
   isDelayed(nowMs: number): boolean {
-    return nowMs < this.#delayedUntilMs
+    return nowMs < this.#delayedUntilMs || this.#isOverdue(nowMs)
+  }
+
+  #isOverdue(nowMs: number): boolean {
+    return nowMs - this.#dueAtMs >= DELAY_THRESHOLD_MS
   }
 }
