--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -264,6 +264,8 @@
       leftMs: Math.round(leftMs),
       outcome: outcome.kind,
       status: outcome.answer?.status,
+      limitPerSecond: outcome.statement?.limitPerSecond,
+      unreadable: outcome.statement?.unreadable,
       durationMs: Math.round(outcome.durationMs),
       ...(outcome.detail === '' ? {} : { detail: outcome.detail }),
       ...(outcome.isReused ? {} : { newConnection: true }),
--- a/src/entry/sendOutcomes.ts
+++ b/src/entry/sendOutcomes.ts
@@ -64,11 +64,12 @@
 
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set(CONNECTION_HEADERS)
 
-/** Converts an answer of a backend server for the caller, without hop-by-hop and load headers. */
+/** Converts an answer of a backend server for the caller, without headers for this instance. */
 export function answerOf(answer: ServerAnswer, headers: ServerHeaders): CallerAnswer {
   const forwardedHeaders = answer.headers.filter(([name]) => {
     const lower = name.toLowerCase()
-    return !HOP_BY_HOP_HEADERS.has(lower) && lower !== headers.load
+    if (HOP_BY_HOP_HEADERS.has(lower) || headers.statements.has(lower)) return false
+    return lower !== headers.load
   })
   const { status, statusText, body, isDelimitedByClose } = answer
   return { status, statusText, headers: forwardedHeaders, body, isDelimitedByClose }
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -8,6 +8,7 @@
 import { parseHostAndPort } from '../common/listen.js'
 import { AnswerOrigin, ReadState, ResponseReader } from './responseReader.js'
 import type { SendOutcome, ServerAnswer, ServerHeaders, ServerRequest } from './serverExchange.js'
+import type { ServerStatement } from './serverStatement.js'
 import { OutcomeKind } from './serverExchange.js'
 
 /** Idle timeout assumed for a server that states none. */
@@ -117,9 +118,13 @@
       if (outcomeKind === OutcomeKind.Declined) this.#refusedRequestIds.add(request.requestId)
       const isReusable = reader.isReusable && this.#refusedRequestIds.size < MAX_REFUSED_REQUESTS
       if (!isAnswered || !isReusable) this.destroy()
+      const statement = isAnswered
+        ? this.#statementOf(answer, outcomeKind, request.requestId)
+        : undefined
       onEnd({
         kind: outcomeKind,
         answer,
+        ...(statement === undefined ? {} : { statement }),
         report: load === undefined ? null : this.#headers.readLoad(load),
         durationMs: nowMs - startedAtMs,
         detail,
@@ -175,6 +180,17 @@
     return isSuccess && !isSigned ? OutcomeKind.Broken : OutcomeKind.Answered
   }
 
+  /** Statements of another server, or in an answer that may not be this server's, don't count. */
+  #statementOf(
+    { headers }: ServerAnswer,
+    kind: OutcomeKind,
+    requestId: string,
+  ): ServerStatement | undefined {
+    const isTrusted = kind === OutcomeKind.Answered || kind === OutcomeKind.Declined
+    if (!isTrusted || findHeader(headers, this.#headers.requestId) !== requestId) return undefined
+    return this.#headers.readStatement(headers)
+  }
+
   #recordIdleTimeout(answer: ServerAnswer): void {
     const statedSeconds = /timeout=(\d+)/.exec(findHeader(answer.headers, 'keep-alive') ?? '')?.[1]
     this.#maxIdleMs =
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -1,6 +1,7 @@
 /** Requests to backend servers, answers, and what is certain about the outcome of a send. */
 import type { HeaderPair } from '../common/exchange.js'
 import type { LoadReport } from './loadReport.js'
+import type { ServerStatement } from './serverStatement.js'
 
 /** Request to a backend server. */
 export interface ServerRequest {
@@ -48,6 +49,8 @@
   /** Set if a complete answer to the request arrived. */
   readonly answer: ServerAnswer | undefined
   readonly report: LoadReport | null
+  /** Set if an answer that is certain to belong to the request states something. */
+  readonly statement?: ServerStatement
   /** Time from the send to the end, in milliseconds. */
   readonly durationMs: number
   /** Reason of a failure, for the log; may be empty. */
@@ -72,4 +75,8 @@
   readonly readLoad: (value: string) => LoadReport | null
   /** Response header with the server's load; lower case. */
   readonly load: string
+  /** Response headers with statements, which are not forwarded; lower case. */
+  readonly statements: ReadonlySet<string>
+  /** Decodes the statements; `undefined` if there are none. */
+  readonly readStatement: (headers: readonly HeaderPair[]) => ServerStatement | undefined
 }
--- /dev/null
+++ b/src/entry/serverStatement.ts
@@ -0,0 +1,8 @@
+/** What a backend server states of itself in an answer, beside its load. */
+
+export interface ServerStatement {
+  /** Requests per second that the server takes from all instances together. */
+  readonly limitPerSecond?: number
+  /** Names of the statements that could not be read, and so change nothing. */
+  readonly unreadable?: readonly string[]
+}
