fix(entry): the limits that backend servers state hold for all instances together

Cause: nothing read Server-Limit; the class is a statement in an answer that no decision takes into account. Change: an instance passes the statement on when it releases the slot. The coordinator that may fill the server's slots spends its limit alone: as a rate of grants beside the slots, in the expected wait, the capacity for admission, the demand of the region and the slots it lends. A server with a limit is lent whole or not at all; slots that are no longer lent are taken back with a message instead of when the loan expires. Coordinators tell those of other regions and their successors.

--- a/src/entry/__tests__/instanceState.spec.ts
+++ b/src/entry/__tests__/instanceState.spec.ts
@@ -226,7 +226,7 @@
 
   // A server shared by two regions evicts the cached objects of both.
   it('lends whole servers', () => {
-    const servers = ['a', 'b', 'c', 'd'].map((id) => ({ id, slots: 4 }))
+    const servers = ['a', 'b', 'c', 'd'].map((id) => ({ id, slots: 4, usableSlots: 4 }))
     const chosen = chooseLentSlots('short', 9, servers, new Map())
     expect(chosen.map(({ slots }) => slots)).to.deep.equal([4, 4, 1])
     const fewer = chooseLentSlots('short', 5, servers, new Map())
@@ -234,6 +234,16 @@
       fewer.map(({ serverId }) => serverId),
     )
   })
+
+  // Guards against two regions that each spend the whole limit of one server.
+  it('lends a server with a limit whole, or not at all', () => {
+    const limited = ['a', 'b', 'c'].map((id) => ({ id, slots: 4, usableSlots: 1.5 }))
+    const chosen = chooseLentSlots('short', 4, limited, new Map())
+    expect(chosen.map(({ slots }) => slots)).to.deep.equal([4, 4])
+    expect(chooseLentSlots('short', 1, limited, new Map())).to.deep.equal([])
+    const lent = new Map(limited.map(({ id }) => [id, 1]))
+    expect(chooseLentSlots('short', 4, limited, lent)).to.deep.equal([])
+  })
 })
 
 describe('StoreMirror', () => {
--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -11,10 +11,13 @@
   DemandMessage,
   LendSlotsMessage,
   RemoteShareMessage,
+  StatedLimitsMessage,
 } from './peerMessages.js'
 import { PeerMessageKind, SlotOutcome } from './peerMessages.js'
 import type { ServiceSettings } from './routingConfiguration.js'
+import type { LimitStatement } from './serverLimits.js'
 import type { CoordinatedServer } from './serverState.js'
+import type { ServerStatement } from './serverStatement.js'
 import type { CoordinatorStats } from './serviceCoordinator.js'
 import { ServiceCoordinator } from './serviceCoordinator.js'
 import type { LocalCoordinators, PeerSender } from './slotClient.js'
@@ -56,6 +59,8 @@
   readonly createdAtMs: number
   readonly coordinator: ServiceCoordinator
   readonly demands: Map<string, { readonly demand: RegionDemand; readonly atMs: number }>
+  /** Regions to which the latest exchange lent slots. */
+  readonly borrowers: Set<string>
   usedAtMs: number
   generation: number
 }
@@ -99,8 +104,10 @@
     durationMs: number,
     report: LoadReport | null,
     nowMs: number,
+    stated?: ServerStatement,
   ): void {
-    this.#services.get(service)?.coordinator.releaseSlot(key, use, durationMs, report, nowMs)
+    const coordinator = this.#services.get(service)?.coordinator
+    coordinator?.releaseSlot(key, use, durationMs, report, nowMs, stated)
   }
 
   adopt(service: string, instance: string, uses: readonly HeldSlotReport[], nowMs: number): void {
@@ -192,6 +199,21 @@
     coordinated.coordinator.acceptHandover(share, neededSlots, nowMs)
   }
 
+  /** Accepts the limits that servers stated to another coordinator of the service. */
+  handleStatedLimits({ service, limits }: StatedLimitsMessage, nowMs: number): void {
+    const isNew = !this.#services.has(service)
+    const coordinated = this.#getOrCreate(service, nowMs)
+    if (isNew) coordinated.usedAtMs = Number.NEGATIVE_INFINITY
+    coordinated.coordinator.acceptLimits(
+      limits.map(({ serverId, limitPerSecond, ageMs }) => ({
+        serverId,
+        limitPerSecond,
+        statedAtMs: nowMs - ageMs,
+      })),
+      nowMs,
+    )
+  }
+
   /**
    * Sends the state of each active coordinator to its successor; called periodically and when a
    * peer connects.
@@ -201,10 +223,11 @@
     const live = table.liveInstances(table.self.region, nowMs)
     for (const [service, { coordinator, usedAtMs }] of this.#services) {
       if (!coordinator.hasRequests || nowMs - usedAtMs > HANDOVER_TTL_MS) continue
-      // After a start of all instances, the successor would have to grow a share of 0 slowly.
-      if (coordinator.isShareUnlimited(nowMs)) continue
       const successor = coordinatorOrder(service, live).find(({ name }) => name !== table.self.name)
       if (successor === undefined) continue
+      this.#sendLimits(successor.name, service, coordinator.statedLimits(), nowMs)
+      // After a start of all instances, the successor would have to grow a share of 0 slowly.
+      if (coordinator.isShareUnlimited(nowMs)) continue
       const { share, neededSlots } = coordinator.handoverState(nowMs)
       peers.send(successor.name, { kind: PeerMessageKind.RemoteShare, service, share, neededSlots })
     }
@@ -277,6 +300,7 @@
     const created: CoordinatedService = {
       coordinator: new ServiceCoordinator(service, table.self.region, random, nowMs),
       demands: new Map(),
+      borrowers: new Set(),
       createdAtMs: nowMs,
       usedAtMs: nowMs,
       generation: -1,
@@ -327,14 +351,19 @@
     const others = [...coordinated.demands.values()].map(({ demand }) => demand)
     const counts = slotsToLend(ownDemand.region, [ownDemand, ...others])
     const lentSlots = coordinated.coordinator.lend(counts, nowMs)
+    const limits = coordinated.coordinator.takeNewLimits(nowMs)
     const regions = new Set(table.others().map(({ region }) => region))
     regions.delete(ownDemand.region)
     for (const region of regions) {
       const [coordinator] = coordinatorOrder(service, table.liveInstances(region, nowMs))
       if (coordinator === undefined) continue
       peers.send(coordinator.name, { kind: PeerMessageKind.Demand, service, ...ownDemand })
-      const slots = lentSlots.get(region)
-      if (slots === undefined) continue
+      this.#sendLimits(coordinator.name, service, limits, nowMs)
+      const slots = lentSlots.get(region) ?? []
+      // Slots that are no longer lent are taken back at once, not when the loan expires.
+      if (slots.length === 0 && !coordinated.borrowers.has(region)) continue
+      if (slots.length === 0) coordinated.borrowers.delete(region)
+      else coordinated.borrowers.add(region)
       peers.send(coordinator.name, {
         kind: PeerMessageKind.LendSlots,
         service,
@@ -343,4 +372,19 @@
       })
     }
   }
+
+  #sendLimits(
+    peer: string,
+    service: string,
+    statements: readonly LimitStatement[],
+    nowMs: number,
+  ): void {
+    if (statements.length === 0) return
+    const limits = statements.map(({ serverId, limitPerSecond, statedAtMs }) => ({
+      serverId,
+      limitPerSecond,
+      ageMs: Math.round(nowMs - statedAtMs),
+    }))
+    this.#dependencies.peers.send(peer, { kind: PeerMessageKind.StatedLimits, service, limits })
+  }
 }
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -451,6 +451,7 @@
         ...stats,
         arrivalsPerSecond: Math.round(stats.arrivalsPerSecond),
         remoteShare: Math.round(stats.remoteShare * 1000) / 1000,
+        completionsPerSecond: Math.round(stats.completionsPerSecond),
       })
     }
   }
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -57,8 +57,8 @@
     slots.handleRefusal(peer, message)
   },
   [PeerMessageKind.ReleaseSlot]: ({ coordination, peer, nowMs }, message) => {
-    const { service, askId, use, durationMs, report } = message
-    coordination.releaseSlot(service, `${peer}/${askId}`, use, durationMs, report, nowMs)
+    const { service, askId, use, durationMs, report, stated } = message
+    coordination.releaseSlot(service, `${peer}/${askId}`, use, durationMs, report, nowMs, stated)
   },
   [PeerMessageKind.HeldSlots]: ({ coordination, peer, nowMs }, message) => {
     coordination.handleHeldSlots(peer, message, nowMs)
@@ -90,6 +90,9 @@
   [PeerMessageKind.LendSlots]: ({ coordination, nowMs }, message) => {
     coordination.handleLentSlots(message, nowMs)
   },
+  [PeerMessageKind.StatedLimits]: ({ coordination, nowMs }, message) => {
+    coordination.handleStatedLimits(message, nowMs)
+  },
 }
 
 /** Calls the handler for the message's kind; kinds of a later release are ignored. */
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -1,6 +1,7 @@
 /** Messages between entry instances, sent as one JSON object per line. */
 import type { InstanceRecord } from './instanceRecord.js'
 import type { LoadReport } from './loadReport.js'
+import type { ServerStatement } from './serverStatement.js'
 
 /** Wire values are one letter because each request causes three messages. */
 export enum PeerMessageKind {
@@ -32,6 +33,8 @@
   RemoteShare = 's',
   /** Slots that the sender's region lends to the receiver's region. */
   LendSlots = 'e',
+  /** Limits that backend servers of a service stated to the sender's region. */
+  StatedLimits = 't',
 }
 
 export interface HelloMessage {
@@ -129,6 +132,8 @@
   readonly use: SlotOutcome
   readonly durationMs: number
   readonly report: LoadReport | null
+  /** What the server stated in its answer; left out if nothing. */
+  readonly stated?: ServerStatement
 }
 
 /** Slot that an instance holds, as reported to a coordinator. */
@@ -208,6 +213,20 @@
   readonly slots: readonly LentSlots[]
 }
 
+/** Limit that a backend server stated. */
+export interface StatedLimit {
+  readonly serverId: string
+  /** Requests per second; `null` if the server no longer states a limit. */
+  readonly limitPerSecond: number | null
+  readonly ageMs: number
+}
+
+export interface StatedLimitsMessage {
+  readonly kind: PeerMessageKind.StatedLimits
+  readonly service: string
+  readonly limits: readonly StatedLimit[]
+}
+
 export type PeerMessage =
   | HelloMessage
   | HeartbeatMessage
@@ -223,3 +242,4 @@
   | DemandMessage
   | RemoteShareMessage
   | LendSlotsMessage
+  | StatedLimitsMessage
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -250,6 +250,7 @@
       SLOT_OUTCOME_BY_SEND_OUTCOME[outcome.kind](outcome.answer),
       durationMs,
       outcome.report,
+      outcome.statement,
     )
     log.decision(state.request.requestId, 'sent', {
       route: state.route.name,
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -4,6 +4,7 @@
 import { hashText } from '../common/hashing.js'
 import type { ObjectCacheEstimate } from './objectCacheEstimate.js'
 import { SlotOutcome } from './peerMessages.js'
+import type { ServerLimit } from './serverLimits.js'
 import type { ObjectHolders } from './serverIndex.js'
 
 /** A backend server with the slots that the coordinator may use. */
@@ -67,6 +68,8 @@
   #report: LoadReport | undefined
   #reportAtMs = Number.NEGATIVE_INFINITY
   #suspendedUntilMs = Number.NEGATIVE_INFINITY
+  /** Limit that the server states, if any. */
+  limit: ServerLimit | undefined
   #cachedSlowdownAtMs = Number.NaN
   #cachedSlowdown = 1
   /** Hash of the identifier, for the affinity of objects to servers. */
@@ -98,7 +101,8 @@
   /** Slots that may be granted now. */
   freeSlots(nowMs: number): number {
     if (this.isSuspended(nowMs)) return 0
-    const free = this.#server.slots - this.running.size
+    const unusedSlots = this.#server.slots - this.running.size
+    const free = Math.min(unusedSlots, this.limit?.availableRequests(nowMs) ?? unusedSlots)
     if (free <= 0 || !this.isCold(nowMs)) return Math.max(0, free)
     const rate = this.#server.coldRequestsPerSecond
     this.#coldBucket.refill(rate, Math.max(1, rate / 4), nowMs)
@@ -110,6 +114,28 @@
     return nowMs < this.#suspendedUntilMs
   }
 
+  /**
+   * Slots that can be in use on average, less than all if the server states a limit.
+   * @param holdTimeMs mean time for which a request holds a slot
+   */
+  usableSlots(holdTimeMs: number): number {
+    const { slots } = this.#server
+    if (this.limit === undefined) return slots
+    return Math.min(slots, (this.limit.requestsPerSecond * holdTimeMs) / 1000)
+  }
+
+  /**
+   * Expected wait until a slot is granted, in milliseconds.
+   * @param position of the request among those that wait for the server, from 1
+   */
+  waitMs(position: number, holdTimeMs: number, nowMs: number): number {
+    if (this.freeSlots(nowMs) > 0) return 0
+    const { slots } = this.#server
+    const isInUse = this.running.size >= slots || this.limit === undefined
+    const slotWaitMs = isInUse ? (position * holdTimeMs * this.slowdownAt(nowMs)) / slots : 0
+    return Math.max(slotWaitMs, this.limit?.waitMs(position, nowMs) ?? 0)
+  }
+
   isCold(nowMs: number): boolean {
     return nowMs < this.#server.coldUntilMs
   }
@@ -157,6 +183,7 @@
     this.running.set(key, request)
     this.#recordObject(request.object)
     if (this.isCold(nowMs)) this.#coldBucket.charge(1)
+    this.limit?.recordRequest()
   }
 
   /** Ends a request and records its outcome; returns `undefined` for an unknown key. */
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -22,9 +22,12 @@
   usableSlots,
   targetRemoteShare,
 } from './remoteShare.js'
+import type { LimitStatement } from './serverLimits.js'
+import { LimitSource, ServerLimits } from './serverLimits.js'
 import type { CoordinatedServer, RunningRequest } from './serverState.js'
 import { ServerIndex } from './serverIndex.js'
 import { ServerState } from './serverState.js'
+import type { ServerStatement } from './serverStatement.js'
 import type { RegionDemand } from './slotLending.js'
 import { chooseLentSlots } from './slotLending.js'
 import type { Waiter } from './requestQueue.js'
@@ -63,6 +66,9 @@
   readonly waiting: number
   readonly arrivalsPerSecond: number
   readonly remoteShare: number
+  /** Servers that state a limit, and requests per second that all servers complete. */
+  readonly limitedServers: number
+  readonly completionsPerSecond: number
 }
 
 /** Expected durations of a route in one region. */
@@ -98,7 +104,11 @@
     string,
     { readonly slots: readonly LentSlots[]; readonly untilMs: number }
   >()
-  #totalSlots = 0
+  readonly #limits = new ServerLimits()
+  /** Slots of servers without a limit, and the servers with one. */
+  #unlimitedSlots = 0
+  #limitedServers: readonly ServerState[] = []
+  #limitsSentAtMs = Number.NEGATIVE_INFINITY
   #initialHoldTimeMs = DEFAULT_DURATION_MS
   #localServers: readonly CoordinatedServer[] = []
   #findServer: (id: string) => CoordinatedServer | undefined = () => undefined
@@ -179,18 +189,84 @@
     durationMs: number,
     report: LoadReport | null,
     nowMs: number,
+    stated?: ServerStatement,
   ): void {
     this.#expireBorrowedSlots(nowMs)
     this.#unconfirmedSlots.remove(key)
     const state = this.#servers.takeRequest(key)
     const running = state?.endRequest(key, use, durationMs, report, nowMs)
-    if (state !== undefined) this.#servers.refresh(state)
+    if (state !== undefined) {
+      this.#servers.refresh(state)
+      this.#recordStatement(state.server.id, stated, use, running, nowMs)
+    }
     if (state !== undefined && running !== undefined && use === SlotOutcome.Completed) {
       this.#recordDuration(running, state, durationMs, nowMs)
     }
     this.#dispatch(nowMs)
   }
 
+  #recordStatement(
+    serverId: string,
+    stated: ServerStatement | undefined,
+    use: SlotOutcome,
+    running: RunningRequest | undefined,
+    nowMs: number,
+  ): void {
+    const { limitPerSecond } = stated ?? {}
+    if (limitPerSecond !== undefined) {
+      const statement = { serverId, limitPerSecond, statedAtMs: nowMs }
+      if (this.#limits.record(statement, LimitSource.Answer, nowMs)) this.#applyLimits()
+    } else if (stated === undefined && use === SlotOutcome.Completed && running !== undefined) {
+      if (this.#limits.recordAbsence(serverId, running.startedAtMs, nowMs)) this.#applyLimits()
+    }
+  }
+
+  /** Accepts statements that servers made to other coordinators. */
+  acceptLimits(statements: readonly LimitStatement[], nowMs: number): void {
+    const changes = statements.filter((statement) =>
+      this.#limits.record(statement, LimitSource.Coordinator, nowMs),
+    )
+    if (changes.length > 0) this.#applyLimits()
+  }
+
+  /** Limits that are known to this coordinator. */
+  statedLimits(): LimitStatement[] {
+    return this.#limits.statements()
+  }
+
+  /** Limits stated in answers to this region since the last call. */
+  takeNewLimits(nowMs: number): LimitStatement[] {
+    const statements = this.#limits.answersSince(this.#limitsSentAtMs)
+    this.#limitsSentAtMs = nowMs
+    return statements
+  }
+
+  #applyLimits(): void {
+    const limited: ServerState[] = []
+    this.#unlimitedSlots = 0
+    for (const state of this.#servers.all()) {
+      state.limit = this.#limits.find(state.server.id)
+      if (state.limit === undefined) this.#unlimitedSlots += state.server.slots
+      else limited.push(state)
+    }
+    this.#limitedServers = limited
+  }
+
+  /** Slots that can be in use on average. */
+  #usableSlots(): number {
+    let slots = this.#unlimitedSlots
+    const holdTimeMs = this.#meanHoldTimeMs()
+    for (const state of this.#limitedServers) slots += state.usableSlots(holdTimeMs)
+    return slots
+  }
+
+  /** Slots of a server of this region that can be in use on average. */
+  #usableSlotsOf({ id, slots }: CoordinatedServer): number {
+    const limit = this.#limits.find(id)
+    if (limit === undefined) return slots
+    return Math.min(slots, (limit.requestsPerSecond * this.#meanHoldTimeMs()) / 1000)
+  }
+
   #startAwaiting(key: string, serverId: string): void {
     this.#awaitedServers.set(key, serverId)
     this.#waiterCounts.set(serverId, (this.#waiterCounts.get(serverId) ?? 0) + 1)
@@ -334,7 +410,9 @@
   ): ReadonlyMap<string, readonly LentSlots[]> {
     const alreadyLent = new Map<string, number>()
     this.#lentSlots.clear()
-    const warm = this.#localServers.filter((server) => server.coldUntilMs <= nowMs)
+    const warm = this.#localServers
+      .filter((server) => server.coldUntilMs <= nowMs)
+      .map((server) => ({ ...server, usableSlots: this.#usableSlotsOf(server) }))
     for (const [region, count] of counts) {
       const chosen = chooseLentSlots(region, count, warm, alreadyLent)
       for (const { serverId, slots } of chosen) {
@@ -369,7 +447,7 @@
 
   /** Demand and capacity of this region. */
   demand(nowMs: number): RegionDemand {
-    const slots = this.#localServers.reduce((sum, server) => sum + server.slots, 0)
+    const slots = this.#localServers.reduce((sum, server) => sum + this.#usableSlotsOf(server), 0)
     const neededSlots = this.#assumedDemand.blend(this.#neededSlots(nowMs), nowMs)
     return { region: this.#region, neededSlots, slots }
   }
@@ -420,9 +498,14 @@
   tick(nowMs: number): void {
     this.#expireBorrowedSlots(nowMs)
     for (const key of this.#unconfirmedSlots.takeExpired(nowMs)) this.#freeSlot(key)
+    if (this.#limits.expire(nowMs).length > 0) this.#applyLimits()
+    const holdTimeMs = this.#meanHoldTimeMs()
     const borrowedSlots = [...this.#servers.all()]
       .filter(({ server }) => server.region !== this.#region)
-      .reduce((sum, { server }) => sum + server.slots / this.#pipelineFactor(), 0)
+      .reduce((sum, state) => {
+        const lentSlots = state.server.slots / this.#pipelineFactor()
+        return sum + Math.min(lentSlots, state.usableSlots(holdTimeMs))
+      }, 0)
     const { neededSlots, slots } = this.demand(nowMs)
     const target = targetRemoteShare(neededSlots, slots, borrowedSlots)
     this.#remoteShare.moveTowards(target, nowMs, this.#assumedDemand.hasTraffic)
@@ -450,6 +533,8 @@
       waiting: this.#queue.length,
       arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
       remoteShare: this.#remoteShare.share,
+      limitedServers: this.#limitedServers.length,
+      completionsPerSecond: this.#completionsPerSecond(),
     }
   }
 
@@ -478,16 +563,17 @@
         this.#servers.remove(state)
         continue
       }
+      if (state.server.slots === 0) state.limit?.restart(nowMs)
       state.update(server ?? { ...state.server, slots: 0 })
       this.#servers.refresh(state)
     }
     for (const [id, server] of servers) {
       if (this.#servers.find(id) !== undefined) continue
+      this.#limits.find(id)?.restart(nowMs)
       const { holders } = this.#servers
       this.#servers.add(new ServerState(server, this.#objectCache, holders, nowMs))
     }
-    this.#totalSlots = 0
-    for (const { server } of this.#servers.all()) this.#totalSlots += server.slots
+    this.#applyLimits()
   }
 
   #dispatch(nowMs: number): void {
@@ -594,8 +680,7 @@
     const slowdown = state.slowdownAt(nowMs)
     const load = state.running.size / Math.max(1, slots)
     const preference = object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32
-    const isFull = state.freeSlots(nowMs) <= 0
-    const waitMs = isFull ? ((waiterCount + 1) * this.#meanHoldTimeMs() * slowdown) / slots : 0
+    const waitMs = state.waitMs(waiterCount + 1, this.#meanHoldTimeMs(), nowMs)
     return (
       waitMs +
       usualMs * slowdown * slotTimeWeight +
@@ -610,7 +695,7 @@
    */
   #slotTimeWeight({ key }: Waiter): number {
     const others = this.#queue.length - Number(this.#queue.has(key))
-    return 1 + others / Math.max(1, this.#totalSlots)
+    return 1 + others / Math.max(1, this.#usableSlots())
   }
 
   #isAllowed(waiter: Waiter, region: string): boolean {
@@ -649,7 +734,7 @@
   }
 
   #completionsPerSecond(): number {
-    return (this.#totalSlots * 1000) / this.#meanHoldTimeMs()
+    return (this.#usableSlots() * 1000) / this.#meanHoldTimeMs()
   }
 
   #meanHoldTimeMs(): number {
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -12,6 +12,7 @@
   SlotOutcome,
 } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
+import type { ServerStatement } from './serverStatement.js'
 import type { Waiter } from './requestQueue.js'
 
 /** The coordinators that run in this process. */
@@ -25,6 +26,7 @@
     durationMs: number,
     report: LoadReport | null,
     nowMs: number,
+    stated?: ServerStatement,
   ): void
   adopt(service: string, instance: string, uses: readonly HeldSlotReport[], nowMs: number): void
 }
@@ -40,8 +42,13 @@
   readonly serverId: string
   /** Name of the instance that granted the slot. */
   readonly coordinator: string
-  /** Releases the slot; further calls have no effect. */
-  release(use: SlotOutcome, durationMs: number, report: LoadReport | null): void
+  /** Releases the slot; further calls have no effect. @param stated by the server in its answer */
+  release(
+    use: SlotOutcome,
+    durationMs: number,
+    report: LoadReport | null,
+    stated?: ServerStatement,
+  ): void
 }
 
 /** Receives the outcome of a slot request, exactly once. */
@@ -234,9 +241,9 @@
     pending.listener.onGranted({
       serverId,
       coordinator,
-      release: (use, durationMs, report) => {
+      release: (use, durationMs, report, stated) => {
         if (!this.#heldSlots.delete(askId)) return
-        this.#release(askId, service, coordinator, use, durationMs, report)
+        this.#release(askId, service, coordinator, use, durationMs, report, stated)
       },
     })
   }
@@ -248,15 +255,17 @@
     use: SlotOutcome,
     durationMs: number,
     report: LoadReport | null,
+    stated: ServerStatement | undefined,
   ): void {
     const current = this.#lastCoordinator.get(service) ?? grantedBy
     for (const coordinator of new Set([grantedBy, current])) {
       if (coordinator === this.#table.self.name) {
         const key = `${coordinator}/${askId}`
-        this.#local.releaseSlot(service, key, use, durationMs, report, this.#clock())
+        this.#local.releaseSlot(service, key, use, durationMs, report, this.#clock(), stated)
       } else if (this.#peers.isUp(coordinator)) {
-        const kind = PeerMessageKind.ReleaseSlot
-        this.#peers.send(coordinator, { kind, service, askId, use, durationMs, report })
+        const kind = PeerMessageKind.ReleaseSlot as const
+        const release = { kind, service, askId, use, durationMs, report }
+        this.#peers.send(coordinator, stated === undefined ? release : { ...release, stated })
       }
     }
   }
--- a/src/entry/slotLending.ts
+++ b/src/entry/slotLending.ts
@@ -47,13 +47,16 @@
 export interface LendableServer {
   readonly id: string
   readonly slots: number
+  /** Slots that can be in use on average, less than all if the server states a limit. */
+  readonly usableSlots: number
 }
 
 /**
  * Chooses the lent slots server by server, in an order that depends only on the borrower and
  * the server, so that a changed count moves few slots. Whole servers are lent, because each
  * region requests its own objects: a server shared by two regions would evict the cached
- * objects of both.
+ * objects of both. A server with a limit is lent whole or not at all, so that one coordinator
+ * spends the limit.
  * @param alreadyLent slots already lent, by server
  */
 export function chooseLentSlots(
@@ -69,7 +72,14 @@
   let remaining = count
   for (const { server } of ordered) {
     if (remaining <= 0) break
-    const slots = Math.min(remaining, server.slots - (alreadyLent.get(server.id) ?? 0))
+    const lentSlots = alreadyLent.get(server.id) ?? 0
+    if (server.usableSlots < server.slots) {
+      if (lentSlots > 0 || server.usableSlots > remaining) continue
+      remaining -= server.usableSlots
+      chosen.push({ serverId: server.id, slots: server.slots })
+      continue
+    }
+    const slots = Math.min(Math.floor(remaining), server.slots - lentSlots)
     if (slots <= 0) continue
     remaining -= slots
     chosen.push({ serverId: server.id, slots })
--- a/testing/regionSimulation.ts
+++ b/testing/regionSimulation.ts
@@ -33,6 +33,8 @@
   readonly targetMs: number
   readonly deadlineMs: number
   readonly seconds: number
+  /** Requests per second that a server states as its limit at a time; `undefined` for none. */
+  readonly limitAt?: (serverId: string, second: number) => number | undefined
   /** Times before the traffic, in ms, at which an operator sends one request in each region. */
   readonly probesBeforeMs?: readonly number[]
 }
@@ -53,6 +55,8 @@
 export interface RegionSimulationResult {
   readonly regions: ReadonlyMap<string, RegionResult>
   readonly peakConcurrency: number
+  /** Times in ms from the start of the traffic at which requests arrived, by server. */
+  readonly arrivals: ReadonlyMap<string, readonly number[]>
   /** Fraction of the requests that ran without their object in the server's cache. */
   readonly missFraction: number
   /** Largest change of the share that runs remotely between windows of two seconds, by region. */
@@ -97,6 +101,7 @@
   readonly #random: () => number
   readonly #servers: SimulatedServers
   readonly #regionOfServer = new Map<string, string>()
+  readonly #arrivals = new Map<string, number[]>()
   readonly #states = new Map<string, RegionState>()
   #askCount = 0
   #runCount = 0
@@ -141,6 +146,7 @@
     return {
       regions: new Map(states.map(([name, { result }]) => [name, result])),
       peakConcurrency: this.#servers.peakConcurrency,
+      arrivals: this.#arrivals,
       missFraction: this.#servers.cacheMisses / Math.max(1, this.#runCount),
       largestShift: new Map(states.map(([name, { windows }]) => [name, largestShift(windows)])),
     }
@@ -200,6 +206,9 @@
     const { nowMs } = this.#queue
     if (message.kind === PeerMessageKind.Demand) coordination?.handleDemand(message, nowMs)
     if (message.kind === PeerMessageKind.LendSlots) coordination?.handleLentSlots(message, nowMs)
+    if (message.kind === PeerMessageKind.StatedLimits) {
+      coordination?.handleStatedLimits(message, nowMs)
+    }
   }
 
   #scheduleRequest(state: RegionState, atMs: number): void {
@@ -259,8 +268,14 @@
     countInWindow(state, isRemote, nowMs)
     this.#queue.schedule(nowMs + oneWayMs, () => {
       const durationMs = this.#servers.start(serverId, request.object)
+      const arrivals = this.#arrivals.get(serverId) ?? []
+      this.#arrivals.set(serverId, arrivals)
+      arrivals.push(this.#queue.nowMs - LEAD_MS)
       this.#queue.schedule(this.#queue.nowMs + durationMs, () => {
         this.#servers.end(serverId)
+        const second = (this.#queue.nowMs - LEAD_MS) / 1000
+        const limitPerSecond = this.#options.limitAt?.(serverId, second)
+        const stated = limitPerSecond === undefined ? undefined : { limitPerSecond }
         this.#queue.schedule(this.#queue.nowMs + oneWayMs, () => {
           const endMs = this.#queue.nowMs
           const totalMs = endMs - request.firstSentAtMs
@@ -269,7 +284,7 @@
           else state.result.refused += 1
           const use = SlotOutcome.Completed
           const heldMs = durationMs + 2 * oneWayMs
-          state.coordination.releaseSlot(SERVICE, key, use, heldMs, null, endMs)
+          state.coordination.releaseSlot(SERVICE, key, use, heldMs, null, endMs, stated)
         })
       })
     })
