--- a/src/entry/instanceRecord.ts
+++ b/src/entry/instanceRecord.ts
@@ -1,5 +1,7 @@
 /** Description of an entry instance, as instances exchange and store it. */
 
+import { isConnectableAddress } from '../common/listen.js'
+
 /** One start of an entry instance; serialised as JSON. */
 export interface InstanceRecord {
   /** Unique name of the machine. */
@@ -23,5 +25,7 @@
   const texts = ['name', 'incarnation', 'region', 'zone', 'callerAddress', 'peerAddress']
   if (texts.some((field) => typeof fields[field] !== 'string')) return undefined
   if (typeof fields.capacity !== 'number' || !(fields.capacity > 0)) return undefined
-  return value as InstanceRecord
+  const record = value as InstanceRecord
+  const addresses = [record.callerAddress, record.peerAddress]
+  return addresses.every(isConnectableAddress) ? record : undefined
 }
