fix(entry): an error in the handling of one request does not end the process

A second line behind the decoder of odd entries: a rejected request ended the process, and with it the requests of all other callers. The caller gets 502, the error a log line. Test: callerServer.spec.ts.

--- a/bench/uploadBenchServer.ts
+++ b/bench/uploadBenchServer.ts
@@ -42,6 +42,7 @@
   }),
   bodyBudget: budget,
   isEventLoopDelayed: () => false,
+  onError: () => undefined,
   run: async ({ requestId, body }) => {
     ranRequestIds.push(requestId)
     peakBufferedBytes = Math.max(peakBufferedBytes, budget.usedBytes)
--- a/src/entry/__tests__/callerServer.spec.ts
+++ b/src/entry/__tests__/callerServer.spec.ts
@@ -54,11 +54,13 @@
   let isEventLoopDelayed: boolean
   /** Time for which each request blocks the event loop, in milliseconds. */
   let blockingMs: number
+  let errors: unknown[]
 
   beforeEach(async () => {
     ran = []
     isEventLoopDelayed = true
     blockingMs = 0
+    errors = []
     bodyBudget = new ByteBudget(BODY_BUDGET_BYTES)
     server = new CallerServer({
       headers: HEADERS,
@@ -66,8 +68,12 @@
       bodyBudget,
       limits: () => undefined,
       isEventLoopDelayed: () => isEventLoopDelayed,
+      onError: (requestId, error) => {
+        errors.push(requestId, error)
+      },
       run: (request: CallerRequest) => {
         ran.push(request.requestId)
+        if (request.requestId === 'fails') return Promise.reject(new Error('unexpected'))
         block(blockingMs)
         return Promise.resolve({ status: 200, headers: [], body: Buffer.from('done') })
       },
@@ -113,6 +119,20 @@
     expect(ran.filter((id) => id.startsWith('left'))).to.deep.equal([])
   })
 
+  // Guards against a process that ends, with all its requests, over one of them.
+  it('answers a request whose handling fails as possibly run', async () => {
+    const socket = connect(server.port, '127.0.0.1')
+    let text = ''
+    socket.on('data', (bytes) => {
+      text += bytes.toString()
+    })
+    socket.write(requestText('fails'))
+    await waitUntil(() => text !== '')
+    socket.destroy()
+    expect(text).to.match(/^HTTP\/1\.1 502 /)
+    expect(errors[0]).to.equal('fails')
+  })
+
   describe('bodies', () => {
     const sockets: Socket[] = []
     afterEach(() => {
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -18,6 +18,8 @@
   readonly clock: Clock
   readonly limits: () => CallerLimits | undefined
   readonly run: (request: CallerRequest) => Promise<CallerAnswer>
+  /** Called with an error that no step of a request handled. */
+  readonly onError: (requestId: string, error: unknown) => void
   /** Memory for the bodies of requests that are not answered yet. */
   readonly bodyBudget: ByteBudget
   /** Whether the event loop was blocked recently, so that closes may be pending behind requests. */
@@ -135,7 +137,7 @@
         return
       }
       const request = this.#createRequest(message, body, arrivedAtMs, callerAbort.signal)
-      void this.#dependencies.run(request).then((answer) => {
+      void this.#run(request).then((answer) => {
         reservation.release()
         this.#write(socket, response, answer, false)
       })
@@ -149,6 +151,16 @@
     })
   }
 
+  /** An error in the handling of one request must not end those of other callers. */
+  async #run(request: CallerRequest): Promise<CallerAnswer> {
+    try {
+      return await this.#dependencies.run(request)
+    } catch (error) {
+      this.#dependencies.onError(request.requestId, error)
+      return failureAnswer(FailureKind.AnswerLost, 0)
+    }
+  }
+
   #readBody(
     message: IncomingMessage,
     response: ServerResponse,
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../common/clock.js'
 import { sleep, systemClock } from '../common/clock.js'
 import { BackendServerRegistry } from './backendServerRegistry.js'
+import { FailureKind } from './callerRequest.js'
 import { CallerServer } from './callerServer.js'
 import { ConnectionPool } from './connectionPool.js'
 import { Coordination } from './coordination.js'
@@ -171,6 +172,12 @@
       limits: () => this.#routing.current?.limits,
       bodyBudget: this.#bodyBudget,
       run: (request) => runner.run(request, this.#shutdown),
+      onError: (requestId, error) => {
+        this.#metrics.failed(FailureKind.AnswerLost)
+        log.decision(requestId, 'requestError', {
+          error: error instanceof Error ? (error.stack ?? error.message) : String(error),
+        })
+      },
       isEventLoopDelayed: () => this.#eventLoopDelay.isDelayed(clock()),
     })
     this.#follower = new StoreFollower({
