fix(entry): the time for expired entries counts from the first answer of the store

Tests: decisions.spec.ts, 'after an outage'. What is left: the instance learns of a server that left while it is cut off only after the cut.

--- a/src/entry/__tests__/decisions.spec.ts
+++ b/src/entry/__tests__/decisions.spec.ts
@@ -178,6 +178,39 @@
     expect(contact.shouldRead(4, applyMs * 0.7)).to.equal(true)
   })
 
+  // Guards against new work for servers that left during an outage: the time in which their entries
+  // may be written again was counted from when the instance had noticed the end of the outage.
+  describe('after an outage', () => {
+    it('tells the first answer of the store, though its changes are read later', () => {
+      const contact = new StoreContact(2000, 0)
+      contact.recordOwnContact(1000)
+      expect(contact.returnedAtMs(9000)).to.equal(9000)
+      contact.recordAnswer(9100)
+      contact.recordOwnContact(9700)
+      expect(contact.returnedAtMs(10_000)).to.equal(9100)
+    })
+
+    it('does not count an answer before a call that failed', () => {
+      const contact = new StoreContact(2000, 0)
+      contact.recordOwnContact(1000)
+      contact.recordAnswer(9100)
+      contact.recordFailure()
+      expect(contact.returnedAtMs(9500)).to.equal(9500)
+      contact.recordOwnContact(9800)
+      expect(contact.returnedAtMs(10_000)).to.equal(9800)
+    })
+
+    it('counts the contact of a peer, and each outage anew', () => {
+      const contact = new StoreContact(2000, 0)
+      contact.recordOwnContact(1000)
+      contact.recordPeerContact(8000, 9000)
+      expect(contact.returnedAtMs(9000)).to.equal(9000)
+      contact.recordPeerContact(100, 9300)
+      expect(contact.returnedAtMs(9400)).to.equal(9200)
+      expect(contact.returnedAtMs(20_000)).to.equal(20_000)
+    })
+  })
+
   it('ignores the outdated store contact of a reader that is cut off', () => {
     const contact = new StoreContact(2000, 0)
     contact.recordPeerContact(0, 1000)
--- a/src/entry/backendServerRegistry.ts
+++ b/src/entry/backendServerRegistry.ts
@@ -86,9 +86,12 @@
     return true
   }
 
-  /** Records that the store is or was just unreachable; defers removals for the grace period. */
-  deferRemovals(nowMs: number): void {
-    this.#removalsDeferredUntilMs = nowMs + EXPIRED_ENTRY_GRACE_MS
+  /**
+   * Records that the store is or was just unreachable; defers removals for the grace period.
+   * @param returnedAtMs latest time at which the store can have returned
+   */
+  deferRemovals(returnedAtMs: number): void {
+    this.#removalsDeferredUntilMs = returnedAtMs + EXPIRED_ENTRY_GRACE_MS
     for (const entry of this.#entries.values()) {
       if (entry.missingUntilMs !== undefined) entry.missingUntilMs = this.#removalsDeferredUntilMs
     }
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -200,6 +200,9 @@
       clock,
       log,
       isReader: () => this.#follower.isReading,
+      onAnswer: () => {
+        this.#contact.recordAnswer(clock())
+      },
       members: () => this.#table.rosterInstances(clock()),
       isListedElsewhere: () =>
         this.#rosters.isListedElsewhere(record.name, RosterWriter.keyOf(record)),
@@ -442,7 +445,9 @@
 
   #housekeeping(nowMs: number): void {
     const isStoreUnreachable = this.#contact.isStoreUnreachable(nowMs)
-    if (isStoreUnreachable || this.#wasStoreUnreachable) this.#registry.deferRemovals(nowMs)
+    if (isStoreUnreachable || this.#wasStoreUnreachable) {
+      this.#registry.deferRemovals(this.#contact.returnedAtMs(nowMs))
+    }
     if (isStoreUnreachable !== this.#wasStoreUnreachable) {
       this.#log.event(isStoreUnreachable ? 'storeAway' : 'storeBack', {
         ageMs: this.#contact.ageMs(nowMs),
--- a/src/entry/rosterWriter.ts
+++ b/src/entry/rosterWriter.ts
@@ -29,6 +29,8 @@
   readonly log: EntryLog
   /** Whether this instance is a store reader of its region. */
   readonly isReader: () => boolean
+  /** Called when the store answers. */
+  readonly onAnswer: () => void
   /** Instances of the region with a working link, including this one unless it is leaving. */
   readonly members: () => readonly InstanceRecord[]
   /** Whether the roster of another instance lists this one. */
@@ -94,6 +96,7 @@
     if (put.err) return this.#logFailure('put', put.val.message)
     this.#leaseId = put.val ? leaseId : undefined
     this.#writtenRoster = put.val ? roster : ''
+    this.#dependencies.onAnswer()
     if (put.val) log.event('rosterWritten', { leaseId, bytes: roster.length })
     return put.val
   }
@@ -101,6 +104,7 @@
   async #renew(leaseId: number): Promise<boolean> {
     const renewed = await this.#dependencies.store.renewLease(leaseId)
     if (renewed.err) return this.#logFailure('renew', renewed.val.message)
+    this.#dependencies.onAnswer()
     this.#renewedAtMs = this.#dependencies.clock()
     if (!renewed.val) this.#leaseId = undefined
     return renewed.val
--- a/src/entry/storeContact.ts
+++ b/src/entry/storeContact.ts
@@ -35,6 +35,7 @@
 export class StoreContact {
   #ownContactAtMs: number | undefined
   #peerContactAtMs: number | undefined
+  #returnedAtMs: number | undefined
   readonly #startedAtMs: number
   #isReading = false
   /** Duration of a watch, in milliseconds. */
@@ -54,11 +55,40 @@
     return ageMs >= 0 && ageMs <= this.watchMs + UNREACHABLE_AFTER_MS
   }
 
-  /** Records that the store answered a call of this instance. */
+  /** Records that the store's changes were read by this instance. */
   recordOwnContact(nowMs: number): void {
+    this.recordAnswer(nowMs)
     this.#ownContactAtMs = nowMs
   }
 
+  /** Records that the store answered a call of this instance, whatever it said. */
+  recordAnswer(nowMs: number): void {
+    this.#recordReturn(nowMs, nowMs)
+  }
+
+  /** Records that a call of this instance got no answer. */
+  recordFailure(): void {
+    this.#returnedAtMs = undefined
+  }
+
+  /**
+   * Latest time at which the store can have returned from its last outage: its first answer since
+   * then, or now if there is none.
+   */
+  returnedAtMs(nowMs: number): number {
+    if (this.isStoreUnreachable(nowMs) && !this.#hasReturned()) return nowMs
+    return this.#returnedAtMs ?? nowMs
+  }
+
+  #recordReturn(answeredAtMs: number, nowMs: number): void {
+    if (this.isStoreUnreachable(nowMs) && !this.#hasReturned()) this.#returnedAtMs = answeredAtMs
+  }
+
+  /** Whether the store has answered since the last contact. */
+  #hasReturned(): boolean {
+    return this.#returnedAtMs !== undefined && this.#returnedAtMs > this.#latestContactMs()
+  }
+
   /**
    * Records the store contact that a peer of the own region stated. Other regions must not be
    * recorded, because they don't pass store updates on to this one.
@@ -66,7 +96,9 @@
    */
   recordPeerContact(ageMs: number, nowMs: number): void {
     if (ageMs < 0) return
-    this.#peerContactAtMs = Math.max(this.#peerContactAtMs ?? 0, nowMs - ageMs)
+    const contactAtMs = nowMs - ageMs
+    if (contactAtMs > this.#latestContactMs()) this.#recordReturn(contactAtMs, nowMs)
+    this.#peerContactAtMs = Math.max(this.#peerContactAtMs ?? 0, contactAtMs)
   }
 
   /** Time since the last own contact; -1: never. */
@@ -76,11 +108,14 @@
 
   /** Time since the last contact of this instance or a peer, or since the start. */
   ageMs(nowMs: number): number {
-    const latest = Math.max(
+    return nowMs - this.#latestContactMs()
+  }
+
+  #latestContactMs(): number {
+    return Math.max(
       this.#ownContactAtMs ?? this.#startedAtMs,
       this.#peerContactAtMs ?? this.#startedAtMs,
     )
-    return nowMs - latest
   }
 
   uptimeMs(nowMs: number): number {
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -134,6 +134,7 @@
     const changes = await store.watch('', watchedFrom, contact.watchMs)
     if (changes.err) return this.#recordFailure('watch', changes.val.message)
     if (changes.val === HISTORY_COMPACTED) {
+      contact.recordAnswer(this.#dependencies.clock())
       this.#dependencies.log.event('storeHistoryGone', { revision: mirror.revision })
       this.#needsListing = true
       return true
@@ -178,6 +179,7 @@
   }
 
   #recordFailure(call: string, reason: string): boolean {
+    this.#dependencies.contact.recordFailure()
     if (!this.#isFailing) this.#dependencies.log.event('storeLost', { call, reason })
     this.#isFailing = true
     return false
