feat(entry): servers that state that they leave, or turn an instance away, get no requests from it

Leaving: the instance marks the start of the server, drops grants for it that are not sent yet, and tells all instances, also those that connect later; no entry of the store revokes the mark, another start of the server is another server. Turned away: the instance sends nothing until then; the coordinator fills the slots from instances that were not told so, and refuses at once, with the time until the first server takes requests again, what no other server may run. A server's Retry-After in a 503 is no longer the caller's. One log line for each change, counters by kind.

--- a/src/entry/backendServerRegistry.ts
+++ b/src/entry/backendServerRegistry.ts
@@ -35,6 +35,17 @@
  */
 export const EXPIRED_ENTRY_GRACE_MS = 2200
 
+/**
+ * Time for which a server is believed to be leaving after it stated so, in ms; an entry without a
+ * start time does not tell a restarted server from the one that left.
+ */
+const LEAVING_TTL_MS = 600_000
+
+interface LeavingMark {
+  readonly startedAtMs: number
+  readonly untilMs: number
+}
+
 interface RegistryEntry {
   revision: number
   server: RegisteredBackendServer | undefined
@@ -45,6 +56,8 @@
 /** Registry of all backend servers and evacuated zones. */
 export class BackendServerRegistry {
   readonly #entries = new Map<string, RegistryEntry>()
+  /** Servers that stated in an answer that they are leaving; no entry of the store revokes it. */
+  readonly #leavingMarks = new Map<string, LeavingMark>()
   #evacuatedZones: ReadonlySet<string> = new Set()
   #removalsDeferredUntilMs = Number.NEGATIVE_INFINITY
   #generation = 0
@@ -105,6 +118,33 @@
     }
   }
 
+  /**
+   * Records that a server stated that it is leaving.
+   * @param startedAtMs start of the server process; another start under the identifier is not meant
+   * @returns whether that was not known
+   */
+  markLeaving(id: string, startedAtMs: number, nowMs: number): boolean {
+    const known = this.#leavingMarks.get(id)
+    if (known !== undefined && known.startedAtMs >= startedAtMs) return false
+    this.#leavingMarks.set(id, { startedAtMs, untilMs: nowMs + LEAVING_TTL_MS })
+    this.#generation += 1
+    return true
+  }
+
+  /** Servers that stated that they are leaving. */
+  leavingServers(): { readonly id: string; readonly startedAtMs: number }[] {
+    return [...this.#leavingMarks].map(([id, { startedAtMs }]) => ({ id, startedAtMs }))
+  }
+
+  /** Forgets statements that are too old. */
+  expireLeavingMarks(nowMs: number): void {
+    for (const [id, { untilMs }] of this.#leavingMarks) {
+      if (untilMs > nowMs) continue
+      this.#leavingMarks.delete(id)
+      this.#generation += 1
+    }
+  }
+
   /** Replaces the zones whose backend servers get no new requests. */
   setEvacuatedZones(zones: ReadonlySet<string>): void {
     this.#evacuatedZones = zones
@@ -120,7 +160,7 @@
   usable(): RegisteredBackendServer[] {
     const usable: RegisteredBackendServer[] = []
     for (const { server } of this.#entries.values()) {
-      if (server === undefined || server.isDraining) continue
+      if (server === undefined || this.#isLeaving(server)) continue
       if (!this.#evacuatedZones.has(server.zone)) usable.push(server)
     }
     return usable
@@ -129,7 +169,12 @@
   /** Whether the server may get new requests. */
   isUsable(id: string): boolean {
     const server = this.find(id)
-    return server?.isDraining === false && !this.#evacuatedZones.has(server.zone)
+    if (server === undefined || this.#isLeaving(server)) return false
+    return !this.#evacuatedZones.has(server.zone)
+  }
+
+  #isLeaving({ id, isDraining, startedAtMs }: BackendServer): boolean {
+    return isDraining || this.#leavingMarks.get(id)?.startedAtMs === startedAtMs
   }
 
   #unregister(entry: RegistryEntry): void {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -27,6 +27,7 @@
 import { ROSTER_PREFIX, RosterWriter } from './rosterWriter.js'
 import type { RoutingConfiguration } from './routingConfiguration.js'
 import { RoutingView } from './routingView.js'
+import { ServerBeliefs } from './serverBeliefs.js'
 import { SharedRetryBudget } from './sharedRetryBudget.js'
 import { SlotClient } from './slotClient.js'
 import type { SimpleAnswer } from './simpleAnswer.js'
@@ -76,6 +77,7 @@
   readonly #mesh: PeerMesh
   readonly #coordination: Coordination
   readonly #slots: SlotClient
+  readonly #beliefs: ServerBeliefs
   readonly #pool: ConnectionPool
   readonly #bodyBudget: ByteBudget
   readonly #callers: CallerServer
@@ -152,12 +154,23 @@
       eventLoopTurns: readEventLoopCounters().turns,
       restrictedRoutes: this.#routing.restrictedRoutes.length,
     }))
+    this.#beliefs = new ServerBeliefs({
+      registry: this.#registry,
+      log,
+      count: (kind) => {
+        this.#metrics.stated(kind)
+      },
+      publishLeaving: (servers) => {
+        this.#mesh.broadcast({ kind: PeerMessageKind.ServersLeaving, servers })
+      },
+    })
     const runner = new RequestRunner({
       clock,
       log,
       metrics: this.#metrics,
       routing: this.#routing,
       registry: this.#registry,
+      beliefs: this.#beliefs,
       table: this.#table,
       slots: this.#slots,
       pool: this.#pool,
@@ -319,6 +332,10 @@
     this.#slots.handlePeerUp(peer.name)
     // A peer that has just started may be the coordinator of a service at once.
     this.#coordination.handOver(nowMs)
+    const leaving = this.#registry.leavingServers()
+    if (leaving.length > 0) {
+      this.#mesh.send(peer.name, { kind: PeerMessageKind.ServersLeaving, servers: leaving })
+    }
     const isSameRegion = peer.region === this.#settings.record.region
     const { latestChange } = hello
     if (latestChange !== undefined) {
@@ -369,6 +386,7 @@
         contact: this.#contact,
         mirror: this.#mirror,
         catchUp: this.#catchUp,
+        beliefs: this.#beliefs,
         sendChanges: (to, since) => {
           this.#sendChanges(to, since)
         },
@@ -456,6 +474,8 @@
     this.#wasStoreUnreachable = isStoreUnreachable
     this.#table.removeExpired(nowMs, LOST_INSTANCE_RETENTION_MS)
     this.#pool.closeExpired(nowMs)
+    this.#beliefs.expire(nowMs)
+    this.#registry.expireLeavingMarks(nowMs)
     this.#logEventLoop(nowMs)
     for (const stats of this.#coordination.stats(nowMs)) {
       if (stats.arrivalsPerSecond < 0.5) continue
--- a/src/entry/entryMetrics.ts
+++ b/src/entry/entryMetrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of an entry instance in the text format of Prometheus. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { FailureKind } from './callerRequest.js'
+import type { StatementKind } from './serverBeliefs.js'
 
 /** Upper bounds of the histogram's buckets; cover the target latencies and deadlines of routes. */
 const LATENCY_BUCKETS_MS = [25, 50, 100, 150, 200, 300, 500, 750, 1000, 1500, 2500, 5000, 10_000]
@@ -23,6 +24,7 @@
   readonly #registry = new Registry()
   readonly #latency: Histogram<'route' | 'status'>
   readonly #failures: Counter<'kind'>
+  readonly #statements: Counter<'kind'>
 
   constructor(readGauges: () => GaugeValues) {
     const registers = [this.#registry]
@@ -39,6 +41,12 @@
       labelNames: ['kind'],
       registers,
     })
+    this.#statements = new Counter({
+      name: 'tamarackdrift_server_statements_total',
+      help: 'Statements of backend servers in their answers, by kind',
+      labelNames: ['kind'],
+      registers,
+    })
     const gauge = (field: keyof GaugeValues, name: string, help: string): void => {
       const created = new Gauge({
         name: `tamarackdrift_${name}`,
@@ -76,6 +84,11 @@
     this.#failures.inc({ kind })
   }
 
+  /** Counts a statement of a backend server. */
+  stated(kind: StatementKind): void {
+    this.#statements.inc({ kind })
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   text(): Promise<string> {
     return this.#registry.metrics()
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -4,6 +4,7 @@
 import type { InstanceTable } from './instanceTable.js'
 import type { PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
+import type { ServerBeliefs } from './serverBeliefs.js'
 import type { SlotClient } from './slotClient.js'
 import type { StoreCatchUp } from './storeCatchUp.js'
 import type { StoreContact } from './storeContact.js'
@@ -22,6 +23,7 @@
   readonly contact: StoreContact
   readonly mirror: StoreMirror
   readonly catchUp: StoreCatchUp
+  readonly beliefs: ServerBeliefs
   /** Sends a peer the changes of the store after a revision. */
   readonly sendChanges: (peer: string, since: number) => void
 }
@@ -93,6 +95,9 @@
   [PeerMessageKind.StatedLimits]: ({ coordination, nowMs }, message) => {
     coordination.handleStatedLimits(message, nowMs)
   },
+  [PeerMessageKind.ServersLeaving]: ({ beliefs, peer, nowMs }, { servers }) => {
+    beliefs.acceptLeaving(servers, peer, nowMs)
+  },
 }
 
 /** Calls the handler for the message's kind; kinds of a later release are ignored. */
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -1,6 +1,7 @@
 /** Messages between entry instances, sent as one JSON object per line. */
 import type { InstanceRecord } from './instanceRecord.js'
 import type { LoadReport } from './loadReport.js'
+import type { LeavingServer } from './serverBeliefs.js'
 import type { ServerStatement } from './serverStatement.js'
 
 /** Wire values are one letter because each request causes three messages. */
@@ -35,6 +36,8 @@
   LendSlots = 'e',
   /** Limits that backend servers of a service stated to the sender's region. */
   StatedLimits = 't',
+  /** Backend servers that stated in an answer that they are leaving. */
+  ServersLeaving = 'v',
 }
 
 export interface HelloMessage {
@@ -227,6 +230,11 @@
   readonly limits: readonly StatedLimit[]
 }
 
+export interface ServersLeavingMessage {
+  readonly kind: PeerMessageKind.ServersLeaving
+  readonly servers: readonly LeavingServer[]
+}
+
 export type PeerMessage =
   | HelloMessage
   | HeartbeatMessage
@@ -243,3 +251,4 @@
   | RemoteShareMessage
   | LendSlotsMessage
   | StatedLimitsMessage
+  | ServersLeavingMessage
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -11,12 +11,14 @@
 import type { EntryMetrics } from './entryMetrics.js'
 import type { InstanceTable } from './instanceTable.js'
 import { SlotOutcome } from './peerMessages.js'
+import type { ServerBeliefs } from './serverBeliefs.js'
 import type { RoutingView } from './routingView.js'
 import type { Route } from './routingConfiguration.js'
 import { Repeatability, RestrictionKind } from './routingConfiguration.js'
 import { NEXT_STEP_BY_OUTCOME, SLOT_OUTCOME_BY_SEND_OUTCOME, answerOf } from './sendOutcomes.js'
 import type { SendOutcome, ServerHeaders } from './serverExchange.js'
 import { OutcomeKind } from './serverExchange.js'
+import type { ServerStatement } from './serverStatement.js'
 import type { SharedRetryBudget } from './sharedRetryBudget.js'
 import type { SlotClient, SlotGrant } from './slotClient.js'
 
@@ -37,6 +39,7 @@
   readonly metrics: EntryMetrics
   readonly routing: RoutingView
   readonly registry: BackendServerRegistry
+  readonly beliefs: ServerBeliefs
   readonly table: InstanceTable
   readonly slots: SlotClient
   readonly pool: ConnectionPool
@@ -129,9 +132,10 @@
       const slot = await this.#acquireSlot(state)
       if (!('grant' in slot)) return this.#handleRefusal(state, slot, uncertainOutcome)
       const server = this.#dependencies.registry.find(slot.grant.serverId)
-      if (server === undefined || !this.#dependencies.registry.isUsable(server.id)) {
-        // The coordinator does not know yet that the backend server is leaving.
-        slot.grant.release(SlotOutcome.Abandoned, 0, null)
+      const unusable = this.#unusableStatement(server, clock())
+      if (server === undefined || unusable !== undefined) {
+        // The coordinator does not know yet that the server takes nothing from this instance.
+        slot.grant.release(SlotOutcome.Abandoned, 0, null, unusable)
         state.excludedServers.push(slot.grant.serverId)
         if (state.excludedServers.length > MAX_STALE_GRANTS) {
           return this.#fail(state.request, state, FailureKind.NotRun, DEFAULT_RETRY_AFTER_MS)
@@ -154,6 +158,17 @@
     }
   }
 
+  /** Why a server must not get a request of this instance; `undefined` if it may. */
+  #unusableStatement(
+    server: RegisteredBackendServer | undefined,
+    nowMs: number,
+  ): ServerStatement | undefined {
+    const { registry, beliefs } = this.#dependencies
+    if (server === undefined || !registry.isUsable(server.id)) return { isLeaving: true }
+    const retryAfterMs = beliefs.turnedAwayForMs(server, nowMs)
+    return retryAfterMs > 0 ? { retryAfterMs } : undefined
+  }
+
   #acquireSlot(state: RequestState): Promise<SlotResult> {
     const { request, route } = state
     return new Promise((resolve) => {
@@ -244,6 +259,10 @@
       )
       state.request.signal.addEventListener('abort', onAbort, { once: true })
     })
+    // Only a success is certain to be the server's if it states nothing.
+    const isSuccess = outcome.kind === OutcomeKind.Answered && (outcome.answer?.status ?? 0) < 300
+    if (isSuccess || outcome.statement !== undefined)
+      this.#dependencies.beliefs.record(server, outcome.statement, clock())
     const durationMs =
       outcome.kind === OutcomeKind.Unreachable ? -1 : Math.round(outcome.durationMs)
     grant.release(
@@ -266,6 +285,8 @@
       outcome: outcome.kind,
       status: outcome.answer?.status,
       limitPerSecond: outcome.statement?.limitPerSecond,
+      isLeaving: outcome.statement?.isLeaving,
+      retryAfterMs: outcome.statement?.retryAfterMs,
       unreadable: outcome.statement?.unreadable,
       durationMs: Math.round(outcome.durationMs),
       ...(outcome.detail === '' ? {} : { detail: outcome.detail }),
--- a/src/entry/sendOutcomes.ts
+++ b/src/entry/sendOutcomes.ts
@@ -68,7 +68,7 @@
 export function answerOf(answer: ServerAnswer, headers: ServerHeaders): CallerAnswer {
   const forwardedHeaders = answer.headers.filter(([name]) => {
     const lower = name.toLowerCase()
-    if (HOP_BY_HOP_HEADERS.has(lower) || headers.statements.has(lower)) return false
+    if (HOP_BY_HOP_HEADERS.has(lower) || headers.isStatement(lower, answer.status)) return false
     return lower !== headers.load
   })
   const { status, statusText, body, isDelimitedByClose } = answer
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -182,13 +182,13 @@
 
   /** Statements of another server, or in an answer that may not be this server's, don't count. */
   #statementOf(
-    { headers }: ServerAnswer,
+    { headers, status }: ServerAnswer,
     kind: OutcomeKind,
     requestId: string,
   ): ServerStatement | undefined {
     const isTrusted = kind === OutcomeKind.Answered || kind === OutcomeKind.Declined
     if (!isTrusted || findHeader(headers, this.#headers.requestId) !== requestId) return undefined
-    return this.#headers.readStatement(headers)
+    return this.#headers.readStatement(headers, status)
   }
 
   #recordIdleTimeout(answer: ServerAnswer): void {
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -75,8 +75,11 @@
   readonly readLoad: (value: string) => LoadReport | null
   /** Response header with the server's load; lower case. */
   readonly load: string
-  /** Response headers with statements, which are not forwarded; lower case. */
-  readonly statements: ReadonlySet<string>
+  /** Whether a response header is a statement, which is not forwarded. @param name lower case */
+  readonly isStatement: (name: string, status: number) => boolean
   /** Decodes the statements; `undefined` if there are none. */
-  readonly readStatement: (headers: readonly HeaderPair[]) => ServerStatement | undefined
+  readonly readStatement: (
+    headers: readonly HeaderPair[],
+    status: number,
+  ) => ServerStatement | undefined
 }
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -68,6 +68,8 @@
   #report: LoadReport | undefined
   #reportAtMs = Number.NEGATIVE_INFINITY
   #suspendedUntilMs = Number.NEGATIVE_INFINITY
+  /** Times until which the server wants no request of an instance, by instance. */
+  readonly #turnedAwayUntilMs = new Map<string, number>()
   /** Limit that the server states, if any. */
   limit: ServerLimit | undefined
   #cachedSlowdownAtMs = Number.NaN
@@ -109,6 +111,21 @@
     return this.#coldBucket.tokens >= 1 ? free : 0
   }
 
+  /** Records that the server wants no request of an instance for a time. */
+  turnAway(instance: string, untilMs: number): void {
+    this.#turnedAwayUntilMs.set(instance, untilMs)
+  }
+
+  /** Time until which the server wants no request of an instance; 0 if it takes them. */
+  turnedAwayUntilMs(instance: string, nowMs: number): number {
+    if (this.#turnedAwayUntilMs.size === 0) return 0
+    const untilMs = this.#turnedAwayUntilMs.get(instance)
+    if (untilMs === undefined) return 0
+    if (untilMs > nowMs) return untilMs
+    this.#turnedAwayUntilMs.delete(instance)
+    return 0
+  }
+
   /** Whether grants are suspended because the server was full or unreachable. */
   isSuspended(nowMs: number): boolean {
     return nowMs < this.#suspendedUntilMs
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -155,10 +155,11 @@
       this.#grant(waiter, state, nowMs)
       return
     }
-    if (!this.#hasServerFor(waiter)) {
+    if (!this.#hasServerFor(waiter, nowMs)) {
       this.#stopAwaiting(waiter.key)
       const need = this.#needOf(waiter, nowMs)
-      waiter.onRefused('no backend server', retryAfterMs(need.deadlineInMs, need, this.#random()))
+      const waitMs = this.#turnedAwayForMs(waiter, nowMs) ?? need.deadlineInMs
+      waiter.onRefused('no backend server', retryAfterMs(waitMs, need, this.#random()))
       return
     }
     const need = this.#needOf(waiter, nowMs)
@@ -198,6 +199,8 @@
     if (state !== undefined) {
       this.#servers.refresh(state)
       this.#recordStatement(state.server.id, stated, use, running, nowMs)
+      const { retryAfterMs } = stated ?? {}
+      if (retryAfterMs !== undefined) state.turnAway(instanceOf(key), nowMs + retryAfterMs)
     }
     if (state !== undefined && running !== undefined && use === SlotOutcome.Completed) {
       this.#recordDuration(running, state, durationMs, nowMs)
@@ -638,10 +641,12 @@
     let bestMs = Number.POSITIVE_INFINITY
     const { object, route } = waiter.request
     const slotTimeWeight = this.#slotTimeWeight(waiter)
+    const instance = instanceOf(waiter.key)
     let durations: UsualDurations | undefined
     for (const state of this.#servers.candidates(object, objectHash, isLocal, nowMs)) {
       const { id, region, slots } = state.server
       if ((region === this.#region) !== isLocal || slots <= 0 || state.isSuspended(nowMs)) continue
+      if (state.turnedAwayUntilMs(instance, nowMs) > 0) continue
       if (waiter.request.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
       if (durations?.region !== region) durations = this.#usualDurations(route, region)
       const costMs = this.#costMs(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
@@ -703,13 +708,25 @@
     return regions.length === 0 || regions.includes(region)
   }
 
-  #hasServerFor(waiter: Waiter): boolean {
-    for (const { server } of this.#servers.all()) {
-      if (server.slots > 0 && this.#isAllowed(waiter, server.region)) return true
+  #hasServerFor(waiter: Waiter, nowMs: number): boolean {
+    const instance = instanceOf(waiter.key)
+    for (const state of this.#servers.all()) {
+      const { slots, region } = state.server
+      const isUsable = slots > 0 && this.#isAllowed(waiter, region)
+      if (isUsable && state.turnedAwayUntilMs(instance, nowMs) === 0) return true
     }
     return false
   }
 
+  /** Time until the first server that turned the instance away takes its requests again. */
+  #turnedAwayForMs(waiter: Waiter, nowMs: number): number | undefined {
+    const instance = instanceOf(waiter.key)
+    const times = [...this.#servers.all()]
+      .map((state) => state.turnedAwayUntilMs(instance, nowMs))
+      .filter((untilMs) => untilMs > 0)
+    return times.length === 0 ? undefined : Math.min(...times) - nowMs
+  }
+
   #needOf(waiter: Waiter, nowMs: number): RequestNeed {
     return {
       serviceMs: this.#serviceMs(waiter.request.route),
@@ -774,6 +791,11 @@
   }
 }
 
+/** Instance that sent a request, from the key of the request. */
+function instanceOf(key: string): string {
+  return key.slice(0, key.lastIndexOf('/'))
+}
+
 /** Formats the inputs of a refusal for the log. */
 function describeQueue(queue: QueueState, waitMs: number): string {
   const { aheadInTime, aheadLate, completionsPerSecond, arrivalsPerSecond } = queue
