--- a/src/entry/__tests__/slotModel.spec.ts
+++ b/src/entry/__tests__/slotModel.spec.ts
@@ -13,6 +13,7 @@
 import { handlePeerMessage } from '../peerMessageHandlers.js'
 import type { PeerMessage } from '../peerMessages.js'
 import { SlotOutcome } from '../peerMessages.js'
+import type { ServerStatement } from '../serverStatement.js'
 import type { SlotGrant } from '../slotClient.js'
 import { SlotClient } from '../slotClient.js'
 import { LinkLoss } from '../unconfirmedSlots.js'
@@ -25,6 +26,15 @@
 const SLOTS = 2
 const TARGET_MS = 500
 const DEADLINE_MS = 3000
+/** Limit that a server states, in requests per second. */
+const LIMIT_PER_SECOND = 0.5
+/** Time from the first statement after which a limit must hold, and length of its windows. */
+const LIMIT_WINDOW_MS = 4000
+const MAX_IN_WINDOW = 1.5 * LIMIT_PER_SECOND * (LIMIT_WINDOW_MS / 1000) + 5
+/** Requests of an instance count from this time after a server told it the limit. */
+const TOLD_BEFORE_MS = 500
+/** Time for which a server turns an instance away. */
+const RETRY_AFTER_MS = 1000
 /** Ten times the longest expected duration, after which lost releases are made up for. */
 const SETTLE_MS = 20_000
 
@@ -58,6 +68,15 @@
   readonly requests: ModelRequest[] = []
   readonly running: RunningRequest[] = []
   peakRunning = 0
+  /** Statement in the answers of each server, by identifier. */
+  readonly statements = new Map<string, ServerStatement>()
+  /** Times of grants by server, to instances that it had told its limit half a second before. */
+  readonly grantTimes = new Map<string, number[]>()
+  /** Grants of a server to an instance that it had turned away, as its coordinator knew. */
+  grantsWhileTurnedAway = 0
+  /** First time at which a server told an incarnation of an instance its limit. */
+  readonly #toldAtMs = new Map<string, number>()
+  readonly #turnedAwayUntilMs = new Map<string, number>()
   readonly #registry = new BackendServerRegistry()
   readonly #instances = new Map<string, ModelInstance>()
   readonly #messages = new Map<string, PeerMessage[]>()
@@ -103,6 +122,14 @@
         onGranted: (grant) => {
           request.grants += 1
           this.running.push({ instance: name, grant })
+          const toldAtMs = this.#toldAtMs.get(`${name}/${incarnation}>${grant.serverId}`)
+          if (toldAtMs !== undefined && this.nowMs - toldAtMs >= TOLD_BEFORE_MS) {
+            const times = this.grantTimes.get(grant.serverId) ?? []
+            this.grantTimes.set(grant.serverId, times)
+            times.push(this.nowMs)
+          }
+          const untilMs = this.#turnedAwayUntilMs.get(`${name}>${grant.serverId}`) ?? 0
+          if (this.nowMs < untilMs) this.grantsWhileTurnedAway += 1
           const atServer = this.running.filter((each) => each.grant.serverId === grant.serverId)
           this.peakRunning = Math.max(this.peakRunning, atServer.length)
         },
@@ -115,7 +142,35 @@
 
   finish(index: number): void {
     const [ended] = this.running.splice(index % Math.max(1, this.running.length), 1)
-    ended?.grant.release(SlotOutcome.Completed, 100, null)
+    if (ended === undefined) return
+    const { instance, grant } = ended
+    const stated = this.statements.get(grant.serverId)
+    const key = `${instance}/${this.#instance(instance).incarnation}>${grant.serverId}`
+    if (!this.#toldAtMs.has(key)) this.#toldAtMs.set(key, this.nowMs)
+    grant.release(SlotOutcome.Completed, 100, null, stated)
+  }
+
+  /** Ends a request that the server turned away; its coordinator learns it at once. */
+  turnAway(index: number): void {
+    const [ended] = this.running.splice(index % Math.max(1, this.running.length), 1)
+    if (ended === undefined) return
+    const { instance, grant } = ended
+    const stated = { retryAfterMs: RETRY_AFTER_MS }
+    grant.release(SlotOutcome.NotRun, 100, null, stated)
+    this.deliverAll()
+    const key = `${instance}>${grant.serverId}`
+    this.#turnedAwayUntilMs.set(key, this.nowMs + RETRY_AFTER_MS)
+  }
+
+  /** Most grants at a server within a window, from one window after its first grant. */
+  peakGrants(serverId: string): number {
+    const times = this.grantTimes.get(serverId) ?? []
+    const settled = times.filter((atMs) => atMs >= (times[0] ?? 0) + 2 * LIMIT_WINDOW_MS)
+    const counts = settled.map(
+      (startMs) =>
+        settled.filter((atMs) => atMs >= startMs && atMs < startMs + LIMIT_WINDOW_MS).length,
+    )
+    return Math.max(0, ...counts)
   }
 
   /** Delivers the first message of a link. */
@@ -314,14 +369,27 @@
   ),
 ]
 
-function check(steps: fc.Arbitrary<Step>[], verify: (model: RegionModel) => void): void {
+interface CheckOptions {
+  readonly length?: { readonly minLength?: number; readonly maxLength: number }
+  readonly runs?: number
+  /** Whether a failure is reported as found, without a search for a shorter sequence. */
+  readonly endOnFailure?: boolean
+  readonly prepare?: (model: RegionModel) => void
+}
+
+function check(
+  steps: fc.Arbitrary<Step>[],
+  verify: (model: RegionModel) => void,
+  { length = { maxLength: 120 }, runs = RUNS, endOnFailure = false, prepare }: CheckOptions = {},
+): void {
   fc.assert(
-    fc.property(fc.array(fc.oneof(...steps), { maxLength: 120, size: 'max' }), (sequence) => {
+    fc.property(fc.array(fc.oneof(...steps), { ...length, size: 'max' }), (sequence) => {
       const model = new RegionModel()
+      prepare?.(model)
       for (const step of sequence) step(model)
       verify(model)
     }),
-    { seed: SEED, numRuns: RUNS },
+    { seed: SEED, numRuns: runs, endOnFailure },
   )
 }
 
@@ -357,6 +425,66 @@
     })
   })
 
+  describe('whose servers state limits', () => {
+    /** Runs long enough for several windows, with more requests than the limit allows. */
+    const LONG = {
+      length: { minLength: 500, maxLength: 700 },
+      runs: Math.ceil(RUNS / 8),
+      endOnFailure: true,
+    }
+    const shortAdvance = fc.integer({ min: 20, max: 250 }).map((elapsedMs) =>
+      step(`advance ${elapsedMs}`, (model) => {
+        model.advance(elapsedMs)
+      }),
+    )
+    const steps = [request, request, deliver, deliver, deliver, finish, finish, shortAdvance]
+    const stateLimits = (model: RegionModel): void => {
+      for (let index = 0; index < SERVERS; index += 1) {
+        model.statements.set(`server-${index}`, { limitPerSecond: LIMIT_PER_SECOND })
+      }
+    }
+    const verify = (model: RegionModel): void => {
+      for (const serverId of model.grantTimes.keys()) {
+        expect(model.peakGrants(serverId)).to.be.at.most(MAX_IN_WINDOW)
+      }
+    }
+
+    it('are granted within the limits, also across restarts of the coordinator', () => {
+      const restarts = faults.slice(-2)
+      check([...steps, ...steps, ...restarts], verify, { ...LONG, prepare: stateLimits })
+    })
+
+    it('finds grants beyond a limit that no coordinator learns of; a planted fault', () => {
+      expect(() => {
+        check(steps, verify, LONG)
+      }).to.throw('Property failed')
+    })
+  })
+
+  describe('whose servers turn instances away', () => {
+    const turnAway = index.map((at) =>
+      step(`turn away ${at}`, (model) => {
+        model.turnAway(at)
+      }),
+    )
+    const verify = (model: RegionModel): void => {
+      expect(model.grantsWhileTurnedAway).to.equal(0)
+    }
+
+    it('are not granted to an instance that a server has turned away', () => {
+      check([...calmSteps, ...calmSteps, turnAway], verify)
+    })
+
+    it('finds a coordinator that has forgotten it; a planted fault', () => {
+      const forgetAll = instanceName.map((name) => (model: RegionModel) => {
+        model.restart(name)
+      })
+      expect(() => {
+        check([...calmSteps, turnAway, forgetAll], verify)
+      }).to.throw('Property failed')
+    })
+  })
+
   describe('with a planted fault', () => {
     const lose: fc.Arbitrary<Step> = index.map((at) => (model) => {
       model.lose(at)
