--- a/src/cli/__tests__/explainRequest.spec.ts
+++ b/src/cli/__tests__/explainRequest.spec.ts
@@ -41,6 +41,15 @@
     expect(lines[2]).to.equal('cause: may have run: no answer within 1110 ms')
   })
 
+  it('names the limits of servers behind a refusal, and the statement behind a send', () => {
+    const limited = BEFORE.replace('}', ',"limitedServers":2,"completionsPerSecond":12}')
+    expect(explain('2966c895f0907f89', [REFUSED, limited])[1]).to.include(
+      ', 2 servers state limits, 12 requests/s fit',
+    )
+    const sent = SENT.replace('"durationMs"', '"limitPerSecond":3.4,"isLeaving":true,"durationMs"')
+    expect(explain('5894fbbd816b3392', [sent])[0]).to.include('limitPerSecond=3.4 isLeaving=true')
+  })
+
   it('says when the line of the answer is missing', () => {
     expect(explain('5894fbbd816b3392', [SENT]).at(-1)).to.include('may have ended')
   })
--- a/src/cli/explainRequest.ts
+++ b/src/cli/explainRequest.ts
@@ -17,6 +17,9 @@
   readonly waiting: number
   readonly arrivalsPerSecond: number
   readonly remoteShare: number
+  /** Servers that state a limit; `undefined` in lines of an earlier release. */
+  readonly limitedServers: number | undefined
+  readonly completionsPerSecond: number | undefined
 }
 
 /** Samples kept for each coordinator; at two a second, those of more than half an hour. */
@@ -44,6 +47,8 @@
   'outcome',
   'status',
   'detail',
+  'limitPerSecond',
+  'isLeaving',
   'newConnection',
   'retryAfterMs',
   'storeAgeMs',
@@ -105,6 +110,8 @@
       waiting: numberOf('waiting'),
       arrivalsPerSecond: numberOf('arrivalsPerSecond'),
       remoteShare: numberOf('remoteShare'),
+      limitedServers: line.limitedServers === undefined ? undefined : numberOf('limitedServers'),
+      completionsPerSecond: numberOf('completionsPerSecond'),
     })
     if (samples.length > MAX_SAMPLES) samples.shift()
     this.#samples.set(key, samples)
@@ -122,10 +129,14 @@
         undefined,
       )
     if (sample === undefined) return []
-    const { slots, running, waiting, arrivalsPerSecond, remoteShare } = sample
+    const { slots, running, waiting, arrivalsPerSecond, remoteShare, limitedServers } = sample
+    const limits =
+      limitedServers === undefined || limitedServers === 0
+        ? ''
+        : `, ${limitedServers} servers state limits, ${String(sample.completionsPerSecond)} requests/s fit`
     return [
       `  ${coordinator}, ${Math.round(time - sample.time)} ms before: ${running} of ${slots} slots in ` +
-        `use, ${waiting} waiting, ${arrivalsPerSecond} requests/s, ${remoteShare} of them remote`,
+        `use, ${waiting} waiting, ${arrivalsPerSecond} requests/s, ${remoteShare} of them remote${limits}`,
     ]
   }
 }
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -158,8 +158,13 @@
     if (!this.#hasServerFor(waiter, nowMs)) {
       this.#stopAwaiting(waiter.key)
       const need = this.#needOf(waiter, nowMs)
-      const waitMs = this.#turnedAwayForMs(waiter, nowMs) ?? need.deadlineInMs
-      waiter.onRefused('no backend server', retryAfterMs(waitMs, need, this.#random()))
+      const turnedAwayForMs = this.#turnedAwayForMs(waiter, nowMs)
+      const reason =
+        turnedAwayForMs === undefined
+          ? 'no backend server'
+          : `turned away by all backend servers for ${Math.round(turnedAwayForMs)} ms`
+      const retryInMs = retryAfterMs(turnedAwayForMs ?? need.deadlineInMs, need, this.#random())
+      waiter.onRefused(reason, retryInMs)
       return
     }
     const need = this.#needOf(waiter, nowMs)
