--- a/testing/soak/__tests__/invariantChecker.spec.ts
+++ b/testing/soak/__tests__/invariantChecker.spec.ts
@@ -75,6 +75,15 @@
     for (let index = 0; index < 4; index += 1) checker.requestRan(run('r', 10 + index), true)
     checker.finish(100_000)
   },
+  [Invariant.StatedLimit]: (checker) => {
+    checker.limitStated('s', 1, 0)
+    checker.requestSent(request({ isIdempotent: true }))
+    for (let index = 0; index < 13; index += 1) {
+      const requestId = `r${index}`
+      checker.requestSent(request({ requestId, isIdempotent: true }))
+      checker.requestRan(run(requestId, index === 0 ? 10 : 4000 + index), true)
+    }
+  },
   [Invariant.Recovery]: (checker) => {
     for (let index = 0; index < 8; index += 1) {
       checker.requestSent(request({ requestId: `r${index}`, sentAtMs: 101 }))
@@ -92,6 +101,19 @@
     })
   }
 
+  it('detects a request to a server that told the instance that it leaves', () => {
+    const checker = new InvariantChecker(LIMITS)
+    checker.leavingStated('s', 0)
+    for (const sentAtMs of [10, 2500, 2520]) {
+      const requestId = `r${sentAtMs}`
+      checker.requestSent(request({ requestId, sentAtMs }))
+      checker.requestRan(run(requestId, sentAtMs), true)
+    }
+    expect(checker.violations.map(({ kind }) => kind)).to.deep.equal([
+      Invariant.NoRequestsAfterDrain,
+    ])
+  })
+
   describe('accepts', () => {
     it('status 502 after a lost answer', () => {
       const checker = new InvariantChecker(LIMITS)
--- a/testing/soak/__tests__/soak.spec.ts
+++ b/testing/soak/__tests__/soak.spec.ts
@@ -31,6 +31,21 @@
     expect(requests).to.be.above(500)
   })
 
+  it('violates no invariant while backend servers state limits and that they leave', async () => {
+    const { violations } = await runSoak({
+      ...SMALL,
+      seed: 13,
+      seconds: 14,
+      faults: [
+        SoakFault.ServerStatesLimit,
+        SoakFault.ServerStatesLeaving,
+        SoakFault.StopEntry,
+        SoakFault.StoreSilent,
+      ],
+    })
+    expect(violations).to.deep.equal([])
+  })
+
   it('violates no invariant while backend servers fail, drain and are cut off', async () => {
     const { violations } = await runSoak({
       ...SMALL,
--- a/testing/soak/faults.ts
+++ b/testing/soak/faults.ts
@@ -32,6 +32,8 @@
   ServerLinkDelayed = 'serverLinkDelayed',
   ServerCrashes = 'serverCrashes',
   ServerDrains = 'serverDrains',
+  ServerStatesLeaving = 'serverStatesLeaving',
+  ServerStatesLimit = 'serverStatesLimit',
   Configuration = 'configuration',
   ConfigurationStorm = 'configurationStorm',
   Evacuation = 'evacuation',
@@ -58,6 +60,11 @@
  */
 const MAX_EXTRA_DURATION_MS = 5000
 const SLOW_FACTOR = 8
+/** Time for which a server states a limit; several of the windows in which it must hold. */
+const LIMIT_DURATION_MS = 12_000
+/** Bounds of a stated limit, in requests per second; a server completes about a hundred. */
+const MIN_LIMIT = 1
+const MAX_LIMIT = 8
 
 /** Injects a fault; resolves when it has ended. */
 export function injectFault(fault: SoakFault, context: FaultContext): Promise<void> {
@@ -151,6 +158,28 @@
     await sleep(DRAIN_DURATION_MS)
     deployment.removeServer(server)
   },
+  [SoakFault.ServerStatesLeaving]: async (context) => {
+    const server = pickServer(context)
+    if (server.isDraining) return
+    const { deployment, checker, nowMs } = context
+    server.isDraining = true
+    server.standIn.isLeaving = true
+    checker.leavingStated(server.id, nowMs())
+    await deployment.addServer(server.service, server.zone)
+    await sleep(DRAIN_DURATION_MS)
+    deployment.removeServer(server)
+    checker.serverLeft(server.id, nowMs())
+  },
+  [SoakFault.ServerStatesLimit]: async (context) => {
+    const { id, standIn } = pickServer(context)
+    if (standIn.statedLimitPerSecond !== undefined) return
+    const limitPerSecond = MIN_LIMIT + (MAX_LIMIT - MIN_LIMIT) * context.random()
+    standIn.statedLimitPerSecond = Math.round(limitPerSecond * 10) / 10
+    context.checker.limitStated(id, standIn.statedLimitPerSecond, context.nowMs())
+    await sleep(LIMIT_DURATION_MS)
+    standIn.statedLimitPerSecond = undefined
+    context.checker.limitStated(id, undefined, context.nowMs())
+  },
   [SoakFault.Configuration]: (context) => {
     publishConfiguration(context)
     return Promise.resolve()
--- a/testing/soak/invariantChecker.ts
+++ b/testing/soak/invariantChecker.ts
@@ -23,6 +23,8 @@
   GracefulShutdown = 'gracefulEnd',
   /** Resends stay within the retry budget of the service. */
   RetryBudget = 'retryBudget',
+  /** A backend server gets no more requests than the limit that it states allows. */
+  StatedLimit = 'statedLimit',
   /** Requests are served again soon after the last fault. */
   Recovery = 'recovery',
 }
@@ -84,12 +86,34 @@
 /** Fraction of the requests after the last fault that must be served. */
 const MIN_SERVED_FRACTION = 0.25
 
+/** Time from the first statement of a limit after which it must hold, and length of its windows. */
+const LIMIT_WINDOW_MS = 4000
+/** Requests of an instance count from this time after its first answer with the statement. */
+const TOLD_BEFORE_MS = 500
+/** Requests in a window beyond one and a half times what the limit allows. */
+const LIMIT_SLACK = 5
+
+/** Statement of a server, with the times at which instances first sent it a request since. */
+interface Statement {
+  readonly sinceMs: number
+  readonly toldAtMs: Map<string, number>
+}
+
+interface LimitStatement extends Statement {
+  readonly limitPerSecond: number
+  /** Requests that count, within the last window. */
+  readonly countedAtMs: number[]
+}
+
 /** Collects observations and the violations that they show. */
 export class InvariantChecker {
   readonly violations: Violation[] = []
   readonly #limits: InvariantLimits
   readonly #requests = new Map<string, Request>()
   readonly #leavingSinceMs = new Map<string, number>()
+  /** Servers that state in answers, by identifier, that they are leaving, or a limit. */
+  readonly #statedLeaving = new Map<string, Statement>()
+  readonly #statedLimits = new Map<string, LimitStatement>()
   /** Newest version seen per process, with the time of that observation. */
   readonly #seenVersions = new Map<string, { version: number; atMs: number }>()
   readonly #acceptedVersions: { readonly version: number; readonly atMs: number }[] = []
@@ -117,6 +141,20 @@
     this.#leavingSinceMs.set(serverId, atMs)
   }
 
+  /** Records that a server states in its answers, and nowhere else, that it is leaving. */
+  leavingStated(serverId: string, sinceMs: number): void {
+    this.#statedLeaving.set(serverId, { sinceMs, toldAtMs: new Map() })
+  }
+
+  /** Records that a server states a limit in its answers; `undefined`: that it no longer does. */
+  limitStated(serverId: string, limitPerSecond: number | undefined, sinceMs: number): void {
+    if (limitPerSecond === undefined) this.#statedLimits.delete(serverId)
+    else {
+      const statement = { sinceMs, limitPerSecond, toldAtMs: new Map(), countedAtMs: [] }
+      this.#statedLimits.set(serverId, statement)
+    }
+  }
+
   /** @param wasUndisturbed whether time limits applied to the instance that sent the request */
   requestRan(run: ServerRun, wasUndisturbed: boolean): void {
     const request = this.#requests.get(run.requestId)
@@ -137,6 +175,7 @@
       this.#addViolation(Invariant.HomeRegion, run.atMs, `${run.requestId} ran in ${run.region}`)
     }
     if (answer !== undefined) this.#checkRefusal(request, answer, run.atMs)
+    if (wasUndisturbed) this.#checkStatements(request, run)
     const leavingSinceMs = this.#leavingSinceMs.get(run.serverId)
     const isLate = leavingSinceMs !== undefined && run.atMs - leavingSinceMs > this.#limits.drainMs
     if (isLate && wasUndisturbed) {
@@ -146,6 +185,29 @@
     }
   }
 
+  #checkStatements(
+    { instance, sentAtMs }: Request,
+    { requestId, serverId, atMs }: ServerRun,
+  ): void {
+    const leaving = this.#statedLeaving.get(serverId)
+    const leavingToldMs = leaving && toldForMs(leaving, instance, sentAtMs)
+    if (leavingToldMs !== undefined && leavingToldMs > this.#limits.drainMs) {
+      const detail = `${requestId} ran at ${serverId}, which had told ${instance} that it leaves`
+      this.#addViolation(Invariant.NoRequestsAfterDrain, atMs, detail)
+    }
+    const limit = this.#statedLimits.get(serverId)
+    if (limit === undefined) return
+    const isTold = (toldForMs(limit, instance, atMs) ?? 0) >= TOLD_BEFORE_MS
+    if (!isTold || atMs < limit.sinceMs + LIMIT_WINDOW_MS) return
+    const { countedAtMs, limitPerSecond } = limit
+    countedAtMs.push(atMs)
+    while ((countedAtMs[0] ?? atMs) <= atMs - LIMIT_WINDOW_MS) countedAtMs.shift()
+    const allowed = (1.5 * limitPerSecond * LIMIT_WINDOW_MS) / 1000 + LIMIT_SLACK
+    if (countedAtMs.length <= allowed) return
+    const detail = `${serverId} states ${limitPerSecond}/s and got ${countedAtMs.length} requests`
+    this.#addViolation(Invariant.StatedLimit, atMs, detail)
+  }
+
   requestAnswered(answer: SeenAnswer): void {
     const request = this.#requests.get(answer.requestId)
     if (request === undefined) return
@@ -270,3 +332,10 @@
     this.violations.push({ kind, atMs: Math.round(atMs), detail })
   }
 }
+
+/** Time for which an instance has been told a statement; `undefined` if this is its first request. */
+function toldForMs({ toldAtMs }: Statement, instance: string, atMs: number): number | undefined {
+  const told = toldAtMs.get(instance)
+  if (told === undefined) toldAtMs.set(instance, atMs)
+  return told === undefined ? undefined : atMs - told
+}
