--- a/src/entry/serverLimits.ts
+++ b/src/entry/serverLimits.ts
@@ -42,6 +42,14 @@
     return this.#requestsPerSecond
   }
 
+  /**
+   * Slots that can be in use on average.
+   * @param holdTimeMs mean time for which a request holds a slot
+   */
+  usableSlots(slots: number, holdTimeMs: number): number {
+    return Math.min(slots, (this.#requestsPerSecond * holdTimeMs) / 1000)
+  }
+
   change(limitPerSecond: number, nowMs: number): void {
     this.availableRequests(nowMs)
     this.#requestsPerSecond = Math.max(limitPerSecond, PROBE_RATE_PER_SECOND)
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -137,8 +137,7 @@
    */
   usableSlots(holdTimeMs: number): number {
     const { slots } = this.#server
-    if (this.limit === undefined) return slots
-    return Math.min(slots, (this.limit.requestsPerSecond * holdTimeMs) / 1000)
+    return this.limit?.usableSlots(slots, holdTimeMs) ?? slots
   }
 
   /**
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -270,9 +270,7 @@
 
   /** Slots of a server of this region that can be in use on average. */
   #usableSlotsOf({ id, slots }: CoordinatedServer): number {
-    const limit = this.#limits.find(id)
-    if (limit === undefined) return slots
-    return Math.min(slots, (limit.requestsPerSecond * this.#meanHoldTimeMs()) / 1000)
+    return this.#limits.find(id)?.usableSlots(slots, this.#meanHoldTimeMs()) ?? slots
   }
 
   #startAwaiting(key: string, serverId: string): void {
