--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -59,8 +59,8 @@
   readonly createdAtMs: number
   readonly coordinator: ServiceCoordinator
   readonly demands: Map<string, { readonly demand: RegionDemand; readonly atMs: number }>
-  /** Regions to which the latest exchange lent slots. */
-  readonly borrowers: Set<string>
+  /** Regions to which the latest exchange lent slots of servers with a limit. */
+  readonly limitBorrowers: Set<string>
   usedAtMs: number
   generation: number
 }
@@ -300,7 +300,7 @@
     const created: CoordinatedService = {
       coordinator: new ServiceCoordinator(service, table.self.region, random, nowMs),
       demands: new Map(),
-      borrowers: new Set(),
+      limitBorrowers: new Set(),
       createdAtMs: nowMs,
       usedAtMs: nowMs,
       generation: -1,
@@ -360,10 +360,12 @@
       peers.send(coordinator.name, { kind: PeerMessageKind.Demand, service, ...ownDemand })
       this.#sendLimits(coordinator.name, service, limits, nowMs)
       const slots = lentSlots.get(region) ?? []
-      // Slots that are no longer lent are taken back at once, not when the loan expires.
-      if (slots.length === 0 && !coordinated.borrowers.has(region)) continue
-      if (slots.length === 0) coordinated.borrowers.delete(region)
-      else coordinated.borrowers.add(region)
+      // A loan that ends expires, so that a short dip of demand moves no requests. One with a limit
+      // is taken back at once, because both regions would spend the limit meanwhile.
+      if (slots.length === 0 && !coordinated.limitBorrowers.has(region)) continue
+      if (slots.some(({ serverId }) => coordinated.coordinator.hasLimit(serverId)))
+        coordinated.limitBorrowers.add(region)
+      else coordinated.limitBorrowers.delete(region)
       peers.send(coordinator.name, {
         kind: PeerMessageKind.LendSlots,
         service,
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -237,6 +237,11 @@
     if (changes.length > 0) this.#applyLimits()
   }
 
+  /** Whether a server states a limit. */
+  hasLimit(serverId: string): boolean {
+    return this.#limits.find(serverId) !== undefined
+  }
+
   /** Limits that are known to this coordinator. */
   statedLimits(): LimitStatement[] {
     return this.#limits.statements()
