fix(entry): a statement that a server leaves is kept for each start of it

A server that started again with an earlier start time, as after a step of its clock, stated in vain that it leaves: the mark of the later start was taken for it. The test failed before.

--- a/src/entry/__tests__/instanceState.spec.ts
+++ b/src/entry/__tests__/instanceState.spec.ts
@@ -89,6 +89,22 @@
     })
   })
 
+  // Guards against a leaving server that stays in use because its clock was set back at a restart.
+  it('takes a statement that a server leaves for that start of the server only', () => {
+    const registry = new BackendServerRegistry()
+    expect(registry.markLeaving('s1', 2000, 0)).to.equal(true)
+    expect(registry.markLeaving('s1', 2000, 5)).to.equal(false)
+    expect(registry.markLeaving('s1', 1000, 10)).to.equal(true)
+    for (const [revision, startedAtMs, isUsable] of [
+      [1, 2000, false],
+      [2, 1000, false],
+      [3, 3000, true],
+    ] as const) {
+      registry.apply({ id: 's1', revision, server: { ...SERVER, startedAtMs } }, 20)
+      expect(registry.isUsable('s1'), String(startedAtMs)).to.equal(isUsable)
+    }
+  })
+
   it('uses no server of a zone while it is evacuated', () => {
     const registry = new BackendServerRegistry()
     registry.apply({ id: 's1', revision: 5, server: SERVER }, 0)
--- a/src/entry/backendServerRegistry.ts
+++ b/src/entry/backendServerRegistry.ts
@@ -42,6 +42,7 @@
 const LEAVING_TTL_MS = 600_000
 
 interface LeavingMark {
+  readonly id: string
   readonly startedAtMs: number
   readonly untilMs: number
 }
@@ -56,7 +57,10 @@
 /** Registry of all backend servers and evacuated zones. */
 export class BackendServerRegistry {
   readonly #entries = new Map<string, RegistryEntry>()
-  /** Servers that stated in an answer that they are leaving; no entry of the store revokes it. */
+  /**
+   * Servers that stated in an answer that they are leaving, by identifier and start; no entry of the
+   * store revokes it.
+   */
   readonly #leavingMarks = new Map<string, LeavingMark>()
   #evacuatedZones: ReadonlySet<string> = new Set()
   #removalsDeferredUntilMs = Number.NEGATIVE_INFINITY
@@ -124,23 +128,23 @@
    * @returns whether that was not known
    */
   markLeaving(id: string, startedAtMs: number, nowMs: number): boolean {
-    const known = this.#leavingMarks.get(id)
-    if (known !== undefined && known.startedAtMs >= startedAtMs) return false
-    this.#leavingMarks.set(id, { startedAtMs, untilMs: nowMs + LEAVING_TTL_MS })
+    const key = leavingKey(id, startedAtMs)
+    if (this.#leavingMarks.has(key)) return false
+    this.#leavingMarks.set(key, { id, startedAtMs, untilMs: nowMs + LEAVING_TTL_MS })
     this.#generation += 1
     return true
   }
 
   /** Servers that stated that they are leaving. */
   leavingServers(): { readonly id: string; readonly startedAtMs: number }[] {
-    return [...this.#leavingMarks].map(([id, { startedAtMs }]) => ({ id, startedAtMs }))
+    return [...this.#leavingMarks.values()].map(({ id, startedAtMs }) => ({ id, startedAtMs }))
   }
 
   /** Forgets statements that are too old. */
   expireLeavingMarks(nowMs: number): void {
-    for (const [id, { untilMs }] of this.#leavingMarks) {
+    for (const [key, { untilMs }] of this.#leavingMarks) {
       if (untilMs > nowMs) continue
-      this.#leavingMarks.delete(id)
+      this.#leavingMarks.delete(key)
       this.#generation += 1
     }
   }
@@ -174,7 +178,7 @@
   }
 
   #isLeaving({ id, isDraining, startedAtMs }: BackendServer): boolean {
-    return isDraining || this.#leavingMarks.get(id)?.startedAtMs === startedAtMs
+    return isDraining || this.#leavingMarks.has(leavingKey(id, startedAtMs))
   }
 
   #unregister(entry: RegistryEntry): void {
@@ -183,3 +187,7 @@
     this.#generation += 1
   }
 }
+
+function leavingKey(id: string, startedAtMs: number): string {
+  return `${id}#${startedAtMs}`
+}
