fix(entry): what a server stated ends with it, when another starts under its identifier

The coordinator kept an instance from the new server until the old one's Retry-After had run out, five minutes at most, and used the new server at the old one's limit.

--- a/src/entry/__tests__/permissions.spec.ts
+++ b/src/entry/__tests__/permissions.spec.ts
@@ -27,6 +27,7 @@
     slots: 1,
     coldUntilMs: Number.NEGATIVE_INFINITY,
     coldRequestsPerSecond: 10,
+    startedAtMs: 0,
   }
 }
 
--- a/src/entry/__tests__/serverIndex.spec.ts
+++ b/src/entry/__tests__/serverIndex.spec.ts
@@ -18,6 +18,7 @@
       slots: SLOTS,
       coldUntilMs: 0,
       coldRequestsPerSecond: 1,
+      startedAtMs: 0,
     }
     return new ServerState(server, cache, index.holders, 0)
   })
--- a/src/entry/__tests__/serviceCoordinator.spec.ts
+++ b/src/entry/__tests__/serviceCoordinator.spec.ts
@@ -36,6 +36,7 @@
     slots: 1,
     coldUntilMs: Number.NEGATIVE_INFINITY,
     coldRequestsPerSecond: 10,
+    startedAtMs: 0,
     ...changes,
   }
 }
--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -332,6 +332,7 @@
     const { serviceSettings, regionOfZone } = this.#dependencies
     return {
       id: server.id,
+      startedAtMs: server.startedAtMs,
       region: regionOfZone(server.zone) ?? '',
       zone: server.zone,
       slots: server.slots,
--- a/src/entry/serverLimits.ts
+++ b/src/entry/serverLimits.ts
@@ -133,6 +133,11 @@
     return this.record(statement, LimitSource.Answer, nowMs)
   }
 
+  /** Forgets the statements of a server that has started again. */
+  forget(serverId: string): void {
+    this.#known.delete(serverId)
+  }
+
   /** Forgets statements that are too old. @returns identifiers of servers whose limit ended */
   expire(nowMs: number): string[] {
     const ended: string[] = []
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -10,6 +10,8 @@
 /** A backend server with the slots that the coordinator may use. */
 export interface CoordinatedServer {
   readonly id: string
+  /** Start time in milliseconds since the epoch; distinguishes restarts under one identifier. */
+  readonly startedAtMs: number
   readonly region: string
   readonly zone: string
   /** Slots that this coordinator may fill. */
@@ -97,6 +99,7 @@
   }
 
   update(server: CoordinatedServer): void {
+    if (server.startedAtMs !== this.#server.startedAtMs) this.#turnedAwayUntilMs.clear()
     this.#server = server
   }
 
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -574,6 +574,8 @@
         this.#servers.remove(state)
         continue
       }
+      const isRestarted = server !== undefined && server.startedAtMs !== state.server.startedAtMs
+      if (isRestarted) this.#limits.forget(state.server.id)
       if (state.server.slots === 0) state.limit?.restart(nowMs)
       state.update(server ?? { ...state.server, slots: 0 })
       this.#servers.refresh(state)
--- a/testing/loadSimulation.ts
+++ b/testing/loadSimulation.ts
@@ -53,6 +53,7 @@
     slots: options.slots,
     coldUntilMs: Number.NEGATIVE_INFINITY,
     coldRequestsPerSecond: 10,
+    startedAtMs: 0,
   }))
   coordinator.updateServers(servers, (id) => servers.find((server) => server.id === id), 0)
   const result = {
