fix(entry): an unreadable statement is logged once, and not as the end of a limit

Each answer with a header that could not be read wrote a line, and a limit that could not be read was logged as lifted, though the coordinator kept it.

--- a/src/entry/serverBeliefs.ts
+++ b/src/entry/serverBeliefs.ts
@@ -38,6 +38,8 @@
   readonly #turnedAway = new Map<string, TurnedAway>()
   /** Last limit that each server stated to this instance. */
   readonly #limits = new Map<string, number>()
+  /** Last headers of each server that could not be read. */
+  readonly #unreadable = new Map<string, string>()
 
   constructor(dependencies: ServerBeliefsDependencies) {
     this.#dependencies = dependencies
@@ -50,13 +52,12 @@
     nowMs: number,
   ): void {
     const { limitPerSecond, isLeaving, retryAfterMs, unreadable } = statement ?? {}
-    this.#recordLimit(server.id, limitPerSecond)
+    // An unreadable header may be the limit, which then stays as it was.
+    if (limitPerSecond !== undefined || unreadable === undefined)
+      this.#recordLimit(server.id, limitPerSecond)
     if (isLeaving === true) this.#recordLeaving(server, nowMs)
     if (retryAfterMs !== undefined) this.#recordTurnedAway(server, retryAfterMs, nowMs)
-    if (unreadable !== undefined) {
-      this.#dependencies.count(StatementKind.Unreadable)
-      this.#log(server.id, StatementKind.Unreadable, { headers: unreadable })
-    }
+    if (unreadable !== undefined) this.#recordUnreadable(server.id, unreadable)
   }
 
   /** Records servers that told another instance that they are leaving. */
@@ -79,8 +80,10 @@
     for (const [id, { untilMs }] of this.#turnedAway) {
       if (untilMs <= nowMs) this.#turnedAway.delete(id)
     }
-    for (const id of this.#limits.keys()) {
-      if (this.#dependencies.registry.find(id) === undefined) this.#limits.delete(id)
+    for (const known of [this.#limits, this.#unreadable]) {
+      for (const id of known.keys()) {
+        if (this.#dependencies.registry.find(id) === undefined) known.delete(id)
+      }
     }
   }
 
@@ -108,6 +111,14 @@
     if (leftMs === 0) this.#log(id, StatementKind.TurnedAway, { forMs: Math.round(retryAfterMs) })
   }
 
+  #recordUnreadable(id: string, headers: readonly string[]): void {
+    this.#dependencies.count(StatementKind.Unreadable)
+    const names = headers.join(', ')
+    if (this.#unreadable.get(id) === names) return
+    this.#unreadable.set(id, names)
+    this.#log(id, StatementKind.Unreadable, { headers })
+  }
+
   #log(
     id: string,
     kind: StatementKind,
