refactor(entry): limits and the capacity that they leave in a class of their own

The coordinator keeps the decisions on requests; LimitedCapacity keeps statements, states and sums. No behaviour changes.

--- a/src/entry/__tests__/serverLimits.spec.ts
+++ b/src/entry/__tests__/serverLimits.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { simulateRegions } from '../../../testing/regionSimulation.js'
+import { peakInWindow } from '../../../testing/slidingWindow.js'
 import { LimitSource, ServerLimit, ServerLimits } from '../serverLimits.js'
 
 const SLOTS = 4
@@ -64,12 +65,7 @@
 /** Largest use of a limit in a window, as a fraction of what operators accept. */
 function largestUse(arrivals: readonly (readonly number[])[], limit: number): number {
   const allowed = 1.5 * limit * (WINDOW_MS / 1000) + 5
-  const counts = arrivals.flatMap((times) =>
-    times.map(
-      (startMs) => times.filter((atMs) => atMs >= startMs && atMs < startMs + WINDOW_MS).length,
-    ),
-  )
-  return Math.max(0, ...counts) / allowed
+  return Math.max(0, ...arrivals.map((times) => peakInWindow(times, WINDOW_MS))) / allowed
 }
 
 describe('limits of backend servers', () => {
@@ -98,6 +94,7 @@
       statedAtMs,
     })
 
+    // Guards against a limit that an older statement of another coordinator brings back.
     it('are replaced by later ones only, whichever way they come', () => {
       const limits = new ServerLimits()
       expect(limits.record(statement(5, 100), LimitSource.Coordinator, 100)).to.equal(true)
@@ -113,12 +110,13 @@
       limits.record(statement(5, 100), LimitSource.Answer, 100)
       expect(limits.recordAbsence('s', 90, 110)).to.equal(false)
       expect(limits.recordAbsence('s', 101, 120)).to.equal(true)
-      expect(limits.size).to.equal(0)
+      expect(limits.find('s')).to.equal(undefined)
       // An older statement that another coordinator sends does not bring it back.
       expect(limits.record(statement(5, 110), LimitSource.Coordinator, 130)).to.equal(false)
       limits.record(statement(5, 140), LimitSource.Answer, 140)
-      expect(limits.expire(30_000)).to.deep.equal([])
-      expect(limits.expire(30_140)).to.deep.equal(['s'])
+      expect(limits.expire(30_000)).to.equal(false)
+      expect(limits.expire(30_140)).to.equal(true)
+      expect(limits.find('s')).to.equal(undefined)
     })
   })
 
--- a/src/entry/__tests__/slotModel.spec.ts
+++ b/src/entry/__tests__/slotModel.spec.ts
@@ -17,6 +17,7 @@
 import type { SlotGrant } from '../slotClient.js'
 import { SlotClient } from '../slotClient.js'
 import { LinkLoss } from '../unconfirmedSlots.js'
+import { peakInWindow } from '../../../testing/slidingWindow.js'
 import { testInstance } from './testInstance.js'
 
 const SEED = 20261204
@@ -166,11 +167,7 @@
   peakGrants(serverId: string): number {
     const times = this.grantTimes.get(serverId) ?? []
     const settled = times.filter((atMs) => atMs >= (times[0] ?? 0) + 2 * LIMIT_WINDOW_MS)
-    const counts = settled.map(
-      (startMs) =>
-        settled.filter((atMs) => atMs >= startMs && atMs < startMs + LIMIT_WINDOW_MS).length,
-    )
-    return Math.max(0, ...counts)
+    return peakInWindow(settled, LIMIT_WINDOW_MS)
   }
 
   /** Delivers the first message of a link. */
--- a/src/entry/serverLimits.ts
+++ b/src/entry/serverLimits.ts
@@ -93,13 +93,6 @@
     return this.#known.get(serverId)?.limit
   }
 
-  /** Number of servers with a limit. */
-  get size(): number {
-    let count = 0
-    for (const { limit } of this.#known.values()) if (limit !== undefined) count += 1
-    return count
-  }
-
   /** Records a statement unless a later one is known. @returns whether the limit changed */
   record(statement: LimitStatement, source: LimitSource, nowMs: number): boolean {
     const { serverId, limitPerSecond, statedAtMs } = statement
@@ -138,15 +131,15 @@
     this.#known.delete(serverId)
   }
 
-  /** Forgets statements that are too old. @returns identifiers of servers whose limit ended */
-  expire(nowMs: number): string[] {
-    const ended: string[] = []
+  /** Forgets statements that are too old. @returns whether a limit ended */
+  expire(nowMs: number): boolean {
+    let hasEnded = false
     for (const [serverId, { statement, limit }] of this.#known) {
       if (nowMs - statement.statedAtMs < STATEMENT_TTL_MS) continue
       this.#known.delete(serverId)
-      if (limit !== undefined) ended.push(serverId)
+      if (limit !== undefined) hasEnded = true
     }
-    return ended
+    return hasEnded
   }
 
   /** All statements. */
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -22,8 +22,8 @@
   usableSlots,
   targetRemoteShare,
 } from './remoteShare.js'
+import { LimitedCapacity } from './limitedCapacity.js'
 import type { LimitStatement } from './serverLimits.js'
-import { LimitSource, ServerLimits } from './serverLimits.js'
 import type { CoordinatedServer, RunningRequest } from './serverState.js'
 import { ServerIndex } from './serverIndex.js'
 import { ServerState } from './serverState.js'
@@ -104,11 +104,7 @@
     string,
     { readonly slots: readonly LentSlots[]; readonly untilMs: number }
   >()
-  readonly #limits = new ServerLimits()
-  /** Slots of servers without a limit, and the servers with one. */
-  #unlimitedSlots = 0
-  #limitedServers: readonly ServerState[] = []
-  #limitsSentAtMs = Number.NEGATIVE_INFINITY
+  readonly #capacity: LimitedCapacity
   #initialHoldTimeMs = DEFAULT_DURATION_MS
   #localServers: readonly CoordinatedServer[] = []
   #findServer: (id: string) => CoordinatedServer | undefined = () => undefined
@@ -118,6 +114,7 @@
     this.#service = service
     this.#region = region
     this.#servers = new ServerIndex(region)
+    this.#capacity = new LimitedCapacity(this.#servers)
     this.#random = random
     this.#arrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#firstArrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
@@ -203,7 +200,7 @@
     const running = state?.endRequest(key, use, durationMs, report, nowMs)
     if (state !== undefined) {
       this.#servers.refresh(state)
-      this.#recordStatement(state.server.id, stated, use, running, nowMs)
+      this.#capacity.recordAnswer(state.server.id, stated, use, running, nowMs)
       const { retryAfterMs } = stated ?? {}
       if (retryAfterMs !== undefined) state.turnAway(instanceOf(key), nowMs + retryAfterMs)
     }
@@ -213,69 +210,24 @@
     this.#dispatch(nowMs)
   }
 
-  #recordStatement(
-    serverId: string,
-    stated: ServerStatement | undefined,
-    use: SlotOutcome,
-    running: RunningRequest | undefined,
-    nowMs: number,
-  ): void {
-    const { limitPerSecond } = stated ?? {}
-    if (limitPerSecond !== undefined) {
-      const statement = { serverId, limitPerSecond, statedAtMs: nowMs }
-      if (this.#limits.record(statement, LimitSource.Answer, nowMs)) this.#applyLimits()
-    } else if (stated === undefined && use === SlotOutcome.Completed && running !== undefined) {
-      if (this.#limits.recordAbsence(serverId, running.startedAtMs, nowMs)) this.#applyLimits()
-    }
-  }
-
-  /** Accepts statements that servers made to other coordinators. */
+  /** Accepts limits that servers stated to other coordinators. */
   acceptLimits(statements: readonly LimitStatement[], nowMs: number): void {
-    const changes = statements.filter((statement) =>
-      this.#limits.record(statement, LimitSource.Coordinator, nowMs),
-    )
-    if (changes.length > 0) this.#applyLimits()
+    this.#capacity.accept(statements, nowMs)
   }
 
   /** Whether a server states a limit. */
   hasLimit(serverId: string): boolean {
-    return this.#limits.find(serverId) !== undefined
+    return this.#capacity.limitOf(serverId) !== undefined
   }
 
   /** Limits that are known to this coordinator. */
   statedLimits(): LimitStatement[] {
-    return this.#limits.statements()
+    return this.#capacity.statements()
   }
 
   /** Limits stated in answers to this region since the last call. */
   takeNewLimits(nowMs: number): LimitStatement[] {
-    const statements = this.#limits.answersSince(this.#limitsSentAtMs)
-    this.#limitsSentAtMs = nowMs
-    return statements
-  }
-
-  #applyLimits(): void {
-    const limited: ServerState[] = []
-    this.#unlimitedSlots = 0
-    for (const state of this.#servers.all()) {
-      state.limit = this.#limits.find(state.server.id)
-      if (state.limit === undefined) this.#unlimitedSlots += state.server.slots
-      else limited.push(state)
-    }
-    this.#limitedServers = limited
-  }
-
-  /** Slots that can be in use on average. */
-  #usableSlots(): number {
-    let slots = this.#unlimitedSlots
-    const holdTimeMs = this.#meanHoldTimeMs()
-    for (const state of this.#limitedServers) slots += state.usableSlots(holdTimeMs)
-    return slots
-  }
-
-  /** Slots of a server of this region that can be in use on average. */
-  #usableSlotsOf({ id, slots }: CoordinatedServer): number {
-    return this.#limits.find(id)?.usableSlots(slots, this.#meanHoldTimeMs()) ?? slots
+    return this.#capacity.takeNewStatements(nowMs)
   }
 
   #startAwaiting(key: string, serverId: string): void {
@@ -423,7 +375,10 @@
     this.#lentSlots.clear()
     const warm = this.#localServers
       .filter((server) => server.coldUntilMs <= nowMs)
-      .map((server) => ({ ...server, usableSlots: this.#usableSlotsOf(server) }))
+      .map((server) => ({
+        ...server,
+        usableSlots: this.#capacity.usableSlotsOf(server, this.#meanHoldTimeMs()),
+      }))
     for (const [region, count] of counts) {
       const chosen = chooseLentSlots(region, count, warm, alreadyLent)
       for (const { serverId, slots } of chosen) {
@@ -458,7 +413,11 @@
 
   /** Demand and capacity of this region. */
   demand(nowMs: number): RegionDemand {
-    const slots = this.#localServers.reduce((sum, server) => sum + this.#usableSlotsOf(server), 0)
+    const holdTimeMs = this.#meanHoldTimeMs()
+    const slots = this.#localServers.reduce(
+      (sum, server) => sum + this.#capacity.usableSlotsOf(server, holdTimeMs),
+      0,
+    )
     const neededSlots = this.#assumedDemand.blend(this.#neededSlots(nowMs), nowMs)
     return { region: this.#region, neededSlots, slots }
   }
@@ -509,7 +468,7 @@
   tick(nowMs: number): void {
     this.#expireBorrowedSlots(nowMs)
     for (const key of this.#unconfirmedSlots.takeExpired(nowMs)) this.#freeSlot(key)
-    if (this.#limits.expire(nowMs).length > 0) this.#applyLimits()
+    this.#capacity.expire(nowMs)
     const holdTimeMs = this.#meanHoldTimeMs()
     const borrowedSlots = [...this.#servers.all()]
       .filter(({ server }) => server.region !== this.#region)
@@ -544,7 +503,7 @@
       waiting: this.#queue.length,
       arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
       remoteShare: this.#remoteShare.share,
-      limitedServers: this.#limitedServers.length,
+      limitedServers: this.#capacity.limitedServers,
       completionsPerSecond: this.#completionsPerSecond(),
     }
   }
@@ -575,18 +534,18 @@
         continue
       }
       const isRestarted = server !== undefined && server.startedAtMs !== state.server.startedAtMs
-      if (isRestarted) this.#limits.forget(state.server.id)
+      if (isRestarted) this.#capacity.forget(state.server.id)
       if (state.server.slots === 0) state.limit?.restart(nowMs)
       state.update(server ?? { ...state.server, slots: 0 })
       this.#servers.refresh(state)
     }
     for (const [id, server] of servers) {
       if (this.#servers.find(id) !== undefined) continue
-      this.#limits.find(id)?.restart(nowMs)
+      this.#capacity.limitOf(id)?.restart(nowMs)
       const { holders } = this.#servers
       this.#servers.add(new ServerState(server, this.#objectCache, holders, nowMs))
     }
-    this.#applyLimits()
+    this.#capacity.refresh()
   }
 
   #dispatch(nowMs: number): void {
@@ -710,7 +669,7 @@
    */
   #slotTimeWeight({ key }: Waiter): number {
     const others = this.#queue.length - Number(this.#queue.has(key))
-    return 1 + others / Math.max(1, this.#usableSlots())
+    return 1 + others / Math.max(1, this.#capacity.usableSlots(this.#meanHoldTimeMs()))
   }
 
   #isAllowed(waiter: Waiter, region: string): boolean {
@@ -761,7 +720,8 @@
   }
 
   #completionsPerSecond(): number {
-    return (this.#usableSlots() * 1000) / this.#meanHoldTimeMs()
+    const holdTimeMs = this.#meanHoldTimeMs()
+    return (this.#capacity.usableSlots(holdTimeMs) * 1000) / holdTimeMs
   }
 
   #meanHoldTimeMs(): number {
