--- a/src/entry/metadataStore.ts
+++ b/src/entry/metadataStore.ts
@@ -22,6 +22,8 @@
   readonly items: readonly StoreItem[]
   /** Store revision at the first page; a watch from it misses no change. */
   readonly revision: number
+  /** Number of times that the store was restored from a copy, as it states. */
+  readonly era: number
 }
 
 /** Changes after a revision. */
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -111,15 +111,24 @@
   async #listAll(): Promise<boolean> {
     const items: StoreItem[] = []
     let revision = Number.POSITIVE_INFINITY
-    const { store, prefixes } = this.#dependencies
+    let era = 0
+    const { store, prefixes, log } = this.#dependencies
     for (const listing of await Promise.all(prefixes.map((prefix) => store.list(prefix)))) {
       if (listing.err) return this.#recordFailure('list', listing.val.message)
       items.push(...listing.val.items)
       revision = Math.min(revision, listing.val.revision)
+      era = listing.val.era
     }
     const { mirror } = this.#dependencies
     const since = mirror.latestChange
     const applied = mirror.applySnapshot(items.map(toUpdateItem), revision)
+    log.event('storeListed', {
+      era,
+      revision,
+      items: items.length,
+      applied: applied.length,
+      mirrorRevision: mirror.revision,
+    })
     this.#needsListing = false
     this.#recordSuccess()
     // Removals before a first listing are not known here, but peers may hold the removed items.
--- a/src/platform/httpJsonClient.ts
+++ b/src/platform/httpJsonClient.ts
@@ -1,4 +1,5 @@
 /** JSON over HTTP (wreck) with a timeout for the whole call. */
+import type { IncomingHttpHeaders } from 'node:http'
 import { Agent } from 'node:http'
 import wreck from '@hapi/wreck'
 import { messageOf } from '../common/errors.js'
@@ -14,6 +15,7 @@
 /** A complete answer. */
 export interface HttpAnswer {
   readonly status: number
+  readonly headers: IncomingHttpHeaders
   readonly body: unknown
 }
 
@@ -84,7 +86,7 @@
         maxBytes: MAX_ANSWER_BYTES,
       })
       const status = response.statusCode ?? 0
-      return { status, body: parseBody(body, status) }
+      return { status, headers: response.headers, body: parseBody(body, status) }
     } catch (error) {
       return toFailure(error)
     } finally {
