--- a/src/entry/__tests__/peerMesh.spec.ts
+++ b/src/entry/__tests__/peerMesh.spec.ts
@@ -6,6 +6,7 @@
 import { InstanceTable } from '../instanceTable.js'
 import { PeerMesh } from '../peerMesh.js'
 import { PeerMessageKind } from '../peerMessages.js'
+import { testInstance } from './testInstance.js'
 
 async function freePort(): Promise<number> {
   const server = createServer()
@@ -17,6 +18,7 @@
 
 interface MeshNode {
   readonly mesh: PeerMesh
+  readonly table: InstanceTable
   readonly received: PeerMessageKind[]
   readonly lost: string[]
   readonly address: string
@@ -55,7 +57,7 @@
     },
   })
   await mesh.start('127.0.0.1', port)
-  return { mesh, received, lost, address }
+  return { mesh, table, received, lost, address }
 }
 
 describe('PeerMesh', function () {
@@ -105,4 +107,22 @@
     const heartbeats = second.received.filter((kind) => kind === PeerMessageKind.Heartbeat)
     expect(heartbeats.length).to.be.at.most(1)
   })
+
+  // Guards against directories that name instances which were removed long ago: a region that
+  // starts again learns of its instances from the greetings of those that still remember them.
+  it('does not name an instance that has left and is known from greetings alone', async () => {
+    const first = await startNode('first', () => -1)
+    const second = await startNode('second', () => -1)
+    nodes = [first, second]
+    const nowMs = monotonicClock()
+    for (const name of ['removed', 'silent']) first.table.register(testInstance(name), nowMs)
+    first.table.markExpired('removed', nowMs)
+    second.mesh.connectToSeed(first.address)
+    await sleep(400)
+    expect(second.table.find('removed')).to.equal(undefined)
+    expect(second.table.find('silent')?.name).to.equal('silent')
+    await sleep(2600)
+    const live = second.table.liveInstances('here', monotonicClock())
+    expect(live.map(({ name }) => name)).to.have.members(['first', 'second'])
+  })
 })
