fix(entry): changes of a restored store are ordered after those that it has lost

Callers saw requests handled by a configuration that had been replaced seconds before: after the store came back from a copy, no change was applied until its counter had passed the old one, and each reader listed the store in a loop.

Cause: revisions of two histories were compared. The restored store counts on from its copy, so the mirror took all that was listed for older; its own revision stayed where the new history has not been, so the next watch got 410 again. Ruled out: refused listings (they succeed), peers that don't take the changes (none were passed on).

Revisions now carry the era of the store as their high part, so every comparison (mirror, registry, rosters, catch-up, greetings, joined updates) orders changes across restores. A watch that is answered in another era than it was asked from is not applied; it leads to a listing, as 410 does. Late answers and copies of an earlier era change nothing. A listing whose pages or prefixes span a restore is repeated. Readers that need a listing at the same time wait for each other, and a repeated 410 pauses.

Class: a counter of an outside system compared beyond the lifetime in which it is monotonic.

--- a/src/entry/__tests__/storeFollower.spec.ts
+++ b/src/entry/__tests__/storeFollower.spec.ts
@@ -24,7 +24,7 @@
     this.listCalls += 1
     if (this.isUnreachable) return Promise.resolve(Err(unreachableError()))
     const items = [{ key: 'items/one', value: Buffer.from(this.value), revision: this.revision }]
-    return Promise.resolve(Ok({ items, revision: this.revision, era: 0 }))
+    return Promise.resolve(Ok({ items, revision: this.revision }))
   }
 
   async watch(
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -36,6 +36,8 @@
 import { StoreContact } from './storeContact.js'
 import { StoreFollower } from './storeFollower.js'
 import { StoreMirror } from './storeMirror.js'
+import type { StoreRevision } from './storeRevision.js'
+import { counterOf, revisionFields } from './storeRevision.js'
 
 /** Interval of coordination while requests are queued at this instance. */
 const TICK_INTERVAL_MS = 25
@@ -362,7 +364,13 @@
     const changes = since === 0 ? undefined : this.#mirror.changesSince(since)
     const isComplete = changes === undefined
     const items = changes ?? this.#mirror.items()
-    this.#log.event('changesSent', { peer, since, revision, items: items.length, isComplete })
+    this.#log.event('changesSent', {
+      peer,
+      since: counterOf(since),
+      ...revisionFields(revision),
+      items: items.length,
+      isComplete,
+    })
     this.#mesh.send(peer, {
       kind: PeerMessageKind.StoreUpdate,
       items,
@@ -395,7 +403,7 @@
     )
   }
 
-  #applyItem(key: string, value: Buffer | undefined, revision: number): void {
+  #applyItem(key: string, value: Buffer | undefined, revision: StoreRevision): void {
     const nowMs = this.#clock()
     if (key.startsWith(ROSTER_PREFIX)) {
       this.#applyRoster(key, value, revision, nowMs)
@@ -410,7 +418,7 @@
         this.#registry.apply(item.update, nowMs)
         this.#log.event('server', {
           id: item.update.id,
-          revision,
+          ...revisionFields(revision),
           isDraining: item.update.server?.isDraining,
           zone: item.update.server?.zone,
           coldForMs: item.update.server?.coldForMs,
@@ -419,24 +427,39 @@
         break
       case 'serverRemoved': {
         const isGone = this.#registry.remove(item.id, revision, nowMs)
-        this.#log.event('serverRemoved', { id: item.id, revision, isGone })
+        this.#log.event('serverRemoved', {
+          id: item.id,
+          ...revisionFields(revision),
+          isGone,
+        })
         break
       }
       case 'evacuation':
         if (item.isOn) this.#evacuatedZones.add(item.zone)
         else this.#evacuatedZones.delete(item.zone)
         this.#registry.setEvacuatedZones(new Set(this.#evacuatedZones))
-        this.#log.event('evacuation', { zone: item.zone, isOn: item.isOn, revision })
+        this.#log.event('evacuation', {
+          zone: item.zone,
+          isOn: item.isOn,
+          ...revisionFields(revision),
+        })
         break
       case 'other':
         break
     }
   }
 
-  #applyConfiguration(configuration: RoutingConfiguration | undefined, revision: number): void {
+  #applyConfiguration(
+    configuration: RoutingConfiguration | undefined,
+    revision: StoreRevision,
+  ): void {
     if (configuration === undefined) return
     const isAccepted = this.#routing.accept(configuration)
-    this.#log.event('configuration', { version: configuration.version, revision, isAccepted })
+    this.#log.event('configuration', {
+      version: configuration.version,
+      ...revisionFields(revision),
+      isAccepted,
+    })
     if (!isAccepted) return
     this.#callers.applyLimits(configuration.limits)
     for (const { name, restriction } of this.#routing.restrictedRoutes) {
@@ -445,10 +468,15 @@
     }
   }
 
-  #applyRoster(key: string, value: Buffer | undefined, revision: number, nowMs: number): void {
+  #applyRoster(
+    key: string,
+    value: Buffer | undefined,
+    revision: StoreRevision,
+    nowMs: number,
+  ): void {
     const records = value === undefined ? undefined : parseRoster(value)
     if (value !== undefined && records === undefined) {
-      this.#log.event('unreadableRoster', { key, revision })
+      this.#log.event('unreadableRoster', { key, ...revisionFields(revision) })
     }
     const { listed, expired } = this.#rosters.apply(key, records, revision)
     for (const record of listed) {
@@ -457,7 +485,7 @@
     }
     for (const name of expired) {
       this.#table.markExpired(name, nowMs)
-      this.#log.event('instanceLapsed', { name, revision })
+      this.#log.event('instanceLapsed', { name, ...revisionFields(revision) })
     }
   }
 
--- a/src/entry/metadataStore.ts
+++ b/src/entry/metadataStore.ts
@@ -1,18 +1,19 @@
 /** Interface of the platform's store, as far as entry instances use it. */
 import type { StoreError } from '../platform/keyValueStore.js'
 import type { Result } from '../common/results.js'
+import type { StoreRevision } from './storeRevision.js'
 
 /** A stored item. */
 export interface StoreItem {
   readonly key: string
   readonly value: Buffer
-  readonly revision: number
+  readonly revision: StoreRevision
 }
 
 /** A write or removal of an item. */
 export interface StoreEvent {
   readonly key: string
-  readonly revision: number
+  readonly revision: StoreRevision
   /** `undefined`: removed. */
   readonly value: Buffer | undefined
 }
@@ -21,15 +22,16 @@
 export interface StoreListing {
   readonly items: readonly StoreItem[]
   /** Store revision at the first page; a watch from it misses no change. */
-  readonly revision: number
-  /** Number of times that the store was restored from a copy, as it states. */
-  readonly era: number
+  readonly revision: StoreRevision
 }
 
-/** Changes after a revision. */
+/**
+ * Changes after a revision. If their revision is of another era than the one that was asked for,
+ * they are incomplete: the store was restored in between.
+ */
 export interface StoreChanges {
   readonly events: readonly StoreEvent[]
-  readonly revision: number
+  readonly revision: StoreRevision
 }
 
 /** Result of a watch from a revision whose history the store no longer has. */
@@ -42,7 +44,7 @@
   /** Waits up to `waitMs` for changes after `revision` of keys that start with `prefix`. */
   watch(
     prefix: string,
-    revision: number,
+    revision: StoreRevision,
     waitMs: number,
   ): Promise<Result<StoreChanges | typeof HISTORY_COMPACTED, StoreError>>
   /** Grants a lease and returns its identifier. */
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -8,6 +8,8 @@
 import { PeerMessageKind } from './peerMessages.js'
 import type { StoreContact } from './storeContact.js'
 import type { StoreMirror } from './storeMirror.js'
+import type { StoreRevision } from './storeRevision.js'
+import { eraOf, revisionFields } from './storeRevision.js'
 import type { StoreUpdate } from './storeUpdateBatch.js'
 import { StoreUpdateBatch } from './storeUpdateBatch.js'
 
@@ -20,6 +22,11 @@
  * store, in milliseconds; several times the one-way latency between regions.
  */
 const SEED_WAIT_MS = 400
+/**
+ * Delay of a repeated listing per position in the reader order, in milliseconds. All readers need one
+ * at the same time, when the store was restored or lost its history, and one of them suffices.
+ */
+const RELISTING_DELAY_MS = 100
 /** Interval at which an instance that does not read checks whether it must, in milliseconds. */
 const IDLE_CHECK_INTERVAL_MS = 200
 
@@ -45,6 +52,8 @@
   readonly #batch = new StoreUpdateBatch()
   #publishTimer: NodeJS.Timeout | undefined
   #needsListing = false
+  /** Whether the history was gone in the last watch. */
+  #isHistoryGone = false
   #isFailing = false
   #isReading = false
   /** Consecutive failed calls. */
@@ -65,10 +74,7 @@
         await sleep(IDLE_CHECK_INTERVAL_MS, this.#abort.signal)
         continue
       }
-      const isOk =
-        this.#needsListing || this.#dependencies.mirror.revision === 0
-          ? await this.#listAll()
-          : await this.#watch()
+      const isOk = await this.#read(readerPosition())
       this.#consecutiveFailures = isOk ? 0 : this.#consecutiveFailures + 1
       if (!isOk) await sleep(this.#retryPauseMs(readerPosition()), this.#abort.signal)
     }
@@ -104,35 +110,55 @@
       isReading,
       place: readerPosition(),
       contactAgeMs,
-      revision: mirror.revision,
+      ...revisionFields(mirror.revision),
     })
   }
 
+  #read(position: number): Promise<boolean> {
+    if (this.#dependencies.mirror.revision === 0) return this.#listAll()
+    return this.#needsListing ? this.#listAgain(position) : this.#watch()
+  }
+
+  /** Lists the store, unless a peer's copy arrives first. */
+  async #listAgain(position: number): Promise<boolean> {
+    const { mirror } = this.#dependencies
+    const { revision } = mirror
+    await sleep(position * RELISTING_DELAY_MS, this.#abort.signal)
+    if (mirror.revision === revision) return this.#listAll()
+    this.#needsListing = false
+    return true
+  }
+
   async #listAll(): Promise<boolean> {
     const items: StoreItem[] = []
-    let revision = Number.POSITIVE_INFINITY
-    let era = 0
+    const revisions: StoreRevision[] = []
     const { store, prefixes, log } = this.#dependencies
     for (const listing of await Promise.all(prefixes.map((prefix) => store.list(prefix)))) {
       if (listing.err) return this.#recordFailure('list', listing.val.message)
       items.push(...listing.val.items)
-      revision = Math.min(revision, listing.val.revision)
-      era = listing.val.era
+      revisions.push(listing.val.revision)
+    }
+    const revision = Math.min(...revisions)
+    if (eraOf(revision) !== eraOf(Math.max(...revisions))) {
+      return this.#recordFailure('list', 'the store was restored from a copy between two listings')
     }
     const { mirror } = this.#dependencies
     const since = mirror.latestChange
-    const applied = mirror.applySnapshot(items.map(toUpdateItem), revision)
+    const listed = items.map(toUpdateItem)
+    const isNewEra = eraOf(revision) > eraOf(mirror.revision)
+    const applied = mirror.applySnapshot(listed, revision)
     log.event('storeListed', {
-      era,
-      revision,
+      ...revisionFields(revision),
       items: items.length,
       applied: applied.length,
-      mirrorRevision: mirror.revision,
+      position: this.#dependencies.readerPosition(),
     })
     this.#needsListing = false
     this.#recordSuccess()
     // Removals before a first listing are not known here, but peers may hold the removed items.
     if (since === 0) this.#publish({ items: applied, revision, isComplete: true })
+    // Peers compare the listing with what they know themselves of the time before the restore.
+    else if (isNewEra) this.#publish({ items: listed, revision, isComplete: true })
     else this.#publish({ items: applied, revision, since, isComplete: false })
     return true
   }
@@ -140,15 +166,30 @@
   async #watch(): Promise<boolean> {
     const { store, mirror, contact } = this.#dependencies
     const watchedFrom = mirror.revision
-    const changes = await store.watch('', watchedFrom, contact.watchMs)
+    // After a failed call, the answer shows at once whether the store was restored meanwhile.
+    const waitMs = this.#isFailing ? 0 : contact.watchMs
+    const changes = await store.watch('', watchedFrom, waitMs)
     if (changes.err) return this.#recordFailure('watch', changes.val.message)
     if (changes.val === HISTORY_COMPACTED) {
       contact.recordAnswer(this.#dependencies.clock())
-      this.#dependencies.log.event('storeHistoryGone', { revision: mirror.revision })
+      this.#dependencies.log.event('storeHistoryGone', revisionFields(watchedFrom))
       this.#needsListing = true
-      return true
+      // Pauses if the listing did not help, so that listings do not follow one another.
+      const isRepeated = this.#isHistoryGone
+      this.#isHistoryGone = true
+      return !isRepeated
     }
+    this.#isHistoryGone = false
     const { events, revision } = changes.val
+    if (eraOf(revision) !== eraOf(watchedFrom)) {
+      contact.recordAnswer(this.#dependencies.clock())
+      this.#dependencies.log.event('storeRestored', {
+        fromEra: eraOf(watchedFrom),
+        ...revisionFields(revision),
+      })
+      this.#needsListing = eraOf(revision) > eraOf(mirror.revision)
+      return true
+    }
     const wanted = events.filter(({ key }) =>
       this.#dependencies.prefixes.some((prefix) => key.startsWith(prefix)),
     )
@@ -162,7 +203,7 @@
   #recordSuccess(): void {
     const { contact, clock, log, mirror } = this.#dependencies
     contact.recordOwnContact(clock())
-    if (this.#isFailing) log.event('storeRegained', { revision: mirror.revision })
+    if (this.#isFailing) log.event('storeRegained', revisionFields(mirror.revision))
     this.#isFailing = false
   }
 
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -1,11 +1,17 @@
 /** Local copy of the store items that this instance needs, updated from the store or from peers. */
 import type { StoreUpdateItem } from './peerMessages.js'
+import type { StoreRevision } from './storeRevision.js'
+import { eraOf } from './storeRevision.js'
 
 /** Called for each changed item. `value` is base64; `undefined`: removed. */
-export type MirrorListener = (key: string, value: string | undefined, revision: number) => void
+export type MirrorListener = (
+  key: string,
+  value: string | undefined,
+  revision: StoreRevision,
+) => void
 
 interface MirroredItem {
-  readonly revision: number
+  readonly revision: StoreRevision
   readonly value: string | null
 }
 
@@ -51,14 +57,16 @@
 
   /**
    * Applies changes and returns those that were newer than the mirrored items. The revision stays
-   * behind a gap, so that the missing changes can still be requested.
+   * behind a gap, so that the missing changes can still be requested. Changes of an earlier era are
+   * ignored, because the store has lost them.
    * @param since revision that the changes follow without a gap
    */
   applyChanges(
     items: readonly StoreUpdateItem[],
-    revision: number,
+    revision: StoreRevision,
     since = this.#revision,
   ): StoreUpdateItem[] {
+    if (eraOf(revision) < eraOf(this.#revision)) return []
     const applied = items.filter((item) => this.#apply(item))
     this.#pendingRanges.push({ since, revision })
     this.#advance()
@@ -66,7 +74,7 @@
   }
 
   /** Applies all items that existed at `revision`, and removes mirrored items that are missing. */
-  applySnapshot(items: readonly StoreUpdateItem[], revision: number): StoreUpdateItem[] {
+  applySnapshot(items: readonly StoreUpdateItem[], revision: StoreRevision): StoreUpdateItem[] {
     const listed = new Set(items.map(({ key }) => key))
     const missing = [...this.#items]
       .filter(([key, item]) => item.value !== null && item.revision <= revision && !listed.has(key))
