fix(entry): an instance that only another one names expires, and expired ones are not named

Cause: a greeting names all instances of a region that the sender's table holds, also those that it keeps for 30 s after the roster dropped them. A region that starts again registers them; no roster lists them, so none ever drops them, and an instance without a link counts as live until its entry expires. Ruled out as a condition: the restored store.

Greetings name only instances that are linked, or in a roster, or just lost; what is named expires after 1.5 s unless a link opens or a roster lists it. Class: knowledge of others is passed on without its age.

--- a/src/entry/instanceTable.ts
+++ b/src/entry/instanceTable.ts
@@ -36,7 +36,10 @@
   link: LinkState
   linkChangedAtMs: number
   isLeaving: boolean
-  /** Set when the store entry has expired. */
+  /**
+   * Time from which no roster in the store lists the instance. In the future for an instance that is
+   * only known from another instance and that no roster has listed yet.
+   */
   expiredAtMs: number | undefined
 }
 
@@ -68,10 +71,21 @@
     })
   }
 
+  /**
+   * Adds an instance that another one named, unless it is known. It expires unless a link to it
+   * opens or a roster lists it, because the other instance may remember one that has left.
+   */
+  registerNamed(record: InstanceRecord, nowMs: number): void {
+    if (this.find(record.name) !== undefined) return
+    this.register(record, nowMs)
+    this.markExpired(record.name, nowMs + FIRST_CONTACT_GRACE_MS)
+  }
+
   /** Marks the store entry of the instance as expired. */
   markExpired(name: string, nowMs: number): void {
     const instance = this.#instances.get(name)
-    if (instance !== undefined) instance.expiredAtMs ??= nowMs
+    if (instance === undefined) return
+    instance.expiredAtMs = Math.min(instance.expiredAtMs ?? nowMs, nowMs)
   }
 
   /** Marks the instance as leaving, unless the announcement is from an earlier start. */
@@ -102,6 +116,13 @@
     return [...this.#instances.values()].map(({ record }) => record)
   }
 
+  /** Other instances to name to a peer: those that have neither expired nor lost their link. */
+  presentOthers(nowMs: number): InstanceRecord[] {
+    return [...this.#instances.values()]
+      .filter((instance) => PRESENT_BY_LINK[instance.link](instance, nowMs))
+      .map(({ record }) => record)
+  }
+
   /** Removes instances without a link whose store entry expired more than `afterMs` ago. */
   removeExpired(nowMs: number, afterMs: number): void {
     for (const [name, instance] of this.#instances) {
@@ -148,13 +169,19 @@
   }
 }
 
-const LIVE_BY_LINK: Readonly<
-  Record<LinkState, (instance: RegisteredInstance, nowMs: number) => boolean>
-> = {
+type InstanceCheck = (instance: RegisteredInstance, nowMs: number) => boolean
+
+const PRESENT_BY_LINK: Readonly<Record<LinkState, InstanceCheck>> = {
+  [LinkState.Up]: () => true,
+  [LinkState.Down]: (instance, nowMs) => nowMs - instance.linkChangedAtMs < ROSTER_GRACE_MS,
+  [LinkState.None]: ({ expiredAtMs }, nowMs) => expiredAtMs === undefined || nowMs < expiredAtMs,
+}
+
+const LIVE_BY_LINK: Readonly<Record<LinkState, InstanceCheck>> = {
   [LinkState.Up]: () => true,
   [LinkState.Down]: (instance, nowMs) => nowMs - instance.linkChangedAtMs < RECONNECT_GRACE_MS,
   [LinkState.None]: (instance, nowMs) =>
-    instance.expiredAtMs === undefined
+    instance.expiredAtMs === undefined || nowMs < instance.expiredAtMs
       ? true
       : nowMs - instance.expiredAtMs < EXPIRED_RECORD_GRACE_MS &&
         nowMs - instance.registeredAtMs < FIRST_CONTACT_GRACE_MS,
--- a/src/entry/peerMesh.ts
+++ b/src/entry/peerMesh.ts
@@ -204,9 +204,9 @@
    * @param peerKnownCount number of instances of the region that the peer knows already
    */
   #sendHello(connection: Connection, region: string, peerKnownCount = 0): void {
-    const { table, revision, latestChange } = this.#dependencies
+    const { table, revision, latestChange, clock } = this.#dependencies
     connection.isHelloSent = true
-    const others = table.others()
+    const others = table.presentOthers(clock())
     const known = others.filter((other) => other.region === region)
     connection.link.send({
       kind: PeerMessageKind.Hello,
@@ -249,8 +249,7 @@
     table.register(record, nowMs)
     for (const other of hello.known) {
       const member = parseInstanceRecord(other)
-      if (member !== undefined && table.find(member.name) === undefined)
-        table.register(member, nowMs)
+      if (member !== undefined) table.registerNamed(member, nowMs)
     }
     table.setLinkState(record.name, LinkState.Up, nowMs)
     if (previous === undefined) log.event('peerUp', { peer: record.name, region: record.region })
