fix(entry): what is known stays in force until a restored store has something newer

Between its return and the moment at which operators and servers have written again, a restored store holds older items, or none. Instances believed them: a server that leaves or is gone got requests again, one that had registered since was dropped, an evacuation ended or began again, and an instance that started got the configuration that had been replaced.

Cause: the listing of a restored store was taken for its present state.

The mirror compares a listed item of a new era with what it knows: by content where writers number their writes (version of the configuration; start and sequence of a server), and holds what is newer, or what can't be compared. What is written after the return replaces it, unless it repeats an earlier write. Copies for other instances hold both states. Removals are deferred for as long after a restore as after an outage.

Class: an answer that is complete but old is taken for new.

--- a/src/entry/__tests__/storeFollower.spec.ts
+++ b/src/entry/__tests__/storeFollower.spec.ts
@@ -65,7 +65,7 @@
   const mirror = new StoreMirror((_key, value) => {
     seen.push(Buffer.from(value ?? '', 'base64').toString())
   })
-  if (initialRevision > 0) mirror.applyChanges([], initialRevision)
+  if (initialRevision > 0) mirror.applyChanges([], initialRevision, 0)
   const follower = new StoreFollower({
     store,
     prefixes: ['items/'],
@@ -104,7 +104,7 @@
       const store = new FakeStore()
       const followed = follow(store, initialRevision)
       if (initialRevision > 0) {
-        followed.mirror.applyChanges([{ key: 'items/old', revision: 2, value: 'b2xk' }], 3)
+        followed.mirror.applyChanges([{ key: 'items/old', revision: 2, value: 'b2xk' }], 3, 0)
       }
       const running = followed.follower.run()
       await sleep(60)
--- a/src/entry/__tests__/storeReplication.spec.ts
+++ b/src/entry/__tests__/storeReplication.spec.ts
@@ -16,28 +16,28 @@
     mirror = new StoreMirror((_key, value) => {
       seen.push(value)
     })
-    mirror.applySnapshot([item('a', 2), item('b', 3)], 5)
+    mirror.applySnapshot([item('a', 2), item('b', 3)], 5, 0)
   })
 
   describe('behind a gap', () => {
     // Guards against an instance that never asks for a change that it missed, because a later
     // update moved its revision past it: an old configuration then stayed in force.
     it('applies later changes but stays at the revision before the gap', () => {
-      mirror.applyChanges([item('c', 9)], 9, 8)
+      mirror.applyChanges([item('c', 9)], 9, 0, 8)
       expect([mirror.revision, mirror.latestChange]).to.deep.equal([5, 9])
       expect(seen).to.include('c')
     })
 
     it('moves over all later changes once the missing ones arrive', () => {
-      mirror.applyChanges([item('d', 12)], 12, 9)
-      mirror.applyChanges([item('c', 9)], 9, 8)
-      mirror.applyChanges([item('b', 8, null)], 8, 5)
+      mirror.applyChanges([item('d', 12)], 12, 0, 9)
+      mirror.applyChanges([item('c', 9)], 9, 0, 8)
+      mirror.applyChanges([item('b', 8, null)], 8, 0, 5)
       expect(mirror.revision).to.equal(12)
     })
 
     it('does not restore an item whose removal came before its creation', () => {
-      mirror.applyChanges([item('late', 9, null)], 9, 8)
-      mirror.applyChanges([item('late', 7)], 7, 5)
+      mirror.applyChanges([item('late', 9, null)], 9, 0, 8)
+      mirror.applyChanges([item('late', 7)], 7, 0, 5)
       expect(mirror.items().map(({ key }) => key)).to.deep.equal(['a', 'b'])
       expect(seen).to.not.include('late')
     })
@@ -45,7 +45,7 @@
 
   describe('changesSince', () => {
     it('holds changes and removals after the revision', () => {
-      mirror.applyChanges([item('b', 6, null), item('c', 7)], 7, 5)
+      mirror.applyChanges([item('b', 6, null), item('c', 7)], 7, 0, 5)
       expect(mirror.changesSince(5)).to.deep.equal([item('b', 6, null), item('c', 7)])
       expect(mirror.changesSince(6)).to.deep.equal([item('c', 7)])
     })
@@ -93,11 +93,11 @@
       mirror: new StoreMirror(() => undefined),
       catchUp: new StoreCatchUp(),
     }))
-    instances[0]?.mirror.applySnapshot([item('a', 2)], 100)
+    instances[0]?.mirror.applySnapshot([item('a', 2)], 100, 0)
     let copies = 0
     for (let nowMs = 0; nowMs < 3000; nowMs += 25) {
       // The store changes all the while, so the revisions of all greetings differ.
-      instances[0]?.mirror.applyChanges([item('a', 100 + nowMs)], 100 + nowMs)
+      instances[0]?.mirror.applyChanges([item('a', 100 + nowMs)], 100 + nowMs, nowMs)
       for (const { mirror, catchUp } of instances) {
         for (const peer of instances) {
           catchUp.recordPeer(peer.name, peer.mirror.latestChange, mirror.revision, nowMs)
@@ -107,8 +107,9 @@
         if (name === undefined || peer === undefined) continue
         const changes = peer.mirror.changesSince(mirror.revision)
         if (changes === undefined) copies += 1
-        if (changes === undefined) mirror.applySnapshot(peer.mirror.items(), peer.mirror.revision)
-        else mirror.applyChanges(changes, peer.mirror.revision, mirror.revision)
+        if (changes === undefined)
+          mirror.applySnapshot(peer.mirror.items(), peer.mirror.revision, nowMs)
+        else mirror.applyChanges(changes, peer.mirror.revision, nowMs, mirror.revision)
         catchUp.recordChanges(name)
       }
     }
--- a/src/entry/__tests__/storeUpdates.spec.ts
+++ b/src/entry/__tests__/storeUpdates.spec.ts
@@ -67,11 +67,11 @@
     const batch = new StoreUpdateBatch()
     for (let index = 1; index <= 50; index += 1) {
       const { items, revision, since } = update([serverItem(index)], index - 1)
-      single.applyChanges(items, revision, since)
+      single.applyChanges(items, revision, 0, since)
       batch.add({ items, revision, isComplete: false, ...(since === undefined ? {} : { since }) })
     }
     for (const { items, revision, since } of batch.take(0)) {
-      joined.applyChanges(items, revision, since)
+      joined.applyChanges(items, revision, 0, since)
     }
     expect(joined.revision).to.equal(single.revision)
     expect(joined.items()).to.deep.equal(single.items())
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -3,7 +3,7 @@
 import { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import { sleep, systemClock } from '../common/clock.js'
-import { BackendServerRegistry } from './backendServerRegistry.js'
+import { BackendServerRegistry, EXPIRED_ENTRY_GRACE_MS } from './backendServerRegistry.js'
 import { FailureKind } from './callerRequest.js'
 import { CallerServer } from './callerServer.js'
 import { ConnectionPool } from './connectionPool.js'
@@ -55,6 +55,12 @@
 /** Minimum duration of a shutdown, so that directories stop listing the instance before its end. */
 const MIN_SHUTDOWN_MS = 2500
 
+/**
+ * Time after a restore of the store until an item that is older than what was known is believed, in
+ * ms. By then the entry of a server that has ended is removed, after three intervals of silence.
+ */
+const OLDER_ITEM_REWRITE_MS = 10_000
+
 /** Timeout of the last store call; shorter than the rest of the grace period. */
 const LAST_STORE_CALL_TIMEOUT_MS = 150
 
@@ -91,6 +97,7 @@
   #shutdown: Shutdown | undefined
   #stopped: Promise<void> | undefined
   #wasStoreUnreachable = false
+  #storeRestoredAtMs = Number.NEGATIVE_INFINITY
 
   constructor(
     settings: EntrySettings,
@@ -107,9 +114,23 @@
     this.#contact = new StoreContact(settings.applyMs, clock())
     this.#pauses = new PauseDetector(clock(), systemClock())
     this.#eventLoopActivity = new EventLoopActivity(readEventLoopCounters(), clock())
-    this.#mirror = new StoreMirror((key, value, revision) => {
-      this.#applyItem(key, value === undefined ? undefined : Buffer.from(value, 'base64'), revision)
-    })
+    this.#mirror = new StoreMirror(
+      (key, value, revision) => {
+        const bytes = value === undefined ? undefined : Buffer.from(value, 'base64')
+        this.#applyItem(key, bytes, revision)
+      },
+      {
+        writers: {
+          contentOrder: (key, value) => platform.contentOrder(key, Buffer.from(value, 'base64')),
+          rewriteMs: (_key, isMissing) =>
+            isMissing ? EXPIRED_ENTRY_GRACE_MS : OLDER_ITEM_REWRITE_MS,
+        },
+        onRestored: (nowMs) => {
+          this.#storeRestoredAtMs = nowMs
+          this.#registry.deferRemovals(nowMs)
+        },
+      },
+    )
     this.#mesh = new PeerMesh({
       table: this.#table,
       clock,
@@ -492,7 +513,9 @@
   #housekeeping(nowMs: number): void {
     const isStoreUnreachable = this.#contact.isStoreUnreachable(nowMs)
     if (isStoreUnreachable || this.#wasStoreUnreachable) {
-      this.#registry.deferRemovals(this.#contact.returnedAtMs(nowMs))
+      this.#registry.deferRemovals(
+        Math.max(this.#contact.returnedAtMs(nowMs), this.#storeRestoredAtMs),
+      )
     }
     if (isStoreUnreachable !== this.#wasStoreUnreachable) {
       this.#log.event(isStoreUnreachable ? 'storeAway' : 'storeBack', {
@@ -500,6 +523,8 @@
       })
     }
     this.#wasStoreUnreachable = isStoreUnreachable
+    const released = this.#mirror.releaseHeld(nowMs)
+    if (released.length > 0) this.#log.event('storeItemsReleased', { keys: released })
     this.#table.removeExpired(nowMs, LOST_INSTANCE_RETENTION_MS)
     this.#pool.closeExpired(nowMs)
     this.#beliefs.expire(nowMs)
--- a/src/entry/entryPlatform.ts
+++ b/src/entry/entryPlatform.ts
@@ -1,5 +1,6 @@
 /** Settings of an entry instance, and the interface to the platform that it runs on. */
 import type { HostAndPort } from '../common/listen.js'
+import type { ContentOrder } from './heldItems.js'
 import type { ServerUpdate } from './backendServerRegistry.js'
 import type { CallerHeaders } from './callerRequest.js'
 import type { InstanceRecord } from './instanceRecord.js'
@@ -45,6 +46,8 @@
   readonly prefixes: readonly string[]
   /** Decodes an item; `value` is `undefined` if it was removed. */
   decode(key: string, value: Buffer | undefined, revision: number): DecodedItem
+  /** Order of an item's value by its content, independent of the store's revisions. */
+  contentOrder(key: string, value: Buffer): ContentOrder | undefined
   readonly readinessPath: string
   readonly directoryPath: string
   /** Parses a caller's directory query. */
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -75,8 +75,8 @@
       return
     }
     const items = unpacked.val
-    if (isComplete) mirror.applySnapshot(items, revision)
-    else mirror.applyChanges(items, revision, since)
+    if (isComplete) mirror.applySnapshot(items, revision, nowMs)
+    else mirror.applyChanges(items, revision, nowMs, since)
     catchUp.recordChanges(peer)
     catchUp.recordPeer(peer, revision, mirror.revision, nowMs)
   },
--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -132,7 +132,7 @@
   async #listAll(): Promise<boolean> {
     const items: StoreItem[] = []
     const revisions: StoreRevision[] = []
-    const { store, prefixes, log } = this.#dependencies
+    const { store, prefixes, log, clock } = this.#dependencies
     for (const listing of await Promise.all(prefixes.map((prefix) => store.list(prefix)))) {
       if (listing.err) return this.#recordFailure('list', listing.val.message)
       items.push(...listing.val.items)
@@ -146,11 +146,12 @@
     const since = mirror.latestChange
     const listed = items.map(toUpdateItem)
     const isNewEra = eraOf(revision) > eraOf(mirror.revision)
-    const applied = mirror.applySnapshot(listed, revision)
+    const applied = mirror.applySnapshot(listed, revision, clock())
     log.event('storeListed', {
       ...revisionFields(revision),
       items: items.length,
       applied: applied.length,
+      held: mirror.heldCount,
       position: this.#dependencies.readerPosition(),
     })
     this.#needsListing = false
@@ -194,7 +195,8 @@
       this.#dependencies.prefixes.some((prefix) => key.startsWith(prefix)),
     )
     const since = mirror.latestChange
-    const applied = mirror.applyChanges(wanted.map(toUpdateItem), revision, watchedFrom)
+    const nowMs = this.#dependencies.clock()
+    const applied = mirror.applyChanges(wanted.map(toUpdateItem), revision, nowMs, watchedFrom)
     this.#recordSuccess()
     this.#publish({ items: applied, revision, since, isComplete: false })
     return true
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -1,4 +1,6 @@
 /** Local copy of the store items that this instance needs, updated from the store or from peers. */
+import type { ItemState, ItemWriters } from './heldItems.js'
+import { HeldItems, UNKNOWN_WRITERS } from './heldItems.js'
 import type { StoreUpdateItem } from './peerMessages.js'
 import type { StoreRevision } from './storeRevision.js'
 import { eraOf } from './storeRevision.js'
@@ -10,11 +12,6 @@
   revision: StoreRevision,
 ) => void
 
-interface MirroredItem {
-  readonly revision: StoreRevision
-  readonly value: string | null
-}
-
 /**
  * Number of tombstones kept, so that an older copy of an item from a slower peer does not
  * restore a removed item. Peers lag by seconds, not by thousands of changes.
@@ -30,19 +27,32 @@
   readonly revision: number
 }
 
-/** Mirror of store items; an item is only ever replaced by a later revision of it. */
+export interface StoreMirrorOptions {
+  readonly writers?: ItemWriters
+  /** Called before the first changes of a restored store are applied. */
+  readonly onRestored?: (nowMs: number) => void
+}
+
+/**
+ * Mirror of store items; an item is only ever replaced by a later revision of it. After a restore of
+ * the store, what is known of an item stays until the store has something newer, see {@link HeldItems}.
+ */
 export class StoreMirror {
-  readonly #items = new Map<string, MirroredItem>()
+  readonly #items = new Map<string, ItemState>()
+  readonly #held: HeldItems
   readonly #tombstones: string[] = []
   readonly #listener: MirrorListener
+  readonly #onRestored: ((nowMs: number) => void) | undefined
   #revision = 0
   #latestChange = 0
   /** Revision since which all removals are known. */
   #removalsKnownSince = 0
   #pendingRanges: AppliedRange[] = []
 
-  constructor(listener: MirrorListener) {
+  constructor(listener: MirrorListener, options: StoreMirrorOptions = {}) {
     this.#listener = listener
+    this.#onRestored = options.onRestored
+    this.#held = new HeldItems(options.writers ?? UNKNOWN_WRITERS)
   }
 
   /** Store revision up to which all changes are applied; 0: none yet. */
@@ -64,23 +74,43 @@
   applyChanges(
     items: readonly StoreUpdateItem[],
     revision: StoreRevision,
+    nowMs: number,
     since = this.#revision,
   ): StoreUpdateItem[] {
     if (eraOf(revision) < eraOf(this.#revision)) return []
-    const applied = items.filter((item) => this.#apply(item))
+    if (this.#revision > 0 && eraOf(revision) > eraOf(this.#revision)) this.#onRestored?.(nowMs)
+    // Changes since an earlier era include the listing of the restored store.
+    const isListed = eraOf(since) < eraOf(revision)
+    const applied = items.filter((item) => this.#apply(item, isListed, nowMs))
     this.#pendingRanges.push({ since, revision })
     this.#advance()
     return applied
   }
 
   /** Applies all items that existed at `revision`, and removes mirrored items that are missing. */
-  applySnapshot(items: readonly StoreUpdateItem[], revision: StoreRevision): StoreUpdateItem[] {
+  applySnapshot(
+    items: readonly StoreUpdateItem[],
+    revision: StoreRevision,
+    nowMs: number,
+  ): StoreUpdateItem[] {
     const listed = new Set(items.map(({ key }) => key))
-    const missing = [...this.#items]
-      .filter(([key, item]) => item.value !== null && item.revision <= revision && !listed.has(key))
-      .map(([key]): StoreUpdateItem => ({ key, revision, value: null }))
+    const missing = [...this.#items.keys()]
+      .filter((key) => !listed.has(key) && this.#existsAt(key, revision))
+      .map((key): StoreUpdateItem => ({ key, revision, value: null }))
     if (this.#revision === 0) this.#removalsKnownSince = revision
-    return this.applyChanges([...items, ...missing], revision)
+    return this.applyChanges([...items, ...missing], revision, nowMs)
+  }
+
+  /** Number of items for which the state from before a restore is believed. */
+  get heldCount(): number {
+    return this.#held.size
+  }
+
+  /** Believes the store where writers have not written again in time after a restore. */
+  releaseHeld(nowMs: number): string[] {
+    const due = this.#held.takeDue(nowMs)
+    for (const [key, stored] of due) this.#set(key, stored)
+    return due.map(([key]) => key)
   }
 
   /**
@@ -89,27 +119,55 @@
    */
   changesSince(revision: number): StoreUpdateItem[] | undefined {
     if (revision < this.#removalsKnownSince) return undefined
-    return [...this.#items]
-      .filter(([, item]) => item.revision > revision)
-      .map(([key, item]) => ({ key, ...item }))
+    return this.#itemsWhere((_item, latest) => latest.revision > revision)
   }
 
   /** All existing items. */
   items(): StoreUpdateItem[] {
-    return [...this.#items]
-      .filter(([, item]) => item.value !== null)
-      .map(([key, { revision, value }]) => ({ key, revision, value }))
+    return this.#itemsWhere(({ value }, latest) => value !== null || latest.value !== null)
+  }
+
+  /** A held item comes as it is known and then as it is stored, for a receiver that knows neither. */
+  #itemsWhere(isWanted: (item: ItemState, latest: ItemState) => boolean): StoreUpdateItem[] {
+    return [...this.#items].flatMap(([key, item]) => {
+      const stored = this.#held.stored(key)
+      if (!isWanted(item, stored ?? item)) return []
+      const states = stored === undefined ? [item] : [item, stored]
+      return states.map(({ revision, value }) => ({ key, revision, value }))
+    })
+  }
+
+  #existsAt(key: string, revision: StoreRevision): boolean {
+    const latest = this.#held.stored(key) ?? this.#items.get(key)
+    return latest !== undefined && latest.value !== null && latest.revision <= revision
   }
 
-  #apply({ key, revision, value }: StoreUpdateItem): boolean {
-    const existing = this.#items.get(key)
-    if (existing !== undefined && existing.revision >= revision) return false
-    this.#items.set(key, { revision, value })
+  #apply({ key, revision, value }: StoreUpdateItem, isListed: boolean, nowMs: number): boolean {
+    const known = this.#items.get(key)
+    const latest = this.#held.stored(key) ?? known
+    if (latest !== undefined && latest.revision >= revision) return false
     this.#latestChange = Math.max(this.#latestChange, revision)
+    const state = { revision, value }
+    if (known !== undefined && this.#held.isOlder(key, known, state, isListed)) {
+      this.#held.hold(key, state, nowMs)
+    } else {
+      this.#held.release(key)
+      this.#set(key, state)
+    }
+    return true
+  }
+
+  #set(key: string, { revision, value }: ItemState): void {
+    const known = this.#items.get(key)
+    const knownValue = known?.value ?? null
+    const removedValue = value === null ? (knownValue ?? known?.removedValue ?? null) : null
+    this.#items.set(
+      key,
+      removedValue === null ? { revision, value } : { revision, value, removedValue },
+    )
     if (value === null) this.#addTombstone(key)
     // A removal of an item that was never seen is kept, in case an older copy of it comes later.
-    if ((existing?.value ?? null) !== value) this.#listener(key, value ?? undefined, revision)
-    return true
+    if (knownValue !== value) this.#listener(key, value ?? undefined, revision)
   }
 
   #addTombstone(key: string): void {
