fix(entry): a lease ends with the era of the store that granted it

After a restore, a region's roster stayed away for good: its lease was gone, but its number was given out again, so each renewal succeeded and prolonged somebody else's lease. Ending it would have removed somebody else's keys.

A lease now carries the era in which it was granted. A renewal or write that is answered in another era counts as a lease that has ended, and the writer drops its lease as soon as the reader of the same process has seen the new era; it registers anew and writes the roster at once. A lease of an earlier era is not ended in the store.

Class: an identifier of an outside system used beyond the lifetime in which it is unique.

--- a/src/entry/__tests__/storeFollower.spec.ts
+++ b/src/entry/__tests__/storeFollower.spec.ts
@@ -4,7 +4,7 @@
 import { Err, Ok } from '../../common/results.js'
 import { StoreError, StoreErrorKind } from '../../platform/keyValueStore.js'
 import { noopLog } from '../entryLog.js'
-import type { MetadataStore, StoreChanges, StoreListing } from '../metadataStore.js'
+import type { MetadataStore, StoreChanges, StoreLease, StoreListing } from '../metadataStore.js'
 import { HISTORY_COMPACTED } from '../metadataStore.js'
 import type { StoreUpdateMessage } from '../peerMessages.js'
 import { StoreContact } from '../storeContact.js'
@@ -38,8 +38,8 @@
     return Ok({ events: [], revision: this.revision })
   }
 
-  grantLease(): Promise<Result<number, StoreError>> {
-    return Promise.resolve(Ok(1))
+  grantLease(): Promise<Result<StoreLease, StoreError>> {
+    return Promise.resolve(Ok({ id: 1, era: 0 }))
   }
 
   renewLease(): Promise<Result<boolean, StoreError>> {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -37,7 +37,7 @@
 import { StoreFollower } from './storeFollower.js'
 import { StoreMirror } from './storeMirror.js'
 import type { StoreRevision } from './storeRevision.js'
-import { counterOf, revisionFields } from './storeRevision.js'
+import { counterOf, eraOf, revisionFields } from './storeRevision.js'
 
 /** Interval of coordination while requests are queued at this instance. */
 const TICK_INTERVAL_MS = 25
@@ -235,6 +235,7 @@
       self: record,
       clock,
       log,
+      storeEra: () => eraOf(this.#mirror.revision),
       isReader: () => this.#follower.isReading,
       onAnswer: () => {
         this.#contact.recordAnswer(clock())
--- a/src/entry/metadataStore.ts
+++ b/src/entry/metadataStore.ts
@@ -34,6 +34,13 @@
   readonly revision: StoreRevision
 }
 
+/** Lease on keys; a restored store may give out its number again, to another writer. */
+export interface StoreLease {
+  readonly id: number
+  /** Number of restores of the store before it granted the lease. */
+  readonly era: number
+}
+
 /** Result of a watch from a revision whose history the store no longer has. */
 export const HISTORY_COMPACTED = 'historyGone'
 
@@ -47,12 +54,14 @@
     revision: StoreRevision,
     waitMs: number,
   ): Promise<Result<StoreChanges | typeof HISTORY_COMPACTED, StoreError>>
-  /** Grants a lease and returns its identifier. */
-  grantLease(timeToLiveMs: number): Promise<Result<number, StoreError>>
-  /** Renews a lease; `false`: the lease has ended. */
-  renewLease(leaseId: number): Promise<Result<boolean, StoreError>>
-  /** Writes a key bound to a lease; `false`: the lease has ended. */
-  put(key: string, value: Buffer, leaseId: number): Promise<Result<boolean, StoreError>>
-  /** Ends a lease, which removes its keys. */
-  endLease(leaseId: number): Promise<Result<void, StoreError>>
+  grantLease(timeToLiveMs: number): Promise<Result<StoreLease, StoreError>>
+  /** Renews a lease; `false`: the lease has ended, or the store was restored since. */
+  renewLease(lease: StoreLease): Promise<Result<boolean, StoreError>>
+  /**
+   * Writes a key bound to a lease; `false`: the lease has ended, or the store was restored since and
+   * the key may be bound to the lease of another writer.
+   */
+  put(key: string, value: Buffer, lease: StoreLease): Promise<Result<boolean, StoreError>>
+  /** Ends a lease, which removes its keys, unless the store was restored since. */
+  endLease(lease: StoreLease): Promise<Result<void, StoreError>>
 }
--- a/src/entry/rosterWriter.ts
+++ b/src/entry/rosterWriter.ts
@@ -6,7 +6,7 @@
 import { sleep } from '../common/clock.js'
 import type { EntryLog } from './entryLog.js'
 import type { InstanceRecord } from './instanceRecord.js'
-import type { MetadataStore } from './metadataStore.js'
+import type { MetadataStore, StoreLease } from './metadataStore.js'
 
 /** Key prefix of the rosters, followed by the region and the name of the writer. */
 export const ROSTER_PREFIX = 'tamarackdrift/rosters/'
@@ -27,6 +27,8 @@
   readonly self: InstanceRecord
   readonly clock: Clock
   readonly log: EntryLog
+  /** Number of restores of the store, as far as this instance knows. */
+  readonly storeEra: () => number
   /** Whether this instance is a store reader of its region. */
   readonly isReader: () => boolean
   /** Called when the store answers. */
@@ -41,7 +43,7 @@
 export class RosterWriter {
   readonly #dependencies: RosterWriterDependencies
   readonly #abort = new AbortController()
-  #leaseId: number | undefined
+  #lease: StoreLease | undefined
   #writtenRoster = ''
   #renewedAtMs = 0
 
@@ -70,17 +72,18 @@
   }
 
   async #update(nowMs: number): Promise<boolean> {
-    const { isReader, isListedElsewhere, members } = this.#dependencies
+    const { isReader, isListedElsewhere, members, storeEra } = this.#dependencies
+    if (this.#lease !== undefined && this.#lease.era < storeEra()) this.#forgetLease()
     if (!isReader()) {
-      if (this.#leaseId === undefined || !isListedElsewhere()) return true
+      if (this.#lease === undefined || !isListedElsewhere()) return true
       return this.#endLease()
     }
     const roster = JSON.stringify(
       [...members()].sort((left, right) => (left.name < right.name ? -1 : 1)),
     )
-    if (this.#leaseId === undefined) return this.#register(roster)
-    if (roster !== this.#writtenRoster) return this.#write(roster, this.#leaseId)
-    return nowMs - this.#renewedAtMs < RENEWAL_INTERVAL_MS ? true : this.#renew(this.#leaseId)
+    if (this.#lease === undefined) return this.#register(roster)
+    if (roster !== this.#writtenRoster) return this.#write(roster, this.#lease)
+    return nowMs - this.#renewedAtMs < RENEWAL_INTERVAL_MS ? true : this.#renew(this.#lease)
   }
 
   async #register(roster: string): Promise<boolean> {
@@ -90,36 +93,40 @@
     return this.#write(roster, lease.val)
   }
 
-  async #write(roster: string, leaseId: number): Promise<boolean> {
+  async #write(roster: string, lease: StoreLease): Promise<boolean> {
     const { store, self, log } = this.#dependencies
-    const put = await store.put(RosterWriter.keyOf(self), Buffer.from(roster), leaseId)
+    const put = await store.put(RosterWriter.keyOf(self), Buffer.from(roster), lease)
     if (put.err) return this.#logFailure('put', put.val.message)
-    this.#leaseId = put.val ? leaseId : undefined
+    this.#lease = put.val ? lease : undefined
     this.#writtenRoster = put.val ? roster : ''
     this.#dependencies.onAnswer()
-    if (put.val) log.event('rosterWritten', { leaseId, bytes: roster.length })
+    if (put.val) log.event('rosterWritten', { leaseId: lease.id, bytes: roster.length })
     return put.val
   }
 
-  async #renew(leaseId: number): Promise<boolean> {
-    const renewed = await this.#dependencies.store.renewLease(leaseId)
+  async #renew(lease: StoreLease): Promise<boolean> {
+    const renewed = await this.#dependencies.store.renewLease(lease)
     if (renewed.err) return this.#logFailure('renew', renewed.val.message)
     this.#dependencies.onAnswer()
     this.#renewedAtMs = this.#dependencies.clock()
-    if (!renewed.val) this.#leaseId = undefined
+    if (!renewed.val) this.#forgetLease()
     return renewed.val
   }
 
   async #endLease(): Promise<boolean> {
-    if (this.#leaseId === undefined) return true
-    const ended = await this.#dependencies.store.endLease(this.#leaseId)
+    if (this.#lease === undefined) return true
+    const ended = await this.#dependencies.store.endLease(this.#lease)
     if (ended.err) return this.#logFailure('end', ended.val.message)
-    this.#leaseId = undefined
-    this.#writtenRoster = ''
+    this.#forgetLease()
     this.#dependencies.log.event('rosterGivenUp', {})
     return true
   }
 
+  #forgetLease(): void {
+    this.#lease = undefined
+    this.#writtenRoster = ''
+  }
+
   #logFailure(call: string, reason: string): boolean {
     this.#dependencies.log.event('rosterFailed', { call, reason })
     return false
