fix(entry): a roster from before a restore of the store is not believed

An instance that started after the store came back took the rosters of the copy for present and named instances that had left since. Their entries go only with the lease of the copy, which may be renewed by a writer that was given its number.

Each record of a roster now states the era in which it was written (earlier releases ignore the field), and a roster that is older than the era of the store is not believed.

The test at the sockets failed before and passes. Class: state of one's own that comes back is taken for present.

--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -23,7 +23,7 @@
 import { EventLoopDelay } from './eventLoopDelay.js'
 import { PauseDetector } from './pauseDetector.js'
 import { RequestRunner } from './requestRunner.js'
-import { RosterIndex, parseRoster } from './rosterIndex.js'
+import { RosterIndex, isOutdated, parseRoster, rosterOrder } from './rosterIndex.js'
 import { ROSTER_PREFIX, RosterWriter } from './rosterWriter.js'
 import type { RoutingConfiguration } from './routingConfiguration.js'
 import { RoutingView } from './routingView.js'
@@ -121,9 +121,16 @@
       },
       {
         writers: {
-          contentOrder: (key, value) => platform.contentOrder(key, Buffer.from(value, 'base64')),
-          rewriteMs: (_key, isMissing) =>
-            isMissing ? EXPIRED_ENTRY_GRACE_MS : OLDER_ITEM_REWRITE_MS,
+          contentOrder: (key, value) => {
+            const bytes = Buffer.from(value, 'base64')
+            return key.startsWith(ROSTER_PREFIX)
+              ? rosterOrder(bytes)
+              : platform.contentOrder(key, bytes)
+          },
+          rewriteMs: (key, isMissing) =>
+            isMissing || key.startsWith(ROSTER_PREFIX)
+              ? EXPIRED_ENTRY_GRACE_MS
+              : OLDER_ITEM_REWRITE_MS,
         },
         onRestored: (nowMs) => {
           this.#storeRestoredAtMs = nowMs
@@ -496,10 +503,16 @@
     revision: StoreRevision,
     nowMs: number,
   ): void {
-    const records = value === undefined ? undefined : parseRoster(value)
-    if (value !== undefined && records === undefined) {
+    const roster = value === undefined ? undefined : parseRoster(value)
+    if (value !== undefined && roster === undefined) {
       this.#log.event('unreadableRoster', { key, ...revisionFields(revision) })
     }
+    const isBelieved = roster !== undefined && !isOutdated(roster, revision)
+    if (roster !== undefined && !isBelieved) {
+      const { storeEra } = roster
+      this.#log.event('outdatedRoster', { key, storeEra, ...revisionFields(revision) })
+    }
+    const records = isBelieved ? roster.records : undefined
     const { listed, expired } = this.#rosters.apply(key, records, revision)
     for (const record of listed) {
       // The hello of a linked peer is more recent than a roster in the store.
--- a/src/entry/instanceRecord.ts
+++ b/src/entry/instanceRecord.ts
@@ -26,6 +26,7 @@
   if (texts.some((field) => typeof fields[field] !== 'string')) return undefined
   if (typeof fields.capacity !== 'number' || !(fields.capacity > 0)) return undefined
   const record = value as InstanceRecord
-  const addresses = [record.callerAddress, record.peerAddress]
-  return addresses.every(isConnectableAddress) ? record : undefined
+  const { name, incarnation, region, zone, callerAddress, peerAddress, capacity } = record
+  if (![callerAddress, peerAddress].every(isConnectableAddress)) return undefined
+  return { name, incarnation, region, zone, callerAddress, peerAddress, capacity }
 }
--- a/src/entry/rosterIndex.ts
+++ b/src/entry/rosterIndex.ts
@@ -1,9 +1,19 @@
 /** Index of the rosters in the store; the store reader of each region writes one. */
+import type { ContentOrder } from './heldItems.js'
 import type { InstanceRecord } from './instanceRecord.js'
 import { parseInstanceRecord } from './instanceRecord.js'
+import type { StoreRevision } from './storeRevision.js'
+import { eraOf } from './storeRevision.js'
 
-interface Roster {
-  readonly revision: number
+/** Instances of a region, as one of them wrote them to the store. */
+export interface Roster {
+  readonly records: readonly InstanceRecord[]
+  /** Number of restores of the store before the roster was written, if the writer stated it. */
+  readonly storeEra: number | undefined
+}
+
+interface IndexedRoster {
+  readonly revision: StoreRevision
   readonly records: readonly InstanceRecord[]
 }
 
@@ -17,7 +27,7 @@
 
 /** Combines all rosters. */
 export class RosterIndex {
-  readonly #rosters = new Map<string, Roster>()
+  readonly #rosters = new Map<string, IndexedRoster>()
   #names = new Set<string>()
 
   /** Whether a roster other than the one under `key` lists the instance. */
@@ -29,12 +39,12 @@
 
   /**
    * Applies a written or removed roster.
-   * @param records `undefined`: removed or unreadable
+   * @param records `undefined`: removed, unreadable or outdated
    */
   apply(
     key: string,
     records: readonly InstanceRecord[] | undefined,
-    revision: number,
+    revision: StoreRevision,
   ): RosterChange {
     if (records === undefined) this.#rosters.delete(key)
     else this.#rosters.set(key, { revision, records })
@@ -52,8 +62,24 @@
   }
 }
 
+/**
+ * Each record states the era, because earlier releases read a roster as a list of records and ignore
+ * fields that they don't know.
+ */
+export function encodeRoster(records: readonly InstanceRecord[], storeEra: number): string {
+  return JSON.stringify(records.map((record) => ({ ...record, storeEra })))
+}
+
+/**
+ * Whether a roster that the store has at a revision was written before the store was restored. It is
+ * from the copy then, and may list instances that have left since.
+ */
+export function isOutdated({ storeEra }: Roster, revision: StoreRevision): boolean {
+  return storeEra !== undefined && storeEra < eraOf(revision)
+}
+
 /** Parses a stored roster; returns `undefined` if it is malformed. */
-export function parseRoster(value: Buffer): readonly InstanceRecord[] | undefined {
+export function parseRoster(value: Buffer): Roster | undefined {
   let parsed: unknown
   try {
     parsed = JSON.parse(value.toString('utf8'))
@@ -63,5 +89,13 @@
   }
   if (!Array.isArray(parsed)) return undefined
   const records = parsed.map(parseInstanceRecord)
-  return records.every((record) => record !== undefined) ? records : undefined
+  if (!records.every((record) => record !== undefined)) return undefined
+  const { storeEra } = (parsed[0] ?? {}) as { readonly storeEra?: unknown }
+  return { records, storeEra: typeof storeEra === 'number' ? storeEra : undefined }
+}
+
+/** Order of the rosters under one key: by the era of the store in which they were written. */
+export function rosterOrder(value: Buffer): ContentOrder | undefined {
+  const storeEra = parseRoster(value)?.storeEra
+  return storeEra === undefined ? undefined : [storeEra]
 }
--- a/src/entry/rosterWriter.ts
+++ b/src/entry/rosterWriter.ts
@@ -7,6 +7,7 @@
 import type { EntryLog } from './entryLog.js'
 import type { InstanceRecord } from './instanceRecord.js'
 import type { MetadataStore, StoreLease } from './metadataStore.js'
+import { encodeRoster } from './rosterIndex.js'
 
 /** Key prefix of the rosters, followed by the region and the name of the writer. */
 export const ROSTER_PREFIX = 'tamarackdrift/rosters/'
@@ -78,23 +79,23 @@
       if (this.#lease === undefined || !isListedElsewhere()) return true
       return this.#endLease()
     }
-    const roster = JSON.stringify(
-      [...members()].sort((left, right) => (left.name < right.name ? -1 : 1)),
-    )
+    const roster = [...members()].sort((left, right) => (left.name < right.name ? -1 : 1))
     if (this.#lease === undefined) return this.#register(roster)
-    if (roster !== this.#writtenRoster) return this.#write(roster, this.#lease)
+    const isWritten = encodeRoster(roster, this.#lease.era) === this.#writtenRoster
+    if (!isWritten) return this.#write(roster, this.#lease)
     return nowMs - this.#renewedAtMs < RENEWAL_INTERVAL_MS ? true : this.#renew(this.#lease)
   }
 
-  async #register(roster: string): Promise<boolean> {
+  async #register(records: readonly InstanceRecord[]): Promise<boolean> {
     const lease = await this.#dependencies.store.grantLease(LEASE_DURATION_MS)
     if (lease.err) return this.#logFailure('grant', lease.val.message)
     this.#renewedAtMs = this.#dependencies.clock()
-    return this.#write(roster, lease.val)
+    return this.#write(records, lease.val)
   }
 
-  async #write(roster: string, lease: StoreLease): Promise<boolean> {
+  async #write(records: readonly InstanceRecord[], lease: StoreLease): Promise<boolean> {
     const { store, self, log } = this.#dependencies
+    const roster = encodeRoster(records, lease.era)
     const put = await store.put(RosterWriter.keyOf(self), Buffer.from(roster), lease)
     if (put.err) return this.#logFailure('put', put.val.message)
     this.#lease = put.val ? lease : undefined
