fix(entry): instances of a region that starts again learn of each other, but use only confirmed ones

Suspected: greetings no longer named instances whose roster had expired, which are all those of a region that was without power, so they learned of each other only from new rosters.

Greetings name expired instances again. What is only known from another instance is neither used nor passed on until its link opens or a roster lists it; only links to it are attempted.

--- a/src/entry/instanceTable.ts
+++ b/src/entry/instanceTable.ts
@@ -36,11 +36,10 @@
   link: LinkState
   linkChangedAtMs: number
   isLeaving: boolean
-  /**
-   * Time from which no roster in the store lists the instance. In the future for an instance that is
-   * only known from another instance and that no roster has listed yet.
-   */
+  /** Set when the store entry has expired. */
   expiredAtMs: number | undefined
+  /** Whether a roster or the instance itself told of it, rather than only another instance. */
+  isConfirmed: boolean
 }
 
 /** Table of all registered instances, including this one. */
@@ -59,33 +58,26 @@
     const existing = this.#instances.get(record.name)
     if (existing?.record.incarnation === record.incarnation) {
       existing.expiredAtMs = undefined
+      existing.isConfirmed = true
       return
     }
-    this.#instances.set(record.name, {
-      record,
-      registeredAtMs: nowMs,
-      link: LinkState.None,
-      linkChangedAtMs: nowMs,
-      isLeaving: false,
-      expiredAtMs: undefined,
-    })
+    this.#add(record, nowMs, true)
   }
 
   /**
-   * Adds an instance that another one named, unless it is known. It expires unless a link to it
-   * opens or a roster lists it, because the other instance may remember one that has left.
+   * Adds an instance that another one named, unless it is known. A link to it is attempted, but it
+   * may have left: it is not used unless the link opens or a roster lists it.
    */
   registerNamed(record: InstanceRecord, nowMs: number): void {
     if (this.find(record.name) !== undefined) return
-    this.register(record, nowMs)
-    this.markExpired(record.name, nowMs + FIRST_CONTACT_GRACE_MS)
+    this.#add(record, nowMs, false)
+    this.markExpired(record.name, nowMs)
   }
 
   /** Marks the store entry of the instance as expired. */
   markExpired(name: string, nowMs: number): void {
     const instance = this.#instances.get(name)
-    if (instance === undefined) return
-    instance.expiredAtMs = Math.min(instance.expiredAtMs ?? nowMs, nowMs)
+    if (instance !== undefined) instance.expiredAtMs ??= nowMs
   }
 
   /** Marks the instance as leaving, unless the announcement is from an earlier start. */
@@ -116,10 +108,14 @@
     return [...this.#instances.values()].map(({ record }) => record)
   }
 
-  /** Other instances to name to a peer: those that have neither expired nor lost their link. */
-  presentOthers(nowMs: number): InstanceRecord[] {
+  /**
+   * Records of the other instances that are named to peers, also those that have expired of late: when
+   * a whole region starts again, its instances learn of each other from them. What is only known
+   * from another instance is not passed on.
+   */
+  confirmedOthers(): InstanceRecord[] {
     return [...this.#instances.values()]
-      .filter((instance) => PRESENT_BY_LINK[instance.link](instance, nowMs))
+      .filter(({ isConfirmed }) => isConfirmed)
       .map(({ record }) => record)
   }
 
@@ -163,25 +159,31 @@
     return 1 + this.#instances.size
   }
 
+  #add(record: InstanceRecord, nowMs: number, isConfirmed: boolean): void {
+    this.#instances.set(record.name, {
+      record,
+      registeredAtMs: nowMs,
+      link: LinkState.None,
+      linkChangedAtMs: nowMs,
+      isLeaving: false,
+      expiredAtMs: undefined,
+      isConfirmed,
+    })
+  }
+
   #isLive(instance: RegisteredInstance, nowMs: number): boolean {
-    if (instance.isLeaving) return false
+    if (instance.isLeaving || !instance.isConfirmed) return false
     return LIVE_BY_LINK[instance.link](instance, nowMs)
   }
 }
 
-type InstanceCheck = (instance: RegisteredInstance, nowMs: number) => boolean
-
-const PRESENT_BY_LINK: Readonly<Record<LinkState, InstanceCheck>> = {
-  [LinkState.Up]: () => true,
-  [LinkState.Down]: (instance, nowMs) => nowMs - instance.linkChangedAtMs < ROSTER_GRACE_MS,
-  [LinkState.None]: ({ expiredAtMs }, nowMs) => expiredAtMs === undefined || nowMs < expiredAtMs,
-}
-
-const LIVE_BY_LINK: Readonly<Record<LinkState, InstanceCheck>> = {
+const LIVE_BY_LINK: Readonly<
+  Record<LinkState, (instance: RegisteredInstance, nowMs: number) => boolean>
+> = {
   [LinkState.Up]: () => true,
   [LinkState.Down]: (instance, nowMs) => nowMs - instance.linkChangedAtMs < RECONNECT_GRACE_MS,
   [LinkState.None]: (instance, nowMs) =>
-    instance.expiredAtMs === undefined || nowMs < instance.expiredAtMs
+    instance.expiredAtMs === undefined
       ? true
       : nowMs - instance.expiredAtMs < EXPIRED_RECORD_GRACE_MS &&
         nowMs - instance.registeredAtMs < FIRST_CONTACT_GRACE_MS,
--- a/src/entry/peerMesh.ts
+++ b/src/entry/peerMesh.ts
@@ -204,9 +204,9 @@
    * @param peerKnownCount number of instances of the region that the peer knows already
    */
   #sendHello(connection: Connection, region: string, peerKnownCount = 0): void {
-    const { table, revision, latestChange, clock } = this.#dependencies
+    const { table, revision, latestChange } = this.#dependencies
     connection.isHelloSent = true
-    const others = table.presentOthers(clock())
+    const others = table.confirmedOthers()
     const known = others.filter((other) => other.region === region)
     connection.link.send({
       kind: PeerMessageKind.Hello,
