--- a/testing/soak/__tests__/soak.spec.ts
+++ b/testing/soak/__tests__/soak.spec.ts
@@ -46,6 +46,24 @@
     expect(violations).to.deep.equal([])
   })
 
+  it('violates no invariant while the store is restored from copies', async () => {
+    const { violations, requests } = await runSoak({
+      ...SMALL,
+      seed: 14,
+      seconds: 20,
+      faults: [
+        SoakFault.StoreRestored,
+        SoakFault.ConfigurationStorm,
+        SoakFault.ServerDrains,
+        SoakFault.ServerCrashes,
+        SoakFault.StopEntry,
+        SoakFault.KillEntry,
+      ],
+    })
+    expect(violations).to.deep.equal([])
+    expect(requests).to.be.above(500)
+  })
+
   it('violates no invariant while backend servers fail, drain and are cut off', async () => {
     const { violations } = await runSoak({
       ...SMALL,
--- a/testing/soak/deployment.ts
+++ b/testing/soak/deployment.ts
@@ -2,6 +2,7 @@
 import path from 'node:path'
 import { ServerStandIn } from '../../platform/standIn/serverStandIn.js'
 import { StoreStandIn } from '../../platform/standIn/storeStandIn.js'
+import { CONFIGURATION_KEY, EVACUATION_PREFIX, SERVER_PREFIX } from '../../platform/wireNames.js'
 import { EntryProcess } from './entryProcess.js'
 import { FaultyProxy } from './faultyProxy.js'
 
@@ -60,8 +61,12 @@
   readonly storeProxies = new Map<string, FaultyProxy>()
   readonly #onRun: RunListener
   readonly #folder: string
+  /** Last values that operators and backend servers wrote, by key. */
+  readonly #written = new Map<string, unknown>()
+  readonly #startedAtMs = Date.now()
   #version = 1
   #serverCount = 0
+  #writeCount = 0
 
   /** @param folder for settings files and logs */
   constructor(folder: string, onRun: RunListener) {
@@ -128,7 +133,7 @@
     this.servers.splice(this.servers.indexOf(server), 1)
     server.proxy.stop()
     server.standIn.stop()
-    this.store.remove(`servers/${server.id}`)
+    this.#remove(`${SERVER_PREFIX}${server.id}`)
   }
 
   /** Stores a new configuration with a probe route for its version. @returns the version */
@@ -139,11 +144,11 @@
   }
 
   evacuate(zone: string): void {
-    this.store.put(`op/evacuate/${zone}`, {})
+    this.#put(`${EVACUATION_PREFIX}${zone}`, {})
   }
 
   endEvacuation(zone: string): void {
-    this.store.remove(`op/evacuate/${zone}`)
+    this.#remove(`${EVACUATION_PREFIX}${zone}`)
   }
 
   async #addEntry(
@@ -173,12 +178,33 @@
     )
   }
 
+  /** Writes again what operators and backend servers wrote and the store has lost. */
+  rewriteStore(): void {
+    for (const [key, value] of this.#written) {
+      if (this.store.values(key)[0] !== JSON.stringify(value)) this.store.put(key, value)
+    }
+    const stored = [...this.store.keys(SERVER_PREFIX), ...this.store.keys(EVACUATION_PREFIX)]
+    for (const key of stored) if (!this.#written.has(key)) this.store.remove(key)
+  }
+
+  #put(key: string, value: unknown): void {
+    this.#written.set(key, value)
+    this.store.put(key, value)
+  }
+
+  #remove(key: string): void {
+    this.#written.delete(key)
+    this.store.remove(key)
+  }
+
   #putServer(server: SoakServer, state: string): void {
     const { id, service, zone, address } = server
-    this.store.put(`servers/${id}`, {
+    this.#writeCount += 1
+    this.#put(`${SERVER_PREFIX}${id}`, {
       address,
       server_info: { service, version: 'v1', zone, slots: SLOTS_PER_SERVER },
-      status: { state, sequence: 1, cold_remaining: '0ms' },
+      status: { state, sequence: this.#writeCount, cold_remaining: '0ms' },
+      born: this.#startedAtMs,
     })
   }
 
@@ -195,7 +221,7 @@
         routeRow(`probe-${version}`, PROBE_HOST, `/v${version}/`, 'safe', 'reveals', []),
       ),
     ]
-    this.store.put('op/config', {
+    this.#put(CONFIGURATION_KEY, {
       version: this.#version,
       routes: { columns: ROUTE_COLUMNS, rows },
       services: {
--- a/testing/soak/faults.ts
+++ b/testing/soak/faults.ts
@@ -22,6 +22,7 @@
   StoreForgets = 'storeForgets',
   StoreLeasesEnd = 'storeLeasesEnd',
   StoreCutForOne = 'storeCutForOne',
+  StoreRestored = 'storeRestored',
   ServerLosesAnswers = 'serverLosesAnswers',
   ServerGarbles = 'serverGarbles',
   ServerAnswersTwice = 'serverAnswersTwice',
@@ -60,6 +61,12 @@
  */
 const MAX_EXTRA_DURATION_MS = 5000
 const SLOW_FACTOR = 8
+/** Longest time of which a restored store has lost the writes. */
+const MAX_LOST_MS = 8000
+/** Longest time for which the store is away before it comes back from a copy. */
+const MAX_RESTORE_MS = 2500
+/** Longest time after the return in which operators and backend servers write again. */
+const MAX_REWRITE_MS = 1800
 /** Time for which a server states a limit; several of the windows in which it must hold. */
 const LIMIT_DURATION_MS = 12_000
 /** Bounds of a stated limit, in requests per second; a server completes about a hundred. */
@@ -125,6 +132,21 @@
       storeProxy.setFault(LinkFault.None)
     })
   },
+  [SoakFault.StoreRestored]: async (context) => {
+    const { deployment, random } = context
+    const { store } = deployment
+    const copy = store.takeCopy()
+    await sleep(MAX_LOST_MS * random())
+    const names = deployment.entries.map(({ name }) => name)
+    await withDisturbance(context, names, async () => {
+      store.fault = StoreFault.Busy
+      await sleep(MAX_RESTORE_MS * random())
+      store.restore(copy)
+      store.fault = StoreFault.None
+      await sleep(MAX_REWRITE_MS * random())
+      deployment.rewriteStore()
+    })
+  },
   [SoakFault.ServerLosesAnswers]: (context) => injectServerFault(context, ServerFault.LosesAnswer),
   [SoakFault.ServerGarbles]: (context) => injectServerFault(context, ServerFault.SendsGarbage),
   [SoakFault.ServerAnswersTwice]: (context) => injectServerFault(context, ServerFault.AnswersTwice),
