fix(entry): changes that follow a complete listing are sent apart from it

After a restore of the store, a reader sends its region the listing as complete. Changes within the next 100 ms were joined into it, so that peers took a write since the restore for a part of the copy: a removal was held back for 2.2 s, an item without a content order for 10 s, at all instances but the reader. Cause: StoreUpdateBatch joined any change into the last pending update. Change: nothing is joined into a complete listing. The test failed before: the listing had four items instead of two and revision 4 instead of 2.

--- a/src/entry/__tests__/storeUpdates.spec.ts
+++ b/src/entry/__tests__/storeUpdates.spec.ts
@@ -76,6 +76,20 @@
     expect(joined.revision).to.equal(single.revision)
     expect(joined.items()).to.deep.equal(single.items())
   })
+
+  // Guards against a write after a restore that peers take for a part of the copy, and so hold back.
+  it('keeps changes apart from the complete listing that they follow', () => {
+    const batch = new StoreUpdateBatch()
+    const listing = { items: [serverItem(1), serverItem(2)], revision: 2, isComplete: true }
+    batch.add(listing)
+    batch.add({ items: [serverItem(3)], revision: 3, since: 2, isComplete: false })
+    batch.add({ items: [serverItem(4)], revision: 4, since: 3, isComplete: false })
+    const [first, second, ...others] = batch.take(0)
+    expect(first).to.deep.equal(listing)
+    expect(second?.isComplete).to.equal(false)
+    expect([second?.since, second?.revision]).to.deep.equal([2, 4])
+    expect(others).to.deep.equal([])
+  })
 })
 
 describe('packStoreUpdate', () => {
--- a/src/entry/storeUpdateBatch.ts
+++ b/src/entry/storeUpdateBatch.ts
@@ -16,8 +16,9 @@
 
   add(update: StoreUpdate): void {
     const last = this.#pending.at(-1)
-    if (last === undefined || update.isComplete) this.#pending.push(update)
-    else this.#pending.splice(-1, 1, join(last, update))
+    const canJoin = last !== undefined && !last.isComplete && !update.isComplete
+    if (canJoin) this.#pending.splice(-1, 1, join(last, update))
+    else this.#pending.push(update)
   }
 
   /** Time until the batch is due, in milliseconds; `undefined` if it is empty. */
