--- a/playground/__tests__/localDeployment.spec.ts
+++ b/playground/__tests__/localDeployment.spec.ts
@@ -39,7 +39,8 @@
       ({ address, outcome, status, reason, startMs, endMs }) =>
         `${address} ${outcome} ${status === undefined ? reason : String(status)} ${String(startMs - sinceMs)}-${String(endMs - sinceMs)} ms`,
     )
-    return `${call.method} ${call.service}: ${attempts.join('; ')}`
+    const lastAnswer = report.answer?.body.toString('utf8') ?? 'no answer'
+    return `${call.method} ${call.service}: ${attempts.join('; ')}: ${lastAnswer}`
   })
   return [`${String(calls.length)} calls without a known outcome`, ...lines].join('\n')
 }
