fix(membership): a process that starts is announced to the other regions

What callers saw: after the loss of a region, callers that another region's look-ups sent to a gateway that had restarted seconds before got 502 ownerReplaced for each attempt, outcome unknown, although nothing had run. Cause: a start was made known to seeds of the own region first, and to others by the one exchange in ten that leaves the region. When a whole region restarts, its seeds are down too or as new, and other regions keep the records of the ended processes for seconds. Change: a process that starts exchanges with one seed of each other region and pushes its record to three of each, as one that leaves does.

--- a/src/membership/__tests__/membershipExchange.spec.ts
+++ b/src/membership/__tests__/membershipExchange.spec.ts
@@ -9,6 +9,8 @@
 /** Simulated milliseconds per real millisecond. */
 const TIME_SCALE = 40
 const STARTED_AT_MS = Date.now()
+/** Design limit: time until an accepted change is in force on every daemon. */
+const RESTART_KNOWN_LIMIT_MS = 4000
 const clock = (): number => STARTED_AT_MS + (Date.now() - STARTED_AT_MS) * TIME_SCALE
 
 interface Process {
@@ -20,10 +22,12 @@
   network: FakeNetwork,
   record: MemberRecord,
   list: InstanceList,
+  random: () => number,
 ): Promise<Process> {
   const table = new MemberTable(record)
   const exchange = new MembershipExchange(table, network.client(record.internalAddress), list, {
     clock,
+    random,
     intervalMs: 1000 / TIME_SCALE,
   })
   exchange.registerMethods(network.registry(record.internalAddress))
@@ -47,9 +51,11 @@
   )
   let network: FakeNetwork
   let processes: Map<string, Process>
+  let lowestDraw: number
 
+  const random = (): number => lowestDraw + (1 - lowestDraw) * Math.random()
   const start = async (record: MemberRecord, list = instanceListOf(records)): Promise<Process> => {
-    const process = await startProcess(network, record, list)
+    const process = await startProcess(network, record, list, random)
     processes.set(record.memberId, process)
     return process
   }
@@ -61,6 +67,7 @@
   beforeEach(async () => {
     network = new FakeNetwork(TIME_SCALE)
     processes = new Map()
+    lowestDraw = 0
     for (const record of records) await start(record)
     await until(
       () => [...processes.values()].every(({ table }) => table.members().length === 6),
@@ -82,6 +89,35 @@
     await until(() => allSee('b', MemberHealth.Alive), 60_000)
   })
 
+  // Guards against look-ups in another region that give out prefixes of processes that have ended.
+  it('shows the processes of a region that starts again to the other regions within 4 s', async () => {
+    // From this draw on, no periodic exchange goes to another region.
+    lowestDraw = 0.2
+    for (const round of [1, 2, 3]) {
+      const incarnation = `000000000000000${String(round)}`
+      const restarted = ['a', 'b', 'c', 'd']
+      for (const name of restarted) {
+        const killed = processes.get(name)
+        processes.delete(name)
+        network.remove(name)
+        await killed?.exchange.stop()
+      }
+      for (const name of restarted) {
+        await start(recordOf(name, { incarnation, startedAtMs: 1000 + round }))
+      }
+      const isKnown = (from: string, name: string): boolean =>
+        processes.get(from)?.table.find(name)?.incarnation === incarnation
+      await until(
+        () => ['e', 'f'].every((from) => restarted.every((name) => isKnown(from, name))),
+        RESTART_KNOWN_LIMIT_MS,
+      )
+      await until(
+        () => restarted.every((name) => processes.get(name)?.table.members().length === 6),
+        RESTART_KNOWN_LIMIT_MS,
+      )
+    }
+  })
+
   it('shows a paused member as alive again after it refuted the suspicion', async () => {
     network.paused.add('c')
     await until(() => allSee('c', MemberHealth.Failed), 60_000)
--- a/src/membership/membershipExchange.ts
+++ b/src/membership/membershipExchange.ts
@@ -174,6 +174,21 @@
     ])
   }
 
+  /**
+   * Exchanges records with a peer of each other region, and tells further ones of this process. Few
+   * of the periodic exchanges leave the region, and until one does, other regions know the
+   * predecessor of this process.
+   */
+  async #joinOtherRegions(): Promise<void> {
+    const targets = this.#selection.otherRegionSeeds(PUSH_FANOUT)
+    await Promise.all([
+      this.#push(targets.flat(), [this.#table.self()], true),
+      ...targets.flatMap((ofRegion) =>
+        ofRegion.slice(0, 1).map((target) => this.#exchangeWith(target)),
+      ),
+    ])
+  }
+
   async #exchangePeriodically(): Promise<void> {
     while (
       await this.#sleepUnlessStopping(
@@ -191,12 +206,15 @@
 
   async #readSeedsPeriodically(hasSeeds: boolean): Promise<void> {
     let hasRead = hasSeeds
+    if (hasRead) await this.#joinOtherRegions()
     while (
       await this.#sleepUnlessStopping(
         (hasRead ? SEED_READ_INTERVAL_MS : SEED_RETRY_INTERVAL_MS) * (0.5 + this.#random()),
       )
     ) {
-      hasRead = (await this.#readSeeds()) || hasRead
+      const isRead = await this.#readSeeds()
+      if (isRead && !hasRead) await this.#joinOtherRegions()
+      hasRead ||= isRead
     }
   }
 
--- a/src/membership/peerSelection.ts
+++ b/src/membership/peerSelection.ts
@@ -84,6 +84,19 @@
     )
   }
 
+  /** Returns up to `count` random seeds of each other region, by region. */
+  otherRegionSeeds(count: number): readonly (readonly PeerTarget[])[] {
+    const { region } = this.#table.self()
+    const seeds = this.#seeds.filter((seed) => seed.region !== region)
+    return [...new Set(seeds.map((seed) => seed.region))].map((other) =>
+      sample(
+        seeds.filter((seed) => seed.region === other),
+        count,
+        this.#random,
+      ).map(seedToTarget),
+    )
+  }
+
   /** Returns up to `count` random seeds, those of the own region first. */
   seedPeers(count: number): readonly PeerTarget[] {
     const { region, memberId } = this.#table.self()
