fix(slots): a grant that can not be sent again does not free a slot in use

Cause: a grant whose answer is lost may have arrived, so it is sent again. If the second call could not be sent, the lender took the loan for unused and granted the slot to another request, while the borrower used it. Change: once a grant may have arrived, a failed call only repeats it; the loan ends by the borrower's answer or at its deadline. Test: failed before (0 lent slots instead of 1), passes.

--- a/src/slots/__tests__/slotDispatcher.spec.ts
+++ b/src/slots/__tests__/slotDispatcher.spec.ts
@@ -180,6 +180,28 @@
     expect(freeSlots(network)).to.equal(4)
   })
 
+  it('does not free a lent slot when the repeated grant can not be sent', async () => {
+    // Guards against a slot in use that is granted again, since its borrower is unreachable.
+    network = new GatewayNetwork(IDS, workers(1, 1), STRICT)
+    const [owner, borrower] = [...network.gateways.values()].sort(
+      (left, right) => ownSlots(right, network) - ownSlots(left, network),
+    )
+    if (owner === undefined || borrower === undefined) throw new Error('no gateways')
+    const first = await acquireNow(owner, network)
+    const borrowed = acquireNow(borrower, network)
+    await network.advance(10)
+    const deliveries = [CallDelivery.AnswerLost]
+    network.delivery = () => deliveries.pop() ?? CallDelivery.Refused
+    first.release(SlotUse.Completed, 10, network.nowMs)
+    const grant = await borrowed
+    await network.advance(200)
+    expect(owner.loads(network.nowMs)[0]?.lentSlots, 'lent slots while in use').to.equal(1)
+    network.delivery = () => CallDelivery.Delivered
+    grant.release(SlotUse.Completed, 10, network.nowMs)
+    await network.advance(200)
+    expect(freeSlots(network)).to.equal(1)
+  })
+
   for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
     it(`neither loses a slot nor grants it twice when calls and answers are lost, seed ${seed}`, async () => {
       await runWithFaults(seed)
--- a/src/slots/slotLending.ts
+++ b/src/slots/slotLending.ts
@@ -30,6 +30,8 @@
   readonly borrower: SlotPeer
   /** Whether membership listed the borrower when the slot was lent. */
   readonly wasMember: boolean
+  /** Whether the grant was sent without an answer, so that the borrower may use the slot. */
+  mayBeUsed: boolean
 }
 
 /** Delay before a grant whose delivery is unknown is sent again. */
@@ -117,7 +119,7 @@
   }
 
   /**
-   * Handles a grant whose call failed. If it was not sent, the slot becomes free again. Otherwise
+   * Handles a grant whose call failed. If it was never sent, the slot becomes free again. Otherwise
    * the borrower may be using the slot, so the grant is sent again until the borrower answers or
    * the loan reaches its deadline.
    */
@@ -127,8 +129,11 @@
     kind: RpcErrorKind,
     nowMs: number,
   ): void {
-    if (kind === RpcErrorKind.NotSent) this.#endLoan(message.borrowId, SlotUse.Unused, 0, nowMs)
-    else this.#resends.push({ peer, message, atMs: nowMs + GRANT_RESEND_MS })
+    const loan = this.#loans.get(message.borrowId)
+    if (loan === undefined) return
+    loan.mayBeUsed ||= kind !== RpcErrorKind.NotSent
+    if (loan.mayBeUsed) this.#resends.push({ peer, message, atMs: nowMs + GRANT_RESEND_MS })
+    else this.#endLoan(message.borrowId, SlotUse.Unused, 0, nowMs)
   }
 
   /** Removes waiters past their deadline, and resends grants whose delivery is unknown. */
@@ -169,6 +174,7 @@
       service: waiter.service,
       borrower: waiter.borrower,
       wasMember: this.#membership.find(waiter.borrower.memberId) !== undefined,
+      mayBeUsed: false,
     })
     this.#send(waiter.borrower, {
       kind: SlotMessageKind.Grant,
