test(playground): the three drains leave slots to each service and region

Three drains in a row took three of the four servers of one service in one region. The refusal is right; the test did not mean to ask for it. Each drain now takes a server of another region and service. What the test checks is the same: no new work after 3 s on each signal alone.

--- a/playground/__tests__/localDeployment.spec.ts
+++ b/playground/__tests__/localDeployment.spec.ts
@@ -132,9 +132,11 @@
         await operator.planAndConfirm('drain', workerId)
       },
     }
+    // Each one serves another region and service, so that the plan leaves enough slots to both.
+    const workerIndexes = [0, 28, 44]
     Object.entries(signals).forEach(([name, leave], index) => {
       it(`${name}, while the others contradict it`, async () => {
-        const workerId = workersOf(local.deployment)[index]?.workerId ?? ''
+        const workerId = workersOf(local.deployment)[workerIndexes[index] ?? 0]?.workerId ?? ''
         const before = lastNewWorkMs(workerId, 0)
         expect(before, 'the worker executed requests before').to.be.greaterThan(0)
         await leave(workerId)
