test(entry): a second reader of the store whose watches end with the first's goes on; known red

The cause of the region's two rosters (known red), shown alone. A reader other than the first stops if a peer's contact is younger than 600 ms when its own watch ends; a watch lasts 650 ms or more, so readers in step never stop.

--- a/src/entry/__tests__/decisions.spec.ts
+++ b/src/entry/__tests__/decisions.spec.ts
@@ -211,6 +211,19 @@
     })
   })
 
+  // Guards against two readers of a region, each of which calls the store and writes a roster.
+  it('stops reading beside a reader whose watches end together with its own', () => {
+    const contact = new StoreContact(2000, 0)
+    const watchEndsMs = Array.from({ length: 20 }, (_, index) => (index + 1) * contact.watchMs)
+    contact.shouldRead(0, 0)
+    const isReading = watchEndsMs.map((nowMs) => {
+      contact.recordOwnContact(nowMs)
+      contact.recordPeerContact(contact.watchMs - 100, nowMs - 100)
+      return contact.shouldRead(1, nowMs)
+    })
+    expect(isReading.at(-1)).to.equal(false)
+  })
+
   it('ignores the outdated store contact of a reader that is cut off', () => {
     const contact = new StoreContact(2000, 0)
     contact.recordPeerContact(0, 1000)
