--- a/review/2/case.cjs
+++ b/review/2/case.cjs
@@ -4,5 +4,9 @@
 const { playUnframedAnswers } = require('../lib/unframed.cjs')
 
 void runCase(__dirname, (deployment, isTroubled) =>
-  playUnframedAnswers(deployment, isTroubled, { signal: 'SIGTERM', afterMs: 400 }),
+  playUnframedAnswers(deployment, isTroubled, {
+    signal: 'SIGTERM',
+    signalAtMs: 0,
+    requestAtMs: 1600,
+  }),
 )
--- a/review/lib/unframed.cjs
+++ b/review/lib/unframed.cjs
@@ -9,21 +9,25 @@
 /** More than the kernel's buffers on loopback hold, which is about 3 MB for each connection. */
 const ANSWER_BYTES = 16_000_000
 /** Within the links of the grown deployments, 7 to 140 Mbit/s. */
-const LINK_MBPS = 20
+const LINK_MBPS = 40
 const CLIENTS = 3
-const DEADLINE_MS = 10_000
+/** `pass-history` of the grown deployment. */
+const DEADLINE_MS = 20_000
+const ROUTE_TIMEOUT_MS = 4000
+const TARGET_MS = 2000
 
 /**
  * Sends a signal to an instance on the way of the answers.
- * @param options.afterMs time from the requests to the signal
+ * @param options.signalAtMs time of the signal
+ * @param options.requestAtMs time of the requests
  * @returns whether a client got a truncated success that looks complete
  */
-async function playUnframedAnswers(deployment, isTroubled, { signal, afterMs }) {
+async function playUnframedAnswers(deployment, isTroubled, { signal, signalAtMs, requestAtMs }) {
   await deployment.startStore()
   for (const zone of Object.keys(ZONES)) {
     await deployment.addWorker({
-      id: `i-fitdesk-${zone}`,
-      service: 'fitdesk',
+      id: `i-passbook-${zone}`,
+      service: 'passbook',
       zone,
       workMs: 200,
       bodyBytes: ANSWER_BYTES,
@@ -41,15 +45,15 @@
     1,
     [
       {
-        name: 'fit-sheet',
-        prefix: '/sheets/',
+        name: 'pass-history',
+        prefix: '/passes/',
         kind: 'safe',
-        timeout: `${DEADLINE_MS}ms`,
-        target_latency: '400ms',
-        service: 'fitdesk',
+        timeout: `${ROUTE_TIMEOUT_MS}ms`,
+        target_latency: `${TARGET_MS}ms`,
+        service: 'passbook',
       },
     ],
-    ['fitdesk'],
+    ['passbook'],
   )
   deployment.startInstances(['nyeri-a', 'nyeri-b'], ZONES)
   await deployment.waitUntilReady()
@@ -67,7 +71,7 @@
     const result = await send(agent, {
       host: link.host,
       port: link.port,
-      path: `/sheets/${index}`,
+      path: `/passes/${index}`,
       deadlineMs: DEADLINE_MS,
       onSent: (id) => deployment.note(`sent ${id} to ${instance.name}`),
     })
@@ -86,8 +90,11 @@
     }
     agent.destroy()
   }
-  const clients = Array.from({ length: CLIENTS }, (_value, index) => client(index))
-  await sleep(afterMs)
+  const clients = Array.from({ length: CLIENTS }, async (_value, index) => {
+    await sleep(requestAtMs)
+    await client(index)
+  })
+  await sleep(signalAtMs)
   if (isTroubled) {
     deployment.note(`${signal} to ${instance.name}`)
     instance.staysDown = true
