--- a/review/1/case.cjs
+++ b/review/1/case.cjs
@@ -7,10 +7,10 @@
 
 const ZONES = { 'sic-a': 'sicilia', 'sic-b': 'sicilia' }
 const DURATION_MS = 20_000
-/** Within the doses of the site file: `garble` on 0.6 of the workers, with 0.03 of their answers. */
-const SPOILED_FRACTION = 0.03
+/** Doses of `garble` that the bench states: 0.5 of the workers, 0.02 of their answers, for 5 s. */
+const SPOILED_FRACTION = 0.02
 const GARBLE_MS = 5000
-const FAULTY_WORKERS = 7
+const FAULTY_WORKERS = 6
 /** Length of the run of bytes that is spoiled. */
 const SPOILED_BYTES = 4
 const WORKERS_PER_SERVICE = 6
@@ -33,8 +33,7 @@
   let isGarbling = false
   for (const service of ['reveal-svc', 'wallet-svc']) {
     for (let index = 0; index < WORKERS_PER_SERVICE; index += 1) {
-      const isFaulty =
-        deployment.workers.filter((worker) => worker.isFaulty).length < FAULTY_WORKERS && index < 4
+      const isFaulty = index < FAULTY_WORKERS / 2
       await deployment.addWorker({
         id: `i-${service}-${index}`,
         service,
--- a/review/lib/unframed.cjs
+++ b/review/lib/unframed.cjs
@@ -1,4 +1,4 @@
-/** Clients take large answers without a length from a process that is ended meanwhile. */
+/** Clients take large answers, some without a length, from a process that is ended meanwhile. */
 'use strict'
 const http = require('node:http')
 const { sleep } = require('./deployment.cjs')
@@ -15,6 +15,16 @@
 const DEADLINE_MS = 20_000
 const ROUTE_TIMEOUT_MS = 4000
 const TARGET_MS = 2000
+const WORK_MS = 200
+const SLOTS = 9
+/** Doses of `garble` with `unframed`: half of the workers, 0.05 of their answers, for 5 s. */
+const UNFRAMED_FRACTION = 0.05
+const GARBLE_MS = 5000
+/** Usual answers, of the size of the site, beside the large ones. */
+const USUAL_BYTES = 1500
+const USUAL_CLIENTS = 10
+/** Usual traffic before the first of the other events. */
+const USUAL_BEFORE_MS = 2000
 
 /**
  * Sends a signal to an instance on the way of the answers.
@@ -24,20 +34,34 @@
  */
 async function playUnframedAnswers(deployment, isTroubled, { signal, signalAtMs, requestAtMs }) {
   await deployment.startStore()
+  let garbledUntilMs = Number.NEGATIVE_INFINITY
   for (const zone of Object.keys(ZONES)) {
+    const isFaulty = zone === 'nyeri-a'
+    let answers = 0
+    let unframed = 0
     await deployment.addWorker({
       id: `i-passbook-${zone}`,
       service: 'passbook',
       zone,
-      workMs: 200,
-      bodyBytes: ANSWER_BYTES,
-      // The answer has no length and ends with its connection.
-      respond: (worker, request, response, id, body) => {
+      slots: SLOTS,
+      workMs: WORK_MS,
+      bodyBytes: 0,
+      respond: (worker, request, response, id) => {
+        const isLarge = request.url.startsWith('/passes/large')
+        const body = Buffer.alloc(isLarge ? ANSWER_BYTES : USUAL_BYTES, `${id};`)
+        const isGarbling = isFaulty && performance.now() < garbledUntilMs
+        if (isGarbling) answers += 1
+        if (!isLarge || !isGarbling || unframed + 1 > UNFRAMED_FRACTION * answers) {
+          response.writeHead(200, worker.headers(id, body)).end(body)
+          return
+        }
+        // The answer has no length and ends with its connection.
+        unframed += 1
         const { 'Content-Length': _length, ...headers } = worker.headers(id, body)
         response.useChunkedEncodingByDefault = false
         response.writeHead(200, { ...headers, Connection: 'close' })
         response.end(body)
-        deployment.note(`worker ${worker.id} answers ${id} with ${body.length} bytes`)
+        deployment.note(`unframed ${id} at ${worker.id}: ${unframed} of ${answers} answers`)
       },
     })
   }
@@ -71,7 +95,7 @@
     const result = await send(agent, {
       host: link.host,
       port: link.port,
-      path: `/passes/${index}`,
+      path: `/passes/large/${index}`,
       deadlineMs: DEADLINE_MS,
       onSent: (id) => deployment.note(`sent ${id} to ${instance.name}`),
     })
@@ -90,6 +114,19 @@
     }
     agent.destroy()
   }
+  let isDone = false
+  const other = deployment.instances[1]
+  const usual = Array.from({ length: USUAL_CLIENTS }, async () => {
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 })
+    while (!isDone) {
+      const request = { host: other.host, port: 18641, path: '/passes/1', deadlineMs: DEADLINE_MS }
+      const { id, ending, status } = await send(agent, request)
+      deployment.note(`usual ${id} ${ending} ${status ?? ''}`)
+    }
+    agent.destroy()
+  })
+  if (isTroubled) garbledUntilMs = performance.now() + GARBLE_MS
+  await sleep(USUAL_BEFORE_MS)
   const clients = Array.from({ length: CLIENTS }, async (_value, index) => {
     await sleep(requestAtMs)
     await client(index)
@@ -101,6 +138,8 @@
     instance.signal(signal)
   }
   await Promise.all(clients)
+  isDone = true
+  await Promise.all(usual)
   link.stop()
   const summary = `truncated successes ${broken} of ${CLIENTS}`
   deployment.note(summary)
