--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -127,7 +127,7 @@
     })
     const rejection = this.#validate(message)
     if (rejection !== undefined) {
-      this.#write(socket, response, rejection, true)
+      this.#answer(message, response, rejection, true)
       return
     }
     const reservation = this.#dependencies.bodyBudget.open()
@@ -139,7 +139,7 @@
       const request = this.#createRequest(message, body, arrivedAtMs, callerAbort.signal)
       void this.#run(request).then((answer) => {
         reservation.release()
-        this.#write(socket, response, answer, false)
+        this.#answer(message, response, answer, false)
       })
     }
     this.#readBody(message, response, reservation, (body) => {
@@ -171,7 +171,7 @@
     const onRejected = (rejection: BodyRejection): void => {
       reservation.release()
       const { answer, isClosing } = ANSWER_BY_BODY_REJECTION[rejection]
-      this.#write(message.socket, response, answer, isClosing || isChunked(message))
+      this.#answer(message, response, answer, isClosing || isChunked(message))
     }
     const limitBytes = limits()?.bodyBytes ?? Number.POSITIVE_INFINITY
     const buffer = reserveBody(message, limitBytes, reservation)
@@ -240,6 +240,27 @@
     })
   }
 
+  /** An answer that can't be written must not end the requests of other callers. */
+  #answer(
+    message: IncomingMessage,
+    response: ServerResponse,
+    answer: CallerAnswer,
+    close: boolean,
+  ): void {
+    const { socket } = message
+    try {
+      this.#write(socket, response, answer, close)
+    } catch (error) {
+      const requestId = message.headers[this.#dependencies.headers.requestId]
+      this.#dependencies.onError(String(requestId), error)
+      if (response.headersSent) socket.destroy()
+      else {
+        response.statusMessage = ''
+        this.#write(socket, response, failureAnswer(FailureKind.AnswerLost, 0), true)
+      }
+    }
+  }
+
   #write(socket: Duplex, response: ServerResponse, original: CallerAnswer, close: boolean): void {
     const connection = this.#connections.get(socket)
     if (connection === undefined || response.headersSent || response.destroyed) return
