fix(entry): a target that is no URL ends its request, not the process

What was seen: `GET //` at the port of readiness, of the directory or of metrics ended the entry process, with the requests of all callers.

Cause: `new URL('//', base)` throws in a callback of the server; an error in the promise behind it was not caught either. Same class as the error in an answer's head: no boundary around one request.

Change: a target that begins with a slash is a path, whatever follows; others are parsed without throwing, and answered with 400 if they are no URL. An error of the handler is logged and answered with 500.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -40,3 +40,8 @@
 export function messageOf(thrown: unknown): string {
   return thrown instanceof Error ? thrown.message : String(thrown)
 }
+
+/** Returns the stack of an error for a log line, or the text of any other thrown value. */
+export function stackOf(thrown: unknown): string {
+  return thrown instanceof Error ? (thrown.stack ?? thrown.message) : String(thrown)
+}
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -3,6 +3,7 @@
 import { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import { sleep, systemClock } from '../common/clock.js'
+import { stackOf } from '../common/errors.js'
 import { BackendServerRegistry, EXPIRED_ENTRY_GRACE_MS } from './backendServerRegistry.js'
 import { FailureKind } from './callerRequest.js'
 import { CallerServer } from './callerServer.js'
@@ -217,9 +218,7 @@
       run: (request) => runner.run(request, this.#shutdown),
       onError: (requestId, error) => {
         this.#metrics.failed(FailureKind.AnswerLost)
-        log.decision(requestId, 'requestError', {
-          error: error instanceof Error ? (error.stack ?? error.message) : String(error),
-        })
+        log.decision(requestId, 'requestError', { error: stackOf(error) })
       },
       isEventLoopDelayed: () => this.#eventLoopDelay.isDelayed(clock()),
     })
@@ -261,12 +260,17 @@
     void this.#follower.run()
     void this.#rosterWriter.run()
     await this.#callers.start(callers.host, callers.port)
+    const onError = (target: string, error: unknown): void => {
+      this.#log.event('requestError', { target, error: stackOf(error) })
+    }
     this.#simpleServers.push(
-      await startSimpleServer(readiness.host, readiness.port, (url) => this.#readiness(url)),
-      await startSimpleServer(directory.host, directory.port, (url, request) =>
-        this.#directory(url, request.socket.remoteAddress ?? ''),
-      ),
-      await startSimpleServer(metrics.host, metrics.port, (url) => this.#metricsPage(url)),
+      await startSimpleServer({ ...readiness, onError, handle: (url) => this.#readiness(url) }),
+      await startSimpleServer({
+        ...directory,
+        onError,
+        handle: (url, request) => this.#directory(url, request.socket.remoteAddress ?? ''),
+      }),
+      await startSimpleServer({ ...metrics, onError, handle: (url) => this.#metricsPage(url) }),
     )
     this.#timers.push(
       setInterval(() => {
--- a/src/entry/simpleHttpServer.ts
+++ b/src/entry/simpleHttpServer.ts
@@ -10,16 +10,18 @@
   request: IncomingMessage,
 ) => SimpleAnswer | undefined | Promise<SimpleAnswer | undefined>
 
+export interface SimpleServerOptions {
+  readonly host: string
+  readonly port: number
+  readonly handle: SimpleHandler
+  /** Called with the error of a request, which is answered with status 500. */
+  readonly onError: (target: string, error: unknown) => void
+}
+
 /** Resolves once the server listens. */
-export async function startSimpleServer(
-  host: string,
-  port: number,
-  handle: SimpleHandler,
-): Promise<Server> {
+export async function startSimpleServer(options: SimpleServerOptions): Promise<Server> {
   const server = createServer((request, response) => {
-    const url = new URL(request.url ?? '/', 'http://instance')
-    void Promise.resolve(handle(url, request)).then((answer) => {
-      const { status, contentType, body } = answer ?? NOT_FOUND
+    void answerOf(request, options).then(({ status, contentType, body }) => {
       response.writeHead(status, {
         'Content-Type': contentType,
         'Content-Length': Buffer.byteLength(body),
@@ -27,8 +29,36 @@
       response.end(body)
     })
   })
-  await listen(server, host, port)
+  await listen(server, options.host, options.port)
   return server
 }
 
-const NOT_FOUND: SimpleAnswer = { status: 404, contentType: 'text/plain', body: 'no such path\n' }
+/** Never rejects. */
+async function answerOf(
+  request: IncomingMessage,
+  { handle, onError }: SimpleServerOptions,
+): Promise<SimpleAnswer> {
+  const target = request.url ?? '/'
+  const url = parseTarget(target)
+  if (url === undefined) return INVALID_TARGET
+  try {
+    return (await handle(url, request)) ?? NOT_FOUND
+  } catch (error) {
+    onError(target, error)
+    return FAILED
+  }
+}
+
+/** A path may begin with two slashes, which would be taken for the start of a host in a reference. */
+function parseTarget(target: string): URL | undefined {
+  const text = target.startsWith('/') ? `http://instance${target}` : target
+  return URL.canParse(text) ? new URL(text) : undefined
+}
+
+function textAnswer(status: number, text: string): SimpleAnswer {
+  return { status, contentType: 'text/plain', body: `${text}\n` }
+}
+
+const NOT_FOUND = textAnswer(404, 'no such path')
+const INVALID_TARGET = textAnswer(400, 'target is neither a path nor a URL')
+const FAILED = textAnswer(500, 'the request failed; see the log of the instance')
--- a/testing/soak/entryProcess.ts
+++ b/testing/soak/entryProcess.ts
@@ -16,6 +16,8 @@
   Readiness = 18640,
   Directory = 18644,
   Peers = 18649,
+  /** Fixed by the deploy file. */
+  Metrics = 9464,
 }
 
 export interface EntryProcessOptions {
