fix(entry): a log whose reader has gone does not end the process

What was seen: once the reader of standard output had gone, the next log line ended the entry process, with the requests of all callers.

Cause: the stream reports EPIPE as an `error` event, which had no listener.

Change: the log drops and counts its lines from then on (metric of dropped lines).

--- a/src/entry/__tests__/entryLog.spec.ts
+++ b/src/entry/__tests__/entryLog.spec.ts
@@ -9,6 +9,7 @@
     const target = {
       writableLength: 0,
       write: (text: string) => written.push(text),
+      on: () => undefined,
     }
     const log = new BoundedEntryLog('front-1', target)
     log.decision('r1', 'sent', { server: 's' })
--- a/src/entry/entryLog.ts
+++ b/src/entry/entryLog.ts
@@ -19,6 +19,7 @@
   /** Bytes that are buffered and not written yet. */
   readonly writableLength: number
   write(text: string): unknown
+  on(event: 'error', listener: (error: Error) => void): unknown
 }
 
 /** Limit on buffered bytes; lines beyond it are dropped and counted. */
@@ -26,17 +27,22 @@
 /** Lines are buffered for this long, so that a busy instance makes few system calls. */
 const FLUSH_INTERVAL_MS = 250
 
-/** Log that buffers lines and drops them when the reader is too slow. */
+/** Log that buffers lines, and drops them when the reader is too slow or gone. */
 export class BoundedEntryLog implements EntryLog {
   readonly #target: LogTarget
   readonly #logger
   #buffered = ''
   #dropped = 0
   #timer: NodeJS.Timeout | undefined
+  #hasReader = true
 
   /** @param instance name of the instance, which is added to each line */
   constructor(instance: string, target: LogTarget) {
     this.#target = target
+    // There is no other place to report it; the count of dropped lines is in the metrics.
+    target.on('error', () => {
+      this.#hasReader = false
+    })
     this.#logger = pino(
       { base: { instance }, timestamp: pino.stdTimeFunctions.epochTime },
       {
@@ -64,12 +70,13 @@
   flush(): void {
     clearTimeout(this.#timer)
     this.#timer = undefined
-    if (this.#buffered !== '') this.#target.write(this.#buffered)
+    if (this.#buffered !== '' && this.#hasReader) this.#target.write(this.#buffered)
     this.#buffered = ''
   }
 
   #buffer(line: string): void {
-    if (this.#buffered.length + this.#target.writableLength > MAX_BUFFERED_BYTES) {
+    const bufferedBytes = this.#buffered.length + this.#target.writableLength
+    if (!this.#hasReader || bufferedBytes > MAX_BUFFERED_BYTES) {
       this.#dropped += 1
       return
     }
--- a/testing/soak/entryProcess.ts
+++ b/testing/soak/entryProcess.ts
@@ -103,6 +103,12 @@
     this.#child?.kill(signal)
   }
 
+  /** Ends the readers of standard output and standard error. */
+  closeOutput(): void {
+    this.#child?.stdout?.destroy()
+    this.#child?.stderr?.destroy()
+  }
+
   /** Kills the process and prevents restarts. */
   async terminate(): Promise<void> {
     this.#isTerminated = true
