fix(platform): an answer of the store in another format fails its call, not the process

What was seen: a watch answered with status 200 and no list of events, or with an item of another type, ended the entry process, with the requests of all callers.

Cause: bodies were cast to the expected types, and the error came out of the promise of the loop that reads the store, which nobody awaits.

An answer that can't be applied is logged with its stack and repeated too.

--- a/src/entry/storeFollower.ts
+++ b/src/entry/storeFollower.ts
@@ -1,6 +1,7 @@
 /** Keeps the mirror up to date from the store while this instance is a store reader. */
 import { sleep } from '../common/clock.js'
 import type { Clock } from '../common/clock.js'
+import { messageOf, stackOf } from '../common/errors.js'
 import type { EntryLog } from './entryLog.js'
 import type { MetadataStore, StoreItem } from './metadataStore.js'
 import { HISTORY_COMPACTED } from './metadataStore.js'
@@ -114,9 +115,15 @@
     })
   }
 
-  #read(position: number): Promise<boolean> {
-    if (this.#dependencies.mirror.revision === 0) return this.#listAll()
-    return this.#needsListing ? this.#listAgain(position) : this.#watch()
+  /** An answer that can't be applied must not end the process; the call is repeated. */
+  async #read(position: number): Promise<boolean> {
+    try {
+      if (this.#dependencies.mirror.revision === 0) return await this.#listAll()
+      return await (this.#needsListing ? this.#listAgain(position) : this.#watch())
+    } catch (error) {
+      this.#dependencies.log.event('storeAnswerFailed', { error: stackOf(error) })
+      return this.#recordFailure('read', messageOf(error))
+    }
   }
 
   /** Lists the store, unless a peer's copy arrives first. */
