fix(entry): a message of a peer that can't be handled ends its link, not the process

What was seen: a line of a peer with a missing or mistyped field ended the entry process, at once or at a later tick, with the requests of all callers.

Cause: lines were only checked for a `kind`. An error in a handler left the `data` event of the socket; lent slots without a list were stored and failed in a timer.

Change: peerMessageFormat.ts checks the fields of each kind, and the link of another line is closed. An error in a handler is logged with its stack, and closes the link too.

--- a/src/entry/peerLink.ts
+++ b/src/entry/peerLink.ts
@@ -1,5 +1,6 @@
 /** Connection to another entry instance. Messages sent in the same tick share one write. */
 import type { Socket } from 'node:net'
+import { parsePeerMessage } from './peerMessageFormat.js'
 import type { PeerMessage } from './peerMessages.js'
 
 /**
@@ -91,7 +92,8 @@
     }
     for (const line of lines) {
       if (line === '') continue
-      const message = parseMessage(line)
+      if (this.#socket.destroyed) return
+      const message = parsePeerMessage(line)
       if (message === undefined) {
         this.#socket.destroy(new Error('line from peer is not a valid message'))
         return
@@ -100,13 +102,3 @@
     }
   }
 }
-
-function parseMessage(line: string): PeerMessage | undefined {
-  try {
-    const value: unknown = JSON.parse(line)
-    if (typeof value !== 'object' || value === null || !('kind' in value)) return undefined
-    return value as PeerMessage
-  } catch {
-    return undefined
-  }
-}
--- a/src/entry/peerMesh.ts
+++ b/src/entry/peerMesh.ts
@@ -2,6 +2,7 @@
 import type { Server, Socket } from 'node:net'
 import { connect, createServer } from 'node:net'
 import type { Clock } from '../common/clock.js'
+import { stackOf } from '../common/errors.js'
 import { parseHostAndPort, listen } from '../common/listen.js'
 import type { EntryLog } from './entryLog.js'
 import type { InstanceRecord } from './instanceRecord.js'
@@ -179,7 +180,7 @@
     const connection: Connection = {
       link: new PeerLink(socket, {
         received: (message) => {
-          this.#handleMessage(connection, message)
+          this.#receive(connection, message)
         },
         closed: (reason) => {
           this.#handleClose(connection, reason)
@@ -218,6 +219,20 @@
     })
   }
 
+  /** A message that can't be handled must not end more than its link. */
+  #receive(connection: Connection, message: PeerMessage): void {
+    try {
+      this.#handleMessage(connection, message)
+    } catch (error) {
+      this.#dependencies.log.event('peerMessageFailed', {
+        peer: connection.peer,
+        kind: message.kind,
+        error: stackOf(error),
+      })
+      connection.link.close()
+    }
+  }
+
   #handleMessage(connection: Connection, message: PeerMessage): void {
     connection.lastReceivedAtMs = this.#dependencies.clock()
     // Two instances that connect to each other at the same time may send on different connections.
