fix(entry): a closed connection delivers its last answer to a caller that still sends

Bytes that are no request, behind others, cut those without an answer.

Cause: after an answer with `Connection: close`, Node.js closes both directions as soon as the answer is handed to the system. When more bytes arrive, the system resets the connection and drops what it has not sent yet.

Change: LingeringConnections ends only its own direction, reads and discards until the caller ends its own, and closes after 16 MB, 5 s, or when 512 other connections linger. It serves every close after an answer, of the small servers too. The caller server closes idle connections itself: those without an open request, without new bytes, and a second after their last answer. A stop waits for both, at most until shortly before the end of the grace period. Requests before invalid bytes are answered, the last one with `Connection: close`; an invalid body is answered with 400.

Why this works: nothing that the caller sends can arrive at a closed socket while the answer is on its way. A caller that reads nothing or never closes is bound by the three limits and by the grace.

--- a/src/entry/__tests__/callerServer.spec.ts
+++ b/src/entry/__tests__/callerServer.spec.ts
@@ -82,7 +82,7 @@
   })
 
   afterEach(() => {
-    server.stop()
+    server.stop(monotonicClock())
   })
 
   const requestText = (id: string): string =>
--- a/src/entry/callerBody.ts
+++ b/src/entry/callerBody.ts
@@ -10,6 +10,8 @@
   NoMemory = 'noMemory',
   /** Not complete when the caller's own timeout passed. */
   TooSlow = 'tooSlow',
+  /** Not encoded as HTTP requires. */
+  Invalid = 'invalid',
 }
 
 /** Where the bytes of a body are kept until it is complete. */
@@ -47,12 +49,15 @@
   readonly onAbandoned: () => void
 }
 
-/** Reads the body into the buffer; calls back once how it ended. */
+/**
+ * Reads the body into the buffer; calls back once how it ended.
+ * @returns a function that rejects the body as invalid, if it is not complete
+ */
 export function readCallerBody(
   message: IncomingMessage,
   buffer: BodyBuffer,
   options: CallerBodyOptions,
-): void {
+): () => void {
   let isDone = false
   const finish = (callback: () => void): void => {
     if (isDone) return
@@ -83,6 +88,9 @@
   })
   message.on('error', abandon)
   message.on('close', abandon)
+  return () => {
+    if (!message.complete) reject(BodyRejection.Invalid)
+  }
 }
 
 /** Length of the body that the head states; `undefined` for a chunked body. */
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -1,7 +1,7 @@
 /** HTTP server that accepts callers' requests at an entry instance. */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { createServer } from 'node:http'
-import type { Duplex } from 'node:stream'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Server } from 'node:http'
+import { Socket } from 'node:net'
 import type { ByteBudget, ByteReservation } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
@@ -11,6 +11,7 @@
 import { CallerConnection } from './callerConnection.js'
 import type { CallerAnswer, CallerHeaders, CallerRequest } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
+import { LingeringConnections } from './lingeringConnections.js'
 import type { CallerLimits } from './routingConfiguration.js'
 
 export interface CallerServerDependencies {
@@ -36,17 +37,31 @@
 const BODY_MEMORY_RETRY_AFTER_MS = 500
 const HOP_BY_HOP_HEADERS = new Set([...CONNECTION_HEADERS, 'te', 'expect'])
 
+/**
+ * HTTP server that closes no connection by itself when it stops listening. Node.js counts a
+ * connection as idle whose answer was handed over and is not written out yet.
+ */
+class ListenerOnlyServer extends Server {
+  override closeIdleConnections(): void {
+    // The caller server closes idle connections.
+  }
+}
+
 /** Reads requests, runs them, and writes the answers of each connection in request order. */
 export class CallerServer {
   readonly #dependencies: CallerServerDependencies
   readonly #server: Server
-  readonly #connections = new Map<Duplex, CallerConnection>()
+  readonly #connections = new Map<Socket, CallerConnection>()
+  readonly #lingering = new LingeringConnections()
   #isLeaving = false
   #acceptedConnections = 0
 
   constructor(dependencies: CallerServerDependencies) {
     this.#dependencies = dependencies
-    this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, requireHostHeader: false })
+    this.#server = new ListenerOnlyServer({
+      maxHeaderSize: MAX_HEAD_BYTES,
+      requireHostHeader: false,
+    })
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
       this.#handleRequest(request, response)
     }
@@ -57,10 +72,7 @@
     this.#server.on('request', handle)
     this.#server.on('checkContinue', handle)
     this.#server.on('clientError', (error: Error & { code?: string }, socket) => {
-      const isWritable = socket.writable && error.code !== 'ECONNRESET'
-      const isBehindOthers = (this.#connections.get(socket)?.openRequests ?? 0) > 0
-      if (!isWritable || isBehindOthers) socket.destroy()
-      else socket.end(`HTTP/1.1 ${statusForParserError(error.code)}\r\nConnection: close\r\n\r\n`)
+      if (socket instanceof Socket) this.#handleInvalidInput(socket, error.code)
     })
   }
 
@@ -98,14 +110,26 @@
   }
 
   /** Closes idle connections and accepts no new ones. */
-  stop(): void {
+  stop(nowMs: number): void {
     this.#server.close()
-    this.#server.closeIdleConnections()
+    for (const [socket, connection] of this.#connections) {
+      if (connection.isIdle(nowMs) && !this.#lingering.has(socket)) socket.destroy()
+    }
+  }
+
+  /** Number of connections whose last answer may not have reached the caller yet. */
+  deliveringConnections(nowMs: number): number {
+    let total = 0
+    for (const [socket, connection] of this.#connections) {
+      if (this.#lingering.has(socket) || connection.isDelivering(nowMs)) total += 1
+    }
+    return total
   }
 
-  #addConnection(socket: Duplex): void {
-    const connection = new CallerConnection()
+  #addConnection(socket: Socket): void {
+    const connection = new CallerConnection(socket)
     this.#connections.set(socket, connection)
+    this.#lingering.attach(socket)
     socket.once('close', () => {
       this.#connections.delete(socket)
       // Of several pipelined requests, Node.js closes only the response of the first.
@@ -113,6 +137,21 @@
     })
   }
 
+  #handleInvalidInput(socket: Socket, code: string | undefined): void {
+    const connection = this.#connections.get(socket)
+    if (this.#lingering.has(socket)) return
+    if (!socket.writable || code === 'ECONNRESET' || connection === undefined) {
+      socket.destroy()
+      return
+    }
+    // The requests before it are still answered.
+    connection.isInputInvalid = true
+    connection.rejectBody?.()
+    if (connection.openRequests > 0) return
+    socket.write(`HTTP/1.1 ${statusForParserError(code)}\r\nConnection: close\r\n\r\n`)
+    this.#lingering.add(socket)
+  }
+
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = this.#dependencies.clock()
     const { socket } = message
@@ -122,7 +161,7 @@
     const isFirst = !connection.hasRead
     const callerAbort = connection.openRequest()
     response.once('close', () => {
-      connection.endRequest(callerAbort)
+      connection.endRequest(callerAbort, this.#dependencies.clock())
       if (!response.writableFinished) callerAbort.abort()
     })
     const rejection = this.#validate(message)
@@ -181,15 +220,20 @@
       return
     }
     const callerTimeoutMs = Number(message.headers[headers.callerTimeout] ?? Number.NaN)
-    readCallerBody(message, buffer, {
+    const connection = this.#connections.get(message.socket)
+    const rejectBody = readCallerBody(message, buffer, {
       limitBytes,
       timeoutMs: callerTimeoutMs > 0 ? callerTimeoutMs : DEFAULT_BODY_TIMEOUT_MS,
-      onBody,
+      onBody: (body) => {
+        if (connection?.rejectBody === rejectBody) connection.rejectBody = undefined
+        onBody(body)
+      },
       onRejected,
       onAbandoned: () => {
         reservation.release()
       },
     })
+    if (connection !== undefined) connection.rejectBody = rejectBody
     if (message.headers.expect !== undefined) response.writeContinue()
   }
 
@@ -261,7 +305,7 @@
     }
   }
 
-  #write(socket: Duplex, response: ServerResponse, original: CallerAnswer, close: boolean): void {
+  #write(socket: Socket, response: ServerResponse, original: CallerAnswer, close: boolean): void {
     const connection = this.#connections.get(socket)
     if (connection === undefined || response.headersSent || response.destroyed) return
     // Closing the connection would cut off other requests that were already read from it.
@@ -270,7 +314,8 @@
     const isDelimitedByClose = original.isDelimitedByClose === true && isLast
     const isCompletenessUnknown = original.isDelimitedByClose === true && !isLast
     const answer = isCompletenessUnknown ? failureAnswer(FailureKind.AnswerLost, 0) : original
-    const isClosing = close || isDelimitedByClose || (this.#isLeaving && isLast)
+    const isEnding = this.#isLeaving || connection.isInputInvalid
+    const isClosing = close || isDelimitedByClose || (isEnding && isLast)
     const rawHeaders = answer.headers.flatMap(([name, value]) => [name, value])
     if (findHeader(answer.headers, 'date') !== undefined) response.sendDate = false
     if (isDelimitedByClose) response.useChunkedEncodingByDefault = false
@@ -309,6 +354,7 @@
     isClosing: false,
   },
   [BodyRejection.TooSlow]: { answer: rejectionAnswer(408, 'body too slow'), isClosing: true },
+  [BodyRejection.Invalid]: { answer: rejectionAnswer(400, 'invalid body'), isClosing: true },
 }
 
 function isChunked(message: IncomingMessage): boolean {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -333,15 +333,17 @@
       await sleep(TICK_INTERVAL_MS)
       const nowMs = this.#clock()
       const elapsedMs = nowMs - startedAtMs
-      if (elapsedMs >= ACCEPT_WHILE_LEAVING_MS) this.#callers.stop()
-      const isDone = this.#callers.openRequests === 0 && elapsedMs >= MIN_SHUTDOWN_MS
+      if (elapsedMs >= ACCEPT_WHILE_LEAVING_MS) this.#callers.stop(nowMs)
+      const isDone = !this.#hasOpenAnswers(nowMs) && elapsedMs >= MIN_SHUTDOWN_MS
       if (isDone || nowMs >= endAtMs) break
     }
-    this.#callers.stop()
+    this.#callers.stop(this.#clock())
     this.#follower.stop()
     await Promise.race([this.#rosterWriter.stop(), sleep(LAST_STORE_CALL_TIMEOUT_MS)])
     // Requests that were under way when the listener closed were read since.
-    while (this.#callers.openRequests > 0 && this.#clock() < endAtMs) await sleep(TICK_INTERVAL_MS)
+    while (this.#hasOpenAnswers(this.#clock()) && this.#clock() < endAtMs) {
+      await sleep(TICK_INTERVAL_MS)
+    }
     for (const timer of this.#timers) clearInterval(timer)
     clearTimeout(this.#tickTimer)
     this.#mesh.stop()
@@ -350,6 +352,11 @@
     this.#log.event('stopped', { openRequests: this.#callers.openRequests })
   }
 
+  /** Whether a caller may still wait for an answer, or for the rest of one. */
+  #hasOpenAnswers(nowMs: number): boolean {
+    return this.#callers.openRequests > 0 || this.#callers.deliveringConnections(nowMs) > 0
+  }
+
   /** Position of this instance in its region's order of store readers, from 0. */
   #storeReaderPosition(): number {
     const { region, name } = this.#settings.record
--- a/src/entry/simpleHttpServer.ts
+++ b/src/entry/simpleHttpServer.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server } from 'node:http'
 import { createServer } from 'node:http'
 import { listen } from '../common/listen.js'
+import { LingeringConnections } from './lingeringConnections.js'
 import type { SimpleAnswer } from './simpleAnswer.js'
 
 /** Answers a request; `undefined` results in status 404. */
@@ -29,6 +30,10 @@
       response.end(body)
     })
   })
+  const lingering = new LingeringConnections()
+  server.on('connection', (socket) => {
+    lingering.attach(socket)
+  })
   await listen(server, options.host, options.port)
   return server
 }
