fix(entry): answers without end take bounded memory and processor time, and their server is avoided

What callers saw: servers that answer in chunks of a few bytes without end made the entry process run out of memory; the requests of all its callers ended with it. With trailers or interim answers without end, sound servers got half of their usual requests, since parsing took the processor.

Cause: the bounds (16 MB a body, 48 MB over all answers) counted bytes of content. Each chunk was kept as a Buffer of its own, many times as large as 8 bytes, and its parsing created a Buffer, a function and a text. One connection could be read for a whole turn of the event loop, up to 2 MB. Trailers, which nobody reads, were kept. A server that did it got the next request at once.

Change: - A body is one growing block (GrowableBuffer), counted by what is allocated, growth included. - When the memory is used up, the largest answer is given up, not the next one. - Plain chunk sizes and line ends are read without allocation; trailers are checked and not kept. - Bounds: 256 KB and a quarter of the body for chunk sizes and trailers, 32 interim answers, 1 MB before the body as before. A stated length over 16 MB is refused at the head. - From 256 KB on, connections are read in turns, four in a turn of the event loop. - A broken answer that seems endless (1 MB without a stated length, or 64 KB beside the body) makes all instances avoid its server for 10 s; logged as `serverStated` of kind `endless`.

Test: testing/soak/__tests__/endlessAnswers.spec.ts: a real process, half of 12 servers, 6 s, six kinds of floods, 40 or 150 callers. No request cut, peak below 250 MB, and at least 0.7 of the sound servers' requests without the fault.

--- a/src/entry/connectionPool.ts
+++ b/src/entry/connectionPool.ts
@@ -1,6 +1,8 @@
 /** Pool of keep-alive connections to backend servers. */
 import { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
+import { ReadTurns } from './readTurns.js'
+import type { SharedConnectionResources } from './serverConnection.js'
 import { ServerConnection } from './serverConnection.js'
 import type { SendOutcome, ServerHeaders, ServerRequest } from './serverExchange.js'
 import { OutcomeKind } from './serverExchange.js'
@@ -21,19 +23,25 @@
 /** Time after a reused connection broke during which the shorter idle limit applies. */
 const REDUCED_IDLE_PERIOD_MS = 15_000
 
-/** Memory for answers that are being read; several of the largest ones fit. */
-const ANSWER_MEMORY_BYTES = 48 * 1024 * 1024
+/** Memory for answers that are being read, or not fetched yet; several of the largest ones fit. */
+export const ANSWER_MEMORY_BYTES = 48 * 1024 * 1024
 
 export class ConnectionPool {
-  readonly #answerBudget = new ByteBudget(ANSWER_MEMORY_BYTES)
+  readonly #shared: SharedConnectionResources
   readonly #headers: ServerHeaders
   readonly #clock: Clock
   readonly #idle = new Map<string, ServerConnection[]>()
   #reducedIdleUntilMs = Number.NEGATIVE_INFINITY
   #openedCount = 0
 
-  constructor(headers: ServerHeaders, clock: Clock) {
+  /** @param answerBudget memory for answers, shared with those that callers have not fetched */
+  constructor(
+    headers: ServerHeaders,
+    clock: Clock,
+    answerBudget = new ByteBudget(ANSWER_MEMORY_BYTES),
+  ) {
     this.#headers = headers
+    this.#shared = { answerBudget, readTurns: new ReadTurns() }
     this.#clock = clock
   }
 
@@ -119,12 +127,6 @@
   #open(address: string, isRemote: boolean): ServerConnection {
     this.#openedCount += 1
     const connectTimeoutMs = isRemote ? REMOTE_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS
-    return new ServerConnection(
-      address,
-      this.#headers,
-      connectTimeoutMs,
-      this.#answerBudget,
-      this.#clock,
-    )
+    return new ServerConnection(address, this.#headers, connectTimeoutMs, this.#shared, this.#clock)
   }
 }
--- a/src/entry/peerMessageFormat.ts
+++ b/src/entry/peerMessageFormat.ts
@@ -52,6 +52,7 @@
 const isStatement = hasFields({
   limitPerSecond: isNumber,
   retryAfterMs: isNumber,
+  avoidForMs: isNumber,
   isLeaving: isOptional(isBoolean),
   unreadable: isOptional(isList(isText)),
 })
--- a/src/entry/responseParser.ts
+++ b/src/entry/responseParser.ts
@@ -8,10 +8,17 @@
 /** Members of the library's parser that its type declarations leave out. */
 interface ParserStates {
   BODY_CHUNKHEAD: () => void
+  BODY_CHUNK: () => void
+  BODY_CHUNKEMPTYLINE: () => void
   RESPONSE_LINE: () => void
   consumeLine: () => string | undefined
   parseHeader: (line: string, headers: string[]) => void
+  /** Bytes that are left of the chunk or of the body. */
   body_bytes: number
+  /** Start of a line whose end has not arrived. */
+  line: string
+  chunk: Buffer
+  trailers: string[]
   info: { versionMajor: number; statusCode: number; statusMessage: string }
   state: string
   offset: number
@@ -33,6 +40,13 @@
 const MIN_STATUS = 100
 const MAX_STATUS = 599
 const SWITCHING_PROTOCOLS = 101
+/** Longer sizes are read by the slower way. */
+const MAX_PLAIN_SIZE_DIGITS = 7
+const CARRIAGE_RETURN = 0x0d
+const LINE_FEED = 0x0a
+const DIGIT_0 = 0x30
+const LETTER_A = 0x61
+const LOWER_CASE_BIT = 0x20
 
 /**
  * Creates a parser. The library takes a chunk size that is not a number for the last chunk, and
@@ -43,25 +57,81 @@
   const parser = new HTTPParser('RESPONSE')
   const states = parser as unknown as ParserStates
   const { parseHeader, RESPONSE_LINE: readStatusLine } = states
+  const { BODY_CHUNKEMPTYLINE: readChunkEnd } = states
   states.BODY_CHUNKHEAD = () => {
-    const line = states.consumeLine()
-    if (line === undefined) return
-    const size = CHUNK_HEAD.exec(line)?.[1]
-    if (size === undefined) throw new Error('invalid chunk size')
-    states.body_bytes = Number.parseInt(size, 16)
-    states.state = states.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK'
+    const size = readPlainChunkSize(states) ?? readChunkSize(states)
+    if (size === undefined) return
+    states.body_bytes = size
+    states.state = size === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK'
+  }
+  // The library creates a Buffer, a function and a text for each chunk. A server that sends chunks
+  // of a few bytes would take the processor time of all other requests with them.
+  states.BODY_CHUNK = () => {
+    const length = Math.min(states.end - states.offset, states.body_bytes)
+    parser[HTTPParser.kOnBody](states.chunk, states.offset, length)
+    states.offset += length
+    states.body_bytes -= length
+    if (states.body_bytes === 0) states.state = 'BODY_CHUNKEMPTYLINE'
+  }
+  states.BODY_CHUNKEMPTYLINE = () => {
+    const { chunk, offset, end, line } = states
+    const isPlain = line === '' && offset + 1 < end && isLineEnd(chunk, offset)
+    if (!isPlain) {
+      readChunkEnd.call(parser)
+      return
+    }
+    states.offset += 2
+    states.state = 'BODY_CHUNKHEAD'
   }
   states.RESPONSE_LINE = () => {
     readStatusLine.call(parser)
     if (states.state === 'HEADER') checkStatusLine(states.info)
   }
   states.parseHeader = (line, headers) => {
-    checkHeaderLine(line, headers.length > 0)
-    parseHeader.call(parser, line, headers)
+    const isTrailer = headers === states.trailers
+    checkHeaderLine(line, isTrailer || headers.length > 0)
+    // Trailers are not passed on, so that they need no memory.
+    if (!isTrailer) parseHeader.call(parser, line, headers)
   }
   return parser
 }
 
+/** Reads a chunk size without extensions that has arrived whole; `undefined` if it is none. */
+function readPlainChunkSize(states: ParserStates): number | undefined {
+  if (states.line !== '') return undefined
+  const { chunk, offset, end } = states
+  let size = 0
+  let index = offset
+  for (; index < end && index - offset < MAX_PLAIN_SIZE_DIGITS; index += 1) {
+    const digit = hexDigit(chunk[index] ?? 0)
+    if (digit === undefined) break
+    size = size * 16 + digit
+  }
+  const isPlain = index > offset && index + 1 < end && isLineEnd(chunk, index)
+  if (!isPlain) return undefined
+  states.offset = index + 2
+  return size
+}
+
+/** Reads any other chunk size; `undefined` if the line is not complete. */
+function readChunkSize(states: ParserStates): number | undefined {
+  const line = states.consumeLine()
+  if (line === undefined) return undefined
+  const size = CHUNK_HEAD.exec(line)?.[1]
+  if (size === undefined) throw new Error('invalid chunk size')
+  return Number.parseInt(size, 16)
+}
+
+function isLineEnd(bytes: Buffer, offset: number): boolean {
+  return bytes[offset] === CARRIAGE_RETURN && bytes[offset + 1] === LINE_FEED
+}
+
+function hexDigit(byte: number): number | undefined {
+  if (byte >= DIGIT_0 && byte <= DIGIT_0 + 9) return byte - DIGIT_0
+  const letter = byte | LOWER_CASE_BIT
+  return letter >= LETTER_A && letter < LETTER_A + 6 ? letter - LETTER_A + 10 : undefined
+}
+
 /** Throws if the version or the status is none, or if the text holds a control character. */
 function checkStatusLine(info: ParserStates['info']): void {
   const { versionMajor, statusCode, statusMessage } = info
@@ -78,10 +148,10 @@
   if (!FIELD_TEXT.test(line)) throw new Error('invalid character in header line')
 }
 
-/** Whether the parser stopped before the end of the bytes that it was given. */
-export function hasBytesLeft(parser: ResponseParser): boolean {
+/** Number of the bytes given to the parser that it has not read yet. */
+export function bytesLeft(parser: ResponseParser): number {
   const { offset, end } = parser as unknown as ParserStates
-  return offset < end
+  return end - offset
 }
 
 /** Whether the head states the length of the body in a way that leaves no doubt. */
--- a/src/entry/responseReader.ts
+++ b/src/entry/responseReader.ts
@@ -2,17 +2,26 @@
 import { HTTPParser } from 'http-parser-js'
 import type { ByteReservation } from '../common/byteBudget.js'
 import type { HeaderPair } from '../common/exchange.js'
-import { toHeaderPairs } from '../common/exchange.js'
-import { createResponseParser, hasBytesLeft, hasValidFraming } from './responseParser.js'
+import { findHeader, toHeaderPairs } from '../common/exchange.js'
+import { GrowableBuffer } from '../common/growableBuffer.js'
+import { bytesLeft, createResponseParser, hasValidFraming } from './responseParser.js'
 import type { ServerAnswer } from './serverExchange.js'
 
 /** Answers are buffered in memory; larger ones are rejected. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 /**
- * Bytes beside the body of the answer: heads, chunk sizes, trailers, interim answers and answers
- * to other requests. A late second answer fits; a server that sends more is in trouble.
+ * Bytes before the body of the answer: heads, interim answers and answers to other requests. A
+ * late second answer fits; a server that sends more is in trouble.
  */
 const MAX_OTHER_BYTES = 1024 * 1024
+const MAX_INTERIM_ANSWERS = 32
+/** Chunk sizes, extensions and trailers that any answer may have. */
+const MAX_FRAMING_BYTES = 256 * 1024
+/** Allowed in addition, as a fraction of the body; chunks of 32 bytes stay below it. */
+const MAX_FRAMING_FRACTION = 0.25
+/** Bytes of a broken answer from which its server is taken to send without end. */
+const MIN_ENDLESS_BODY_BYTES = 1024 * 1024
+const MIN_ENDLESS_OTHER_BYTES = 64 * 1024
 
 /** Parser state after a chunk of bytes. */
 export enum ReadState {
@@ -46,11 +55,13 @@
 export class ResponseReader {
   readonly #parser = createResponseParser()
   readonly #originOf: OriginOf
-  readonly #reservation: ByteReservation
-  #chunks: Buffer[] = []
+  readonly #body: GrowableBuffer
   #readBytes = 0
-  /** Bytes of the body of the answer, without skipped ones. */
-  #bodyBytes = 0
+  /** Value of `#readBytes` at the start of the body of the answer. */
+  #bodyStartBytes: number | undefined
+  /** Length that the answer states. */
+  #statedBytes: number | undefined
+  #interimAnswers = 0
   #parserInfo: ParserInfo | undefined
   #headers: HeaderPair[] = []
   #origin = AnswerOrigin.Other
@@ -62,15 +73,15 @@
   /** @param reservation memory for the body; released by the caller */
   constructor(originOf: OriginOf, reservation: ByteReservation) {
     this.#originOf = originOf
-    this.#reservation = reservation
+    this.#body = new GrowableBuffer(reservation)
     this.#parser[HTTPParser.kOnHeadersComplete] = (info: ParserInfo): void => {
       this.#handleHead(info)
     }
     this.#parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number): void => {
-      if (this.#origin !== AnswerOrigin.Own) return
-      this.#bodyBytes += length
-      this.#chunks.push(chunk.subarray(offset, offset + length))
-      if (!this.#reservation.grow(length)) this.#problem ??= 'memory for answers is used up'
+      if (this.#origin !== AnswerOrigin.Own || this.#hasProblem()) return
+      if (this.#body.size + length > MAX_ANSWER_BYTES) this.#problem = 'answer is too large'
+      else if (!this.#body.append(chunk, offset, length, this.#statedBytes))
+        this.#problem = 'memory for answers is used up'
     }
     this.#parser[HTTPParser.kOnMessageComplete] = (): void => {
       this.#handleMessageComplete()
@@ -91,6 +102,22 @@
     return this.#problem ?? (this.#hasEnded ? 'truncated answer' : 'malformed answer')
   }
 
+  /** Bytes read so far. */
+  get readBytes(): number {
+    return this.#readBytes
+  }
+
+  /** Whether the server seems to send bytes without end, rather than an answer that broke. */
+  get isEndless(): boolean {
+    const isLargeBody = this.#statedBytes === undefined && this.#body.size >= MIN_ENDLESS_BODY_BYTES
+    const otherBytes = this.#readBytes - this.#body.size
+    return (
+      isLargeBody ||
+      otherBytes >= MIN_ENDLESS_OTHER_BYTES ||
+      this.#interimAnswers > MAX_INTERIM_ANSWERS
+    )
+  }
+
   /** Parses the next bytes of the connection. */
   read(bytes: Buffer): ReadState {
     if (this.#answer !== undefined) {
@@ -101,10 +128,7 @@
     const isParsed = this.#parse(() => this.#parser.execute(bytes))
     if (this.#hasAnswer()) return ReadState.Complete
     if (!isParsed) return ReadState.Malformed
-    if (this.#bodyBytes > MAX_ANSWER_BYTES) this.#problem ??= 'answer is too large'
-    // Chunks of few bytes have more bytes around them than in them.
-    const otherBytes = this.#readBytes - this.#bodyBytes
-    if (otherBytes > MAX_OTHER_BYTES + this.#bodyBytes) this.#problem ??= 'bytes without an answer'
+    this.#checkOtherBytes()
     return this.#hasProblem() ? ReadState.Malformed : ReadState.Partial
   }
 
@@ -131,6 +155,15 @@
     }
   }
 
+  #checkOtherBytes(): void {
+    const otherBytes = this.#bodyStartBytes ?? this.#readBytes
+    if (otherBytes > MAX_OTHER_BYTES) this.#problem ??= 'bytes without an answer'
+    const framingBytes = this.#readBytes - otherBytes - this.#body.size
+    if (framingBytes > MAX_FRAMING_BYTES + MAX_FRAMING_FRACTION * this.#body.size) {
+      this.#problem ??= 'chunks are too small, or trailers too long'
+    }
+  }
+
   #hasAnswer(): boolean {
     return this.#answer !== undefined
   }
@@ -142,12 +175,22 @@
   #handleHead(info: ParserInfo): void {
     this.#parserInfo = { ...info, headers: [...info.headers] }
     this.#headers = toHeaderPairs(info.headers)
-    this.#chunks = []
-    this.#bodyBytes = 0
+    this.#body.clear()
     const isInterim = info.statusCode < 200
+    if (isInterim) this.#interimAnswers += 1
+    if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#fail('too many interim answers')
     this.#origin = isInterim ? AnswerOrigin.Other : this.#originOf(this.#headers, info.statusCode)
     if (this.#origin === AnswerOrigin.Unknown) this.#fail('answer without a request identifier')
     if (!hasValidFraming(this.#headers)) this.#fail('length of the body is invalid')
+    if (this.#origin === AnswerOrigin.Own) this.#startBody()
+  }
+
+  #startBody(): void {
+    this.#bodyStartBytes = this.#readBytes - bytesLeft(this.#parser)
+    const isChunked = findHeader(this.#headers, 'transfer-encoding') !== undefined
+    const length = isChunked ? undefined : findHeader(this.#headers, 'content-length')
+    this.#statedBytes = length === undefined ? undefined : Number(length)
+    if ((this.#statedBytes ?? 0) > MAX_ANSWER_BYTES) this.#fail('answer is too large')
   }
 
   /** Ends the parsing, because it is not known where the next answer begins. */
@@ -172,14 +215,12 @@
       status: info.statusCode,
       statusText: info.statusMessage,
       headers: this.#headers,
-      body: this.#chunks.length === 1 ? (this.#chunks[0] ?? EMPTY) : Buffer.concat(this.#chunks),
+      body: this.#body.view(),
       isDelimitedByClose: this.#hasEnded,
     }
-    if (!info.shouldKeepAlive || hasBytesLeft(this.#parser)) this.#isReusable = false
+    if (!info.shouldKeepAlive || bytesLeft(this.#parser) > 0) this.#isReusable = false
   }
 }
 
 /** Leaves the parser from one of its callbacks; the reader catches it. */
 class MalformedAnswerError extends Error {}
-
-const EMPTY = Buffer.alloc(0)
--- a/src/entry/serverBeliefs.ts
+++ b/src/entry/serverBeliefs.ts
@@ -9,6 +9,8 @@
   Leaving = 'leaving',
   TurnedAway = 'turnedAway',
   Unreadable = 'unreadable',
+  /** Not stated: the server sent bytes without end. */
+  Endless = 'endless',
 }
 
 /** Start of a backend server that states that it is leaving. */
@@ -51,12 +53,18 @@
     statement: ServerStatement | undefined,
     nowMs: number,
   ): void {
-    const { limitPerSecond, isLeaving, retryAfterMs, unreadable } = statement ?? {}
+    const { limitPerSecond, isLeaving, retryAfterMs, avoidForMs, unreadable } = statement ?? {}
+    if (avoidForMs !== undefined) {
+      // What was read is no answer, so it states nothing and takes nothing back.
+      this.#recordTurnedAway(server, StatementKind.Endless, avoidForMs, nowMs)
+      return
+    }
     // An unreadable header may be the limit, which then stays as it was.
     if (limitPerSecond !== undefined || unreadable === undefined)
       this.#recordLimit(server.id, limitPerSecond)
     if (isLeaving === true) this.#recordLeaving(server, nowMs)
-    if (retryAfterMs !== undefined) this.#recordTurnedAway(server, retryAfterMs, nowMs)
+    if (retryAfterMs !== undefined)
+      this.#recordTurnedAway(server, StatementKind.TurnedAway, retryAfterMs, nowMs)
     if (unreadable !== undefined) this.#recordUnreadable(server.id, unreadable)
   }
 
@@ -102,13 +110,18 @@
     this.#dependencies.publishLeaving([{ id, startedAtMs }])
   }
 
-  #recordTurnedAway(server: RegisteredBackendServer, retryAfterMs: number, nowMs: number): void {
+  #recordTurnedAway(
+    server: RegisteredBackendServer,
+    kind: StatementKind.TurnedAway | StatementKind.Endless,
+    forMs: number,
+    nowMs: number,
+  ): void {
     const { id, startedAtMs } = server
-    this.#dependencies.count(StatementKind.TurnedAway)
+    this.#dependencies.count(kind)
     const leftMs = this.turnedAwayForMs(server, nowMs)
-    if (retryAfterMs <= leftMs) return
-    this.#turnedAway.set(id, { startedAtMs, untilMs: nowMs + retryAfterMs })
-    if (leftMs === 0) this.#log(id, StatementKind.TurnedAway, { forMs: Math.round(retryAfterMs) })
+    if (forMs <= leftMs) return
+    this.#turnedAway.set(id, { startedAtMs, untilMs: nowMs + forMs })
+    if (leftMs === 0) this.#log(id, kind, { forMs: Math.round(forMs) })
   }
 
   #recordUnreadable(id: string, headers: readonly string[]): void {
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -7,6 +7,7 @@
 import { findHeader } from '../common/exchange.js'
 import { parseHostAndPort } from '../common/listen.js'
 import { AnswerOrigin, ReadState, ResponseReader } from './responseReader.js'
+import type { ReadTurns } from './readTurns.js'
 import type { SendOutcome, ServerAnswer, ServerHeaders, ServerRequest } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
 import { OutcomeKind } from './serverExchange.js'
@@ -18,12 +19,24 @@
 /** Refusals after which a connection is closed, because their identifiers are remembered. */
 const MAX_REFUSED_REQUESTS = 64
 
+/** Bytes of one answer after which its connection is read in turns with others. */
+const UNSHARED_READ_BYTES = 256 * 1024
+/** Time for which a server that sends bytes without end gets no requests, in milliseconds. */
+const ENDLESS_ANSWER_AVOIDANCE_MS = 10_000
+
+/** Resources that the connections to all servers share. */
+export interface SharedConnectionResources {
+  /** Memory for answers that are not complete. */
+  readonly answerBudget: ByteBudget
+  readonly readTurns: ReadTurns
+}
+
 /** Keep-alive connection; the pool decides when to reuse and when to close it. */
 export class ServerConnection {
   readonly #socket: Socket
   readonly #clock: Clock
   readonly #headers: ServerHeaders
-  readonly #answerBudget: ByteBudget
+  readonly #shared: SharedConnectionResources
   /** Identifiers of requests that the server refused on this connection. */
   readonly #refusedRequestIds = new Set<string>()
   #reader: ResponseReader | undefined
@@ -39,11 +52,11 @@
     address: string,
     headers: ServerHeaders,
     connectTimeoutMs: number,
-    answerBudget: ByteBudget,
+    shared: SharedConnectionResources,
     clock: Clock,
   ) {
     this.#clock = clock
-    this.#answerBudget = answerBudget
+    this.#shared = shared
     this.#headers = headers
     const socket = connect(parseHostAndPort(address))
     this.#socket = socket
@@ -97,7 +110,9 @@
     const startedAtMs = this.#clock()
     const isReused = this.#requestCount > 0
     this.#requestCount += 1
-    const reservation = this.#answerBudget.open()
+    const reservation = this.#shared.answerBudget.open(() => {
+      finish(OutcomeKind.Broken, 'memory for answers is used up by smaller ones')
+    })
     const reader = new ResponseReader(
       (headers, status) => this.#originOf(request, headers, status, isReused),
       reservation,
@@ -120,7 +135,7 @@
       if (!isAnswered || !isReusable) this.destroy()
       const statement = isAnswered
         ? this.#statementOf(answer, outcomeKind, request.requestId)
-        : undefined
+        : endlessAnswerStatement(kind, reader)
       onEnd({
         kind: outcomeKind,
         answer,
@@ -205,7 +220,16 @@
       this.destroy()
       return
     }
-    this.#handleReadState(reader.read(bytes), reader)
+    const state = reader.read(bytes)
+    if (state === ReadState.Partial && reader.readBytes > UNSHARED_READ_BYTES) this.#takeTurns()
+    this.#handleReadState(state, reader)
+  }
+
+  #takeTurns(): void {
+    this.#socket.pause()
+    this.#shared.readTurns.wait(() => {
+      this.#socket.resume()
+    })
   }
 
   #handleEnd(): void {
@@ -226,4 +250,12 @@
   }
 }
 
+function endlessAnswerStatement(
+  kind: OutcomeKind,
+  { isEndless }: ResponseReader,
+): ServerStatement | undefined {
+  const isAvoided = kind === OutcomeKind.Broken && isEndless
+  return isAvoided ? { avoidForMs: ENDLESS_ANSWER_AVOIDANCE_MS } : undefined
+}
+
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS'])
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -49,7 +49,7 @@
   /** Set if a complete answer to the request arrived. */
   readonly answer: ServerAnswer | undefined
   readonly report: LoadReport | null
-  /** Set if an answer that is certain to belong to the request states something. */
+  /** Set if an answer that is certain to belong to the request states something, or has no end. */
   readonly statement?: ServerStatement
   /** Time from the send to the end, in milliseconds. */
   readonly durationMs: number
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -201,8 +201,11 @@
     if (state !== undefined) {
       this.#servers.refresh(state)
       this.#capacity.recordAnswer(state.server.id, stated, use, running, nowMs)
-      const { retryAfterMs } = stated ?? {}
-      if (retryAfterMs !== undefined) state.turnAway(instanceOf(key), nowMs + retryAfterMs)
+      const { retryAfterMs, avoidForMs } = stated ?? {}
+      const turnedAwayForMs = avoidForMs ?? retryAfterMs
+      if (turnedAwayForMs !== undefined) state.turnAway(instanceOf(key), nowMs + turnedAwayForMs)
+      // A server in trouble is in trouble for all instances.
+      if (avoidForMs !== undefined) state.suspend(nowMs + avoidForMs)
     }
     if (state !== undefined && running !== undefined && use === SlotOutcome.Completed) {
       this.#recordDuration(running, state, durationMs, nowMs)
--- a/testing/soak/__tests__/singleEntry.ts
+++ b/testing/soak/__tests__/singleEntry.ts
@@ -14,12 +14,13 @@
 const STARTUP_TIMEOUT_MS = 10_000
 /** Time from readiness until the instance knows its servers. */
 const SETTLE_MS = 500
-const CALLER_DEADLINE_MS = 1400
 
 /** Entry process with its deployment; starts again before a test if it has ended. */
 export class SingleEntry {
   readonly #folder = mkdtempSync(path.join(tmpdir(), 'tamarackdrift-entry-'))
   readonly deployment = new Deployment(this.#folder, () => undefined)
+  /** Time that callers wait, in milliseconds. */
+  callerDeadlineMs = 1400
   #requestCount = 0
 
   get process(): EntryProcess {
@@ -57,7 +58,7 @@
       `${method} ${target} HTTP/1.1`,
       `Host: ${host}`,
       `X-Tamarackdrift-Request-Id: request-${this.#requestCount}`,
-      `X-Tamarackdrift-Deadline-Milliseconds: ${CALLER_DEADLINE_MS}`,
+      `X-Tamarackdrift-Deadline-Milliseconds: ${this.callerDeadlineMs}`,
       ...lines,
       '',
       '',
--- a/testing/soak/deployment.ts
+++ b/testing/soak/deployment.ts
@@ -65,6 +65,8 @@
   readonly #written = new Map<string, unknown>()
   readonly #startedAtMs = Date.now()
   #version = 1
+  /** Timeout of all routes, in configurations that are published from now on. */
+  routeTimeoutMs = 1500
   #serverCount = 0
   #writeCount = 0
 
@@ -213,12 +215,13 @@
       { length: Math.min(MAX_PROBED_VERSIONS, this.#version) },
       (_, index) => this.#version - index,
     )
+    const timeoutMs = this.routeTimeoutMs
     const rows = [
-      routeRow('reveal', SAFE_HOST, '/', 'safe', 'reveals', []),
-      routeRow('spend', UNSAFE_HOST, '/', 'unsafe', 'wallet', []),
-      routeRow('charge', HOME_HOST, '/', 'unsafe', 'wallet', [HOME_REGION]),
+      routeRow(timeoutMs, 'reveal', SAFE_HOST, '/', 'safe', 'reveals', []),
+      routeRow(timeoutMs, 'spend', UNSAFE_HOST, '/', 'unsafe', 'wallet', []),
+      routeRow(timeoutMs, 'charge', HOME_HOST, '/', 'unsafe', 'wallet', [HOME_REGION]),
       ...probes.map((version) =>
-        routeRow(`probe-${version}`, PROBE_HOST, `/v${version}/`, 'safe', 'reveals', []),
+        routeRow(timeoutMs, `probe-${version}`, PROBE_HOST, `/v${version}/`, 'safe', 'reveals', []),
       ),
     ]
     this.#put(CONFIGURATION_KEY, {
@@ -253,6 +256,7 @@
 ]
 
 function routeRow(
+  timeoutMs: number,
   name: string,
   host: string,
   prefix: string,
@@ -260,5 +264,5 @@
   service: string,
   homeRegions: readonly string[],
 ): unknown[] {
-  return [name, host, prefix, kind, service, homeRegions, '1500ms', '300ms', 1, 2, true]
+  return [name, host, prefix, kind, service, homeRegions, `${timeoutMs}ms`, '300ms', 1, 2, true]
 }
--- a/testing/soak/entryProcess.ts
+++ b/testing/soak/entryProcess.ts
@@ -1,7 +1,7 @@
 /** Runs an entry instance as a process: the bundled program with a settings file and signals. */
 import type { ChildProcess } from 'node:child_process'
 import { spawn } from 'node:child_process'
-import { mkdirSync, createWriteStream, writeFileSync } from 'node:fs'
+import { mkdirSync, createWriteStream, readFileSync, writeFileSync } from 'node:fs'
 import type { WriteStream } from 'node:fs'
 import path from 'node:path'
 
@@ -103,6 +103,14 @@
     this.#child?.kill(signal)
   }
 
+  /** Largest resident memory of the current process so far, in bytes. */
+  get peakResidentBytes(): number {
+    const pid = this.#child?.pid
+    if (pid === undefined) throw new Error('the process does not run')
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8')
+    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024
+  }
+
   /** Ends the readers of standard output and standard error. */
   closeOutput(): void {
     this.#child?.stdout?.destroy()
