fix(entry): answers that callers have not fetched count against the memory for answers

What was seen: 30 callers that ask for answers of 12 MB and read nothing held 334 MB in the entry process, more than its machine has.

Cause: an answer left the budget once it was read from its server, and stayed in memory until its caller had it.

Change: its bytes count until it is written out or its connection closes. When the memory is needed for a smaller answer, the caller with the largest one is disconnected.

--- a/bench/uploadBenchServer.ts
+++ b/bench/uploadBenchServer.ts
@@ -3,6 +3,7 @@
 import { ByteBudget } from '../src/common/byteBudget.js'
 import { monotonicClock, sleep } from '../src/common/clock.js'
 import { CallerServer } from '../src/entry/callerServer.js'
+import { ANSWER_MEMORY_BYTES } from '../src/entry/connectionPool.js'
 
 /** Sent once the server listens. */
 export interface UploadServerReady {
@@ -41,6 +42,7 @@
     idleTimeoutMs: 15_000,
   }),
   bodyBudget: budget,
+  answerBudget: new ByteBudget(ANSWER_MEMORY_BYTES),
   isEventLoopDelayed: () => false,
   onError: () => undefined,
   run: async ({ requestId, body }) => {
--- a/src/entry/__tests__/callerServer.spec.ts
+++ b/src/entry/__tests__/callerServer.spec.ts
@@ -5,6 +5,7 @@
 import { sleep, monotonicClock } from '../../common/clock.js'
 import type { CallerRequest } from '../callerRequest.js'
 import { CallerServer } from '../callerServer.js'
+import { ANSWER_MEMORY_BYTES } from '../connectionPool.js'
 import { EventLoopDelay } from '../eventLoopDelay.js'
 
 const BODY_BUDGET_BYTES = 1000
@@ -66,6 +67,7 @@
       headers: HEADERS,
       clock: monotonicClock,
       bodyBudget,
+      answerBudget: new ByteBudget(ANSWER_MEMORY_BYTES),
       limits: () => undefined,
       isEventLoopDelayed: () => isEventLoopDelayed,
       onError: (requestId, error) => {
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -23,6 +23,8 @@
   readonly onError: (requestId: string, error: unknown) => void
   /** Memory for the bodies of requests that are not answered yet. */
   readonly bodyBudget: ByteBudget
+  /** Memory for answers that callers have not fetched yet. */
+  readonly answerBudget: ByteBudget
   /** Whether the event loop was blocked recently, so that closes may be pending behind requests. */
   readonly isEventLoopDelayed: () => boolean
 }
@@ -314,6 +316,10 @@
     const isDelimitedByClose = original.isDelimitedByClose === true && isLast
     const isCompletenessUnknown = original.isDelimitedByClose === true && !isLast
     const answer = isCompletenessUnknown ? failureAnswer(FailureKind.AnswerLost, 0) : original
+    if (!this.#reserveAnswer(socket, response, answer.body.length)) {
+      socket.destroy()
+      return
+    }
     const isEnding = this.#isLeaving || connection.isInputInvalid
     const isClosing = close || isDelimitedByClose || (isEnding && isLast)
     const rawHeaders = answer.headers.flatMap(([name, value]) => [name, value])
@@ -330,6 +336,22 @@
     else response.writeHead(answer.status, answer.statusText, rawHeaders)
     response.end(answer.body)
   }
+
+  /**
+   * Counts the body of an answer until its caller has fetched it. Callers that fetch the largest
+   * answers too slowly are disconnected when the memory is needed for others.
+   * @returns whether the memory holds the body
+   */
+  #reserveAnswer(socket: Socket, response: ServerResponse, bytes: number): boolean {
+    const reservation = this.#dependencies.answerBudget.open(() => {
+      reservation.release()
+      socket.destroy()
+    })
+    response.once('close', () => {
+      reservation.release()
+    })
+    return reservation.grow(bytes)
+  }
 }
 
 /**
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -7,7 +7,7 @@
 import { BackendServerRegistry, EXPIRED_ENTRY_GRACE_MS } from './backendServerRegistry.js'
 import { FailureKind } from './callerRequest.js'
 import { CallerServer } from './callerServer.js'
-import { ConnectionPool } from './connectionPool.js'
+import { ANSWER_MEMORY_BYTES, ConnectionPool } from './connectionPool.js'
 import { Coordination } from './coordination.js'
 import type { EntryPlatform, EntrySettings } from './entryPlatform.js'
 import { Shutdown } from './shutdown.js'
@@ -89,6 +89,8 @@
   readonly #beliefs: ServerBeliefs
   readonly #pool: ConnectionPool
   readonly #bodyBudget: ByteBudget
+  /** Memory for answers that are being read, or that callers have not fetched. */
+  readonly #answerBudget = new ByteBudget(ANSWER_MEMORY_BYTES)
   readonly #callers: CallerServer
   readonly #metrics: EntryMetrics
   readonly #evacuatedZones = new Set<string>()
@@ -172,7 +174,7 @@
       targetLatencyMs: (route) => this.#routing.targetLatencyMs(route),
     })
     this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
-    this.#pool = new ConnectionPool(platform.serverHeaders, clock)
+    this.#pool = new ConnectionPool(platform.serverHeaders, clock, this.#answerBudget)
     this.#bodyBudget = new ByteBudget(settings.requestBodyBytes)
     this.#metrics = new EntryMetrics(() => ({
       ...this.#slots.stats,
@@ -215,6 +217,7 @@
       clock,
       limits: () => this.#routing.current?.limits,
       bodyBudget: this.#bodyBudget,
+      answerBudget: this.#answerBudget,
       run: (request) => runner.run(request, this.#shutdown),
       onError: (requestId, error) => {
         this.#metrics.failed(FailureKind.AnswerLost)
--- a/testing/soak/__tests__/endlessAnswers.spec.ts
+++ b/testing/soak/__tests__/endlessAnswers.spec.ts
@@ -15,6 +15,9 @@
 /** Answers of sound servers during the fault, as a fraction of those without it. */
 const MIN_SOUND_FRACTION = 0.7
 const BLOCK_BYTES = 64 * 1024
+/** Callers that do not read their answer, and its size. */
+const SLOW_CALLERS = 30
+const LARGE_BYTES = 12_000_000
 
 const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n'
 const endless: Readonly<Record<string, { callers: number; start: string; repeat: string }>> = {
@@ -160,4 +163,35 @@
       expect(counts.answered).to.be.above(0)
     })
   }
+
+  // Guards against a process that ends for its memory, because callers do not fetch large answers.
+  it('keeps its memory beside callers that fetch nothing', async () => {
+    await startAnew()
+    for (const { standIn } of entry.deployment.servers) {
+      standIn.replaceAnswer = (request) =>
+        request.url === '/large'
+          ? largeAnswer(String(request.headers['x-tamarackdrift-request-id']))
+          : undefined
+    }
+    const idle = Array.from({ length: SLOW_CALLERS }, () => {
+      const { socket } = entry.open(EntryPort.Callers)
+      socket.on('error', () => undefined)
+      socket.pause()
+      socket.write(entry.requestHead(SAFE_HOST, 'GET', '/large', []))
+      return socket
+    })
+    const counts = await load(40)
+    for (const socket of idle) socket.destroy()
+    expect(entry.process.isRunning).to.equal(true)
+    expect(counts.cut).to.deep.equal([])
+    expect(counts.answered).to.be.above(0)
+    expect(entry.process.peakResidentBytes).to.be.below(MEMORY_LIMIT_BYTES)
+  })
 })
+
+function largeAnswer(requestId: string): Buffer {
+  const head =
+    `HTTP/1.1 200 OK\r\nX-Tamarackdrift-Request-Id: ${requestId}\r\n` +
+    `X-Tamarackdrift-Response-Signature: sig\r\nContent-Length: ${LARGE_BYTES}\r\n\r\n`
+  return Buffer.concat([Buffer.from(head), Buffer.alloc(LARGE_BYTES, 'y')])
+}
