--- a/src/entry/callerBody.ts
+++ b/src/entry/callerBody.ts
@@ -1,6 +1,7 @@
 /** Reads the body of a caller's request within a limit, a memory budget and a time. */
 import type { IncomingMessage } from 'node:http'
 import type { ByteReservation } from '../common/byteBudget.js'
+import { GrowableBuffer } from '../common/growableBuffer.js'
 
 /** Why a body was not read to its end. */
 export enum BodyRejection {
@@ -122,29 +123,24 @@
   }
 }
 
-/** Chunked body; reserves each byte twice, because joining the chunks copies them. */
+/** Chunked body, of which nothing is known before it arrives. */
 class ChunkedBody implements BodyBuffer {
-  readonly #reservation: ByteReservation
-  readonly #chunks: Buffer[] = []
-  #size = 0
+  readonly #buffer: GrowableBuffer
 
   constructor(reservation: ByteReservation) {
-    this.#reservation = reservation
+    this.#buffer = new GrowableBuffer(reservation)
   }
 
   get size(): number {
-    return this.#size
+    return this.#buffer.size
   }
 
   add(chunk: Buffer): boolean {
-    if (!this.#reservation.grow(2 * chunk.length)) return false
-    this.#size += chunk.length
-    this.#chunks.push(chunk)
-    return true
+    return this.#buffer.append(chunk, 0, chunk.length)
   }
 
   take(): Buffer {
-    return Buffer.concat(this.#chunks)
+    return this.#buffer.view()
   }
 }
 
--- a/testing/soak/deployment.ts
+++ b/testing/soak/deployment.ts
@@ -67,6 +67,8 @@
   #version = 1
   /** Timeout of all routes, in configurations that are published from now on. */
   routeTimeoutMs = 1500
+  /** Limit on bodies of requests, in configurations that are published from now on. */
+  bodyBytes = 1_048_576
   #serverCount = 0
   #writeCount = 0
 
@@ -233,7 +235,7 @@
       },
       limits: {
         header_bytes: 16_384,
-        body_bytes: 1_048_576,
+        body_bytes: this.bodyBytes,
         header_timeout: '3000ms',
         idle_timeout: '15000ms',
       },
