fix(entry): what peers and the store send without end takes bounded memory

What was seen: a line of a peer without an end took 172 MB before its link was closed, and an answer of the store in chunks of 8 bytes 144 MB within its timeout.

A line was joined and split anew with each read; the client of the store kept a list of chunks.

Change: both collect in one block, growth included: 32 MB a line, 64 MB an answer of the store.

--- a/src/entry/peerLink.ts
+++ b/src/entry/peerLink.ts
@@ -1,5 +1,7 @@
 /** Connection to another entry instance. Messages sent in the same tick share one write. */
 import type { Socket } from 'node:net'
+import { ByteBudget } from '../common/byteBudget.js'
+import { GrowableBuffer } from '../common/growableBuffer.js'
 import { parsePeerMessage } from './peerMessageFormat.js'
 import type { PeerMessage } from './peerMessages.js'
 
@@ -8,8 +10,9 @@
  * with a configuration of 1 MB in base64, fits.
  */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024
-/** Longest line accepted from a peer; several times the size of a base64 configuration. */
-const MAX_LINE_BYTES = 16 * 1024 * 1024
+/** Memory for lines of a peer; several times the size of a base64 configuration. */
+const MAX_LINE_BYTES = 32 * 1024 * 1024
+const LINE_FEED = 0x0a
 
 export interface PeerLinkListener {
   received(message: PeerMessage): void
@@ -21,15 +24,15 @@
   readonly #socket: Socket
   #unsentLines: string[] = []
   #isFlushScheduled = false
-  #incompleteLine = ''
+  /** Start of a line whose end has not arrived. */
+  readonly #incompleteLine = new GrowableBuffer(new ByteBudget(MAX_LINE_BYTES).open())
   #isClosed = false
 
   constructor(socket: Socket, listener: PeerLinkListener) {
     this.#socket = socket
     socket.setNoDelay(true)
-    socket.setEncoding('utf8')
-    socket.on('data', (text: string | Buffer) => {
-      this.#handleData(text.toString(), listener)
+    socket.on('data', (bytes: Buffer) => {
+      this.#handleData(bytes, listener)
     })
     const close = (reason: string): void => {
       if (this.#isClosed) return
@@ -83,13 +86,14 @@
     this.#unsentLines = []
   }
 
-  #handleData(text: string, listener: PeerLinkListener): void {
-    const lines = (this.#incompleteLine + text).split('\n')
-    this.#incompleteLine = lines.pop() ?? ''
-    if (this.#incompleteLine.length > MAX_LINE_BYTES) {
+  #handleData(bytes: Buffer, listener: PeerLinkListener): void {
+    const end = bytes.lastIndexOf(LINE_FEED)
+    const text = end < 0 ? '' : this.#takeLines(bytes.subarray(0, end))
+    if (!this.#incompleteLine.append(bytes, end + 1, bytes.length - end - 1)) {
       this.#socket.destroy(new Error('line from peer exceeds the maximum length'))
       return
     }
+    const lines = text.split('\n')
     for (const line of lines) {
       if (line === '') continue
       if (this.#socket.destroyed) return
@@ -101,4 +105,13 @@
       listener.received(message)
     }
   }
+
+  /** Text up to `bytes`, with the start of the first line that came before. */
+  #takeLines(bytes: Buffer): string {
+    const start = this.#incompleteLine
+    if (start.size === 0) return bytes.toString('utf8')
+    const text = Buffer.concat([start.view(), bytes]).toString('utf8')
+    start.clear()
+    return text
+  }
 }
--- a/src/platform/httpJsonClient.ts
+++ b/src/platform/httpJsonClient.ts
@@ -1,8 +1,10 @@
 /** JSON over HTTP (wreck) with a timeout for the whole call. */
-import type { IncomingHttpHeaders } from 'node:http'
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import { Agent } from 'node:http'
 import wreck from '@hapi/wreck'
+import { ByteBudget } from '../common/byteBudget.js'
 import { messageOf } from '../common/errors.js'
+import { GrowableBuffer } from '../common/growableBuffer.js'
 
 /** Whether a call without a usable answer may have been executed. */
 export enum HttpFailureKind {
@@ -41,6 +43,7 @@
   'EADDRNOTAVAIL',
   'ENOTFOUND',
 ])
+/** Memory for one answer; twice its size while it grows. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 /** Calls JSON endpoints over keep-alive connections. */
@@ -81,10 +84,7 @@
     try {
       const response = await pending
       const remainingMs = Math.max(1, options.timeoutMs - (performance.now() - startedAtMs))
-      const body = await this.#client.read(response, {
-        timeout: remainingMs,
-        maxBytes: MAX_ANSWER_BYTES,
-      })
+      const body = await readBody(response, remainingMs)
       const status = response.statusCode ?? 0
       return { status, headers: response.headers, body: parseBody(body, status) }
     } catch (error) {
@@ -100,6 +100,23 @@
   }
 }
 
+/** Reads the body into one block; a list of its chunks could take many times its size. */
+async function readBody(response: IncomingMessage, timeoutMs: number): Promise<Buffer> {
+  const reservation = new ByteBudget(MAX_ANSWER_BYTES).open()
+  const body = new GrowableBuffer(reservation)
+  const timer = setTimeout(() => {
+    response.destroy(new Error(`no complete answer within ${Math.round(timeoutMs)} ms`))
+  }, timeoutMs)
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      if (!body.append(chunk, 0, chunk.length)) throw new Error('answer is too large')
+    }
+    return body.view()
+  } finally {
+    clearTimeout(timer)
+  }
+}
+
 /**
  * Parses the body of an answer as JSON. Statuses from 400 may come without JSON and then yield an
  * object with the body as `text`; a status below 400 without JSON is no valid answer, so it throws.
