revert(entry): answers whose server states no length are passed on without one again

A server crashed in the middle of an answer without a length; its connection ended regularly, and the truncated answer got a length. That a regular end means a whole answer does not hold for servers that crash.

--- a/src/entry/__tests__/sendOutcomes.spec.ts
+++ b/src/entry/__tests__/sendOutcomes.spec.ts
@@ -13,6 +13,7 @@
         statusText: '',
         headers: [],
         body: Buffer.alloc(0),
+        isDelimitedByClose: false,
       },
       report: null,
       durationMs: 1,
--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -38,6 +38,8 @@
   readonly statusText?: string
   readonly headers: readonly HeaderPair[]
   readonly body: Buffer
+  /** Whether only the end of the backend connection marks the end of the body. */
+  readonly isDelimitedByClose?: boolean
 }
 
 /** Why a request is answered by this instance instead of a backend server. */
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -307,21 +307,25 @@
     }
   }
 
-  #write(socket: Socket, response: ServerResponse, answer: CallerAnswer, close: boolean): void {
+  #write(socket: Socket, response: ServerResponse, original: CallerAnswer, close: boolean): void {
     const connection = this.#connections.get(socket)
     if (connection === undefined || response.headersSent || response.destroyed) return
     // Closing the connection would cut off other requests that were already read from it.
     const isLast = connection.openRequests <= 1
+    // A body that may be truncated must not get a Content-Length that makes it look complete.
+    const isDelimitedByClose = original.isDelimitedByClose === true && isLast
+    const isCompletenessUnknown = original.isDelimitedByClose === true && !isLast
+    const answer = isCompletenessUnknown ? failureAnswer(FailureKind.AnswerLost, 0) : original
     if (!this.#reserveAnswer(socket, response, answer.body.length)) {
       socket.destroy()
       return
     }
     const isEnding = this.#isLeaving || connection.isInputInvalid
-    const isClosing = close || (isEnding && isLast)
+    const isClosing = close || isDelimitedByClose || (isEnding && isLast)
     const rawHeaders = answer.headers.flatMap(([name, value]) => [name, value])
     if (findHeader(answer.headers, 'date') !== undefined) response.sendDate = false
-    // The body is whole here, also of a server that stated no length: a caller must see a break.
-    if (!STATUSES_WITHOUT_BODY.has(answer.status)) {
+    if (isDelimitedByClose) response.useChunkedEncodingByDefault = false
+    else if (!STATUSES_WITHOUT_BODY.has(answer.status)) {
       rawHeaders.push('Content-Length', String(answer.body.length))
     }
     if (isClosing) {
--- a/src/entry/responseReader.ts
+++ b/src/entry/responseReader.ts
@@ -216,6 +216,7 @@
       statusText: info.statusMessage,
       headers: this.#headers,
       body: this.#body.view(),
+      isDelimitedByClose: this.#hasEnded,
     }
     if (!info.shouldKeepAlive || bytesLeft(this.#parser) > 0) this.#isReusable = false
   }
--- a/src/entry/sendOutcomes.ts
+++ b/src/entry/sendOutcomes.ts
@@ -71,6 +71,6 @@
     if (HOP_BY_HOP_HEADERS.has(lower) || headers.isStatement(lower, answer.status)) return false
     return lower !== headers.load
   })
-  const { status, statusText, body } = answer
-  return { status, statusText, headers: forwardedHeaders, body }
+  const { status, statusText, body, isDelimitedByClose } = answer
+  return { status, statusText, headers: forwardedHeaders, body, isDelimitedByClose }
 }
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -22,6 +22,8 @@
   readonly statusText: string
   readonly headers: readonly HeaderPair[]
   readonly body: Buffer
+  /** Whether only the end of the connection marks the end of the body, which may be truncated. */
+  readonly isDelimitedByClose: boolean
 }
 
 export enum OutcomeKind {
