fix(entry): no more than 512 connections linger, also when many are ended in one turn

A connection that was closed to make room left the set only with its `close` event, so that further ones in the same turn of the event loop closed nothing.

--- a/src/entry/lingeringConnections.ts
+++ b/src/entry/lingeringConnections.ts
@@ -52,7 +52,9 @@
   #evict(): void {
     if (this.#sockets.size <= MAX_LINGERING_CONNECTIONS) return
     const [oldest] = this.#sockets
-    oldest?.destroy()
+    if (oldest === undefined) return
+    this.#sockets.delete(oldest)
+    oldest.destroy()
   }
 }
 
