--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -1,5 +1,6 @@
 /** Requests of callers and answers to them, independent of the HTTP server. */
 import type { HeaderPair } from '../common/exchange.js'
+import type { Credentials } from '../tenants/authentication.js'
 
 /** Names of the headers and the cookie of callers' requests, in lower case. */
 export interface CallerHeaders {
@@ -12,6 +13,13 @@
   readonly reserved: ReadonlySet<string>
 }
 
+/** Credentials in the heads of callers' requests. */
+export interface CredentialHeaders {
+  /** Header that is not passed on where tenants are configured; lower case. */
+  readonly name: string
+  readonly read: (headers: readonly HeaderPair[]) => Credentials
+}
+
 /** Request of a caller with its complete body. */
 export interface CallerRequest {
   readonly requestId: string
@@ -47,6 +55,14 @@
   /** This instance has not received a configuration yet. */
   NoConfiguration = 'noConfiguration',
   NoRoute = 'noRoute',
+  /** The caller states no key that is valid, on a route that needs one. */
+  UnknownKey = 'unknownKey',
+  /** The tenant's quota is used up; the request did not run. */
+  OverQuota = 'overQuota',
+  /** No instance that gives out quotas answered; the request did not run. */
+  QuotaUndecided = 'quotaUndecided',
+  /** The homes of the route and of the tenant have no region in common. */
+  NoHome = 'noHome',
   /** The route has a setting that this version does not know, so its requests are not served. */
   RouteNotServed = 'routeNotServed',
   /** Too many bodies are buffered already; the request did not run. */
@@ -68,6 +84,10 @@
 const STATUS_BY_FAILURE: Readonly<Record<FailureKind, number>> = {
   [FailureKind.NoConfiguration]: 503,
   [FailureKind.NoRoute]: 404,
+  [FailureKind.UnknownKey]: 401,
+  [FailureKind.OverQuota]: 429,
+  [FailureKind.QuotaUndecided]: 503,
+  [FailureKind.NoHome]: 503,
   [FailureKind.RouteNotServed]: 503,
   [FailureKind.BodyMemory]: 503,
   [FailureKind.NoSlot]: 503,
@@ -81,6 +101,10 @@
 const REMEDY_BY_FAILURE: Readonly<Record<FailureKind, string>> = {
   [FailureKind.NoConfiguration]: 'this instance has just started; ask another one or repeat',
   [FailureKind.NoRoute]: 'check host and path against the configured routes',
+  [FailureKind.UnknownKey]: 'state one key of a configured tenant',
+  [FailureKind.OverQuota]: 'not run; repeat after the stated time',
+  [FailureKind.QuotaUndecided]: 'not run; repeat after the stated time',
+  [FailureKind.NoHome]: 'not run; correct the homes of the route or of the tenant',
   [FailureKind.RouteNotServed]: 'not run; correct the route, or update this instance',
   [FailureKind.BodyMemory]: 'not run; repeat after the stated time',
   [FailureKind.NoSlot]: 'not run; repeat after the stated time',
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -209,6 +209,7 @@
       pool: this.#pool,
       budget: new SharedRetryBudget(settings.retryBounds),
       headers: platform.serverHeaders,
+      credentials: platform.credentialHeaders,
       storeAgeMs: () => Math.round(this.#contact.ageMs(clock())),
       regionOfZone: (zone) => settings.regionOfZone.get(zone),
     })
--- a/src/entry/entryPlatform.ts
+++ b/src/entry/entryPlatform.ts
@@ -2,7 +2,7 @@
 import type { HostAndPort } from '../common/listen.js'
 import type { ContentOrder } from './heldItems.js'
 import type { ServerUpdate } from './backendServerRegistry.js'
-import type { CallerHeaders } from './callerRequest.js'
+import type { CallerHeaders, CredentialHeaders } from './callerRequest.js'
 import type { InstanceRecord } from './instanceRecord.js'
 import type { MetadataStore } from './metadataStore.js'
 import type { RoutingConfiguration } from './routingConfiguration.js'
@@ -41,6 +41,7 @@
 export interface EntryPlatform {
   readonly store: MetadataStore
   readonly callerHeaders: CallerHeaders
+  readonly credentialHeaders: CredentialHeaders
   readonly serverHeaders: ServerHeaders
   /** Prefixes of the store keys that the platform writes. */
   readonly prefixes: readonly string[]
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -3,7 +3,7 @@
 import type { HeaderPair } from '../common/exchange.js'
 import type { BackendServerRegistry, RegisteredBackendServer } from './backendServerRegistry.js'
 import { CallerTimeouts } from './callerTimeouts.js'
-import type { CallerAnswer, CallerRequest } from './callerRequest.js'
+import type { CallerAnswer, CallerRequest, CredentialHeaders } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { ConnectionPool } from './connectionPool.js'
 import type { Shutdown } from './shutdown.js'
@@ -21,6 +21,10 @@
 import type { ServerStatement } from './serverStatement.js'
 import type { SharedRetryBudget } from './sharedRetryBudget.js'
 import type { SlotClient, SlotGrant } from './slotClient.js'
+import { CallerKind, authenticate } from '../tenants/authentication.js'
+import type { Tenant } from '../tenants/tenant.js'
+import type { TenantDirectory } from '../tenants/tenantDirectory.js'
+import { allowedRegions, effectivePriority } from '../tenants/tenantPolicy.js'
 
 /** Time reserved for the answer to reach the caller. */
 const CALLER_LATENCY_MARGIN_MS = 4
@@ -45,6 +49,7 @@
   readonly pool: ConnectionPool
   readonly budget: SharedRetryBudget
   readonly headers: ServerHeaders
+  readonly credentials: CredentialHeaders
   readonly regionOfZone: (zone: string) => string | undefined
   /** Time since the last contact of this instance or a peer with the store, in milliseconds. */
   readonly storeAgeMs: () => number
@@ -55,6 +60,13 @@
   readonly request: CallerRequest
   readonly route: Route
   readonly service: string
+  /** Set if the caller identified itself as one. */
+  readonly tenant: Tenant | undefined
+  readonly priority: number
+  /** Regions that may serve the request; empty: all. */
+  readonly regions: readonly string[]
+  /** Headers that are passed on; those that state the caller's identity are the system's. */
+  readonly headers: readonly HeaderPair[]
   readonly deadlineAtMs: number
   readonly targetAtMs: number
   readonly isReturn: boolean
@@ -93,7 +105,27 @@
     if (route.restriction?.kind === RestrictionKind.NotServed) {
       return this.#fail(request, undefined, FailureKind.RouteNotServed, 0)
     }
-    const state = this.#createState(request, route)
+    const { tenants } = configuration
+    const caller = authenticate(
+      this.#dependencies.credentials.read(request.headers),
+      tenants,
+      route.allowsAnonymous === true,
+    )
+    if (caller.kind === CallerKind.Rejected) {
+      const detail = { route: route.name, reason: caller.reason }
+      return this.#fail(request, undefined, FailureKind.UnknownKey, 0, detail)
+    }
+    const tenant = caller.kind === CallerKind.Tenant ? caller.tenant : undefined
+    const regions = allowedRegions(route.homeRegions, tenant)
+    if (regions === undefined) {
+      const detail = { route: route.name, tenant: tenant?.name ?? '' }
+      return this.#fail(request, undefined, FailureKind.NoHome, 0, detail)
+    }
+    const state = this.#createState(request, route, {
+      tenant,
+      regions,
+      headers: this.#forwardedHeaders(request, tenants, tenant),
+    })
     if (shutdown?.mayAccept(state.deadlineAtMs, request.arrivedAtMs) === false) {
       return this.#fail(request, state, FailureKind.Leaving, LEAVING_RETRY_AFTER_MS)
     }
@@ -107,13 +139,31 @@
     return answer
   }
 
-  #createState(request: CallerRequest, route: Route): RequestState {
+  /** The key is for this system alone; the name of its tenant is for the backend servers. */
+  #forwardedHeaders(
+    { headers }: CallerRequest,
+    tenants: TenantDirectory | undefined,
+    tenant: Tenant | undefined,
+  ): readonly HeaderPair[] {
+    if (tenants === undefined) return headers
+    const { credentials, headers: names } = this.#dependencies
+    const others = headers.filter(([name]) => name.toLowerCase() !== credentials.name)
+    return tenant === undefined ? others : [...others, [names.tenant, tenant.name]]
+  }
+
+  #createState(
+    request: CallerRequest,
+    route: Route,
+    caller: Pick<RequestState, 'tenant' | 'regions' | 'headers'>,
+  ): RequestState {
     const callerTimeoutMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs)
     const waitedMs = this.#callerTimeouts.waitedMs(route.name, request.callerTimeoutMs)
     return {
       request,
       route,
       service: this.#dependencies.routing.split.next(route),
+      ...caller,
+      priority: effectivePriority(route.priority, caller.tenant),
       deadlineAtMs: request.arrivedAtMs + callerTimeoutMs,
       targetAtMs: request.arrivedAtMs + route.targetLatencyMs - waitedMs - CALLER_LATENCY_MARGIN_MS,
       isReturn: waitedMs > 0,
@@ -195,12 +245,12 @@
           service: state.service,
           route: route.name,
           object: route.prefersRecentServer ? request.object : '',
-          priority: route.priority,
+          priority: state.priority,
           targetAtMs: state.targetAtMs,
           deadlineAtMs: state.deadlineAtMs,
           isReturn: state.isReturn,
           excludedServers: state.excludedServers,
-          regions: route.homeRegions,
+          regions: state.regions,
         },
         {
           onGranted: (grant) => {
@@ -228,7 +278,7 @@
     state.excludedServers.push(server.id)
     const outcome = await new Promise<SendOutcome>((resolve) => {
       const sentHeaders: HeaderPair[] = [
-        ...state.request.headers,
+        ...state.headers,
         [headers.deadline, String(Math.max(1, Math.floor(leftMs - CALLER_LATENCY_MARGIN_MS)))],
         [headers.expectedServer, server.id],
       ]
@@ -273,6 +323,7 @@
     )
     log.decision(state.request.requestId, 'sent', {
       route: state.route.name,
+      tenant: state.tenant?.name,
       version: routing.current?.version,
       server: server.id,
       region: regionOfZone(server.zone),
@@ -352,6 +403,7 @@
       kind,
       host: request.host,
       route: state?.route.name,
+      tenant: state?.tenant?.name,
       service: state?.service,
       version: routing.current?.version,
       isReturn: state?.isReturn,
--- a/src/entry/routingConfiguration.ts
+++ b/src/entry/routingConfiguration.ts
@@ -1,4 +1,5 @@
-/** Routing configuration of an entry instance: routes, services and limits; immutable. */
+/** Routing configuration of an entry instance: routes, services, tenants and limits; immutable. */
+import type { TenantDirectory } from '../tenants/tenantDirectory.js'
 
 /** Whether a request that may have run can be sent to another backend server. */
 export enum Repeatability {
@@ -52,6 +53,8 @@
   readonly prefersRecentServer: boolean
   /** Regions that may serve the route; empty: all. */
   readonly homeRegions: readonly string[]
+  /** Whether callers without a key are served where tenants are configured. */
+  readonly allowsAnonymous?: boolean
   /** Set if the route has a setting that this version does not know. */
   readonly restriction?: RouteRestriction
 }
@@ -80,6 +83,8 @@
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<string, ServiceSettings>
   readonly limits: CallerLimits
+  /** Set if callers identify themselves by keys. */
+  readonly tenants?: TenantDirectory
 }
 
 /** Index of routes by host and longest prefix, and by name. */
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -71,6 +71,8 @@
   readonly expectedServer: string
   /** Request header with the time until the deadline, in milliseconds. */
   readonly deadline: string
+  /** Request header with the name of the caller's tenant. */
+  readonly tenant: string
   /** Parses the value of the `load` header; `null` if it is invalid. */
   readonly readLoad: (value: string) => LoadReport | null
   /** Response header with the server's load; lower case. */
