feat(placement): an object runs at the server that has it, and is the object of one route

Cause: requests took whatever slot was free, and servers were taken to have an object of one route because they had the one of another route with the same value. Ruled out: the size of the cache (learned or fixed at its true value: no change).

--- a/src/entry/remoteShare.ts
+++ b/src/entry/remoteShare.ts
@@ -1,4 +1,5 @@
 /** Remote share of a service, with a limited rate of change, and its assumed initial demand. */
+import { isPlacedRemotely } from '../placement/objectPlacement.js'
 
 /**
  * Largest change of the remote share per second. Operators accept a change of 15% between
@@ -106,6 +107,13 @@
     )
   }
 
+  /** As {@link mustRunRemotely}, for a request for an object. @param position in 0..1 */
+  mustRunObjectRemotely(position: number, nowMs: number): boolean {
+    if (this.#share <= SHARE_TOLERANCE) return false
+    const measured = this.measuredShare(nowMs)
+    return isPlacedRemotely(position, { intended: this.#share, measured })
+  }
+
   recordRequest(isRemote: boolean, nowMs: number): void {
     this.#decay(nowMs)
     this.#firstRequestAtMs ??= nowMs
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -25,6 +25,7 @@
 import type { Tenant } from '../tenants/tenant.js'
 import type { TenantDirectory } from '../tenants/tenantDirectory.js'
 import { allowedRegions, effectivePriority } from '../tenants/tenantPolicy.js'
+import { objectIdentity } from '../placement/objectPlacement.js'
 
 /** Time reserved for the answer to reach the caller. */
 const CALLER_LATENCY_MARGIN_MS = 4
@@ -244,7 +245,7 @@
         {
           service: state.service,
           route: route.name,
-          object: route.prefersRecentServer ? request.object : '',
+          object: route.prefersRecentServer ? objectIdentity(route.name, request.object) : '',
           priority: state.priority,
           targetAtMs: state.targetAtMs,
           deadlineAtMs: state.deadlineAtMs,
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -170,6 +170,11 @@
     return this.#lastUseByObject.keys()
   }
 
+  /** Objects of the latest requests, as a fraction of what the server keeps; at most 1. */
+  get objectFill(): number {
+    return Math.min(1, this.#lastUseByObject.size / this.#objectCache.size)
+  }
+
   /** Whether the server is expected to have the object cached. */
   hasCached(object: string): boolean {
     const reuseDistance = this.reuseDistanceOf(object)
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -7,6 +7,7 @@
  * region request slots from one coordinator, which fills each server up to its slots.
  */
 import { combineHashes, hashText } from '../common/hashing.js'
+import { placementCostMs } from '../placement/objectPlacement.js'
 import type { QueueState, RequestNeed } from './admission.js'
 import { AdmissionKind, LATE_WAIT_FRACTION, admit, retryAfterMs } from './admission.js'
 import { DEFAULT_DURATION_MS, DurationEstimates } from './durationEstimates.js'
@@ -592,10 +593,14 @@
   /** Returns the server with the earliest expected completion, which may be a full one. */
   #selectServer(waiter: Waiter, nowMs: number): ServerState | undefined {
     const isLocalAllowed = this.#isAllowed(waiter, this.#region)
-    const mustRunRemotely = !isLocalAllowed || this.#remoteShare.mustRunRemotely(nowMs)
-    const mayRunRemotely = mustRunRemotely || this.#remoteShare.mayRunRemotely(nowMs)
     const { object } = waiter.request
     const hash = object === '' ? 0 : hashText(object)
+    const mustRunRemotely =
+      !isLocalAllowed ||
+      (object === ''
+        ? this.#remoteShare.mustRunRemotely(nowMs)
+        : this.#remoteShare.mustRunObjectRemotely(hash / 2 ** 32, nowMs))
+    const mayRunRemotely = mustRunRemotely || this.#remoteShare.mayRunRemotely(nowMs)
     const remote = mayRunRemotely ? this.#cheapestServer(waiter, false, hash, nowMs) : undefined
     if (mustRunRemotely && remote !== undefined) return remote.state
     const local = isLocalAllowed ? this.#cheapestServer(waiter, true, hash, nowMs) : undefined
@@ -613,6 +618,7 @@
     let bestMs = Number.POSITIVE_INFINITY
     const { object, route } = waiter.request
     const slotTimeWeight = this.#slotTimeWeight(waiter)
+    const isHeld = this.#isHeld(object, nowMs)
     const instance = instanceOf(waiter.key)
     let durations: UsualDurations | undefined
     for (const state of this.#servers.candidates(object, objectHash, isLocal, nowMs)) {
@@ -621,7 +627,15 @@
       if (state.turnedAwayUntilMs(instance, nowMs) > 0) continue
       if (waiter.request.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
       if (durations?.region !== region) durations = this.#usualDurations(route, region)
-      const costMs = this.#costMs(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
+      const costMs = this.#costMs(
+        waiter,
+        objectHash,
+        isHeld,
+        slotTimeWeight,
+        state,
+        durations,
+        nowMs,
+      )
       if (costMs < bestMs) {
         best = state
         bestMs = costMs
@@ -645,6 +659,7 @@
   #costMs(
     waiter: Waiter,
     objectHash: number,
+    isHeld: boolean,
     slotTimeWeight: number,
     state: ServerState,
     durations: UsualDurations,
@@ -653,17 +668,36 @@
     const { object } = waiter.request
     const { id, zone, slots } = state.server
     const waiterCount = this.#waiterCounts.get(id) ?? 0
-    const usualMs = state.hasCached(object) ? durations.cachedMs : durations.uncachedMs
+    const isHit = object === '' || state.hasCached(object)
+    const usualMs = isHit && object !== '' ? durations.cachedMs : durations.uncachedMs
     const slowdown = state.slowdownAt(nowMs)
     const load = state.running.size / Math.max(1, slots)
     const preference = object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32
     const waitMs = state.waitMs(waiterCount + 1, this.#meanHoldTimeMs(), nowMs)
-    return (
+    const costMs =
       waitMs +
       usualMs * slowdown * slotTimeWeight +
       usualMs * (LOAD_WEIGHT * load + OBJECT_AFFINITY_WEIGHT * preference) +
       (zone === waiter.zone ? 0 : CROSS_ZONE_COST_MS)
-    )
+    // A server with a limit is short of requests rather than of slot time.
+    if (state.limit !== undefined) return costMs
+    return placementCostMs(costMs, {
+      isHit,
+      gainMs: durations.uncachedMs - durations.cachedMs,
+      fill: state.objectFill,
+      isHeld,
+      answerInMs: waitMs + usualMs * slowdown,
+      targetInMs: waiter.targetAtMs - nowMs,
+    })
+  }
+
+  /** Whether a server has the object that takes as many requests as it has slots for. */
+  #isHeld(object: string, nowMs: number): boolean {
+    for (const state of this.#servers.holders.of(object)) {
+      const isUsable = state.server.slots > 0 && !state.isSuspended(nowMs)
+      if (isUsable && state.limit === undefined && state.hasCached(object)) return true
+    }
+    return false
   }
 
   /**
