--- a/src/quotas/regionalTokens.ts
+++ b/src/quotas/regionalTokens.ts
@@ -127,13 +127,13 @@
     const perSecond = 1000 / RATE_TIME_CONSTANT_MS
     state.demand += (count + refusedBefore) * perSecond
     state.granted += granted * perSecond
-    if (granted === count) return { granted, retryAfterMs: 0 }
-    state.refusedAtMs = nowMs
     const rate = this.#expectedRate(state, nowMs)
     state.backlog = Math.min(
       state.backlog + count - granted + refusedBefore,
       (rate * MAX_RETRY_AFTER_MS) / 1000,
     )
+    if (granted === count) return { granted, retryAfterMs: 0 }
+    state.refusedAtMs = nowMs
     const missing = Math.max(1, state.backlog) - (state.tokens % 1)
     const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, (missing * 1000) / rate)
     return { granted, retryAfterMs: Math.ceil(retryAfterMs) }
--- a/src/quotas/tenantQuotas.ts
+++ b/src/quotas/tenantQuotas.ts
@@ -20,8 +20,8 @@
 const ACTIVE_MS = 1000
 /** Time of requests for which a short tenant asks for tokens: interval and delay, in seconds. */
 const STOCK_TARGET_S = 0.3
-/** Tokens that a tenant with few requests asks for. */
-const MIN_STOCK_TARGET = 2
+/** Fraction of its limit below which a tenant's stock is filled up from other regions. */
+const STOCK_TARGET_SHARE = 0.5
 /** Time without a part of others after which a former keeper passes its tokens on, in ms. */
 const HANDOVER_AFTER_MS = 500
 /** Time after which a new keeper can tell whether a limit is reached, in milliseconds. */
@@ -390,9 +390,9 @@
   if (nowMs - askedAtMs > ACTIVE_MS) return 0
   const target = Math.max(
     Math.min(demand, quota.requestsPerSecond) * STOCK_TARGET_S,
-    Math.min(limit, MIN_STOCK_TARGET),
+    limit * STOCK_TARGET_SHARE,
   )
-  const isShort = tokens < target / 2 || nowMs - refusedAtMs < DEMAND_TTL_MS
+  const isShort = tokens < target || nowMs - refusedAtMs < DEMAND_TTL_MS
   return isShort ? Math.max(0, target - tokens) : 0
 }
 
--- a/testing/eventQueue.ts
+++ b/testing/eventQueue.ts
@@ -40,6 +40,17 @@
     }
   }
 
+  /** Runs the events up to a time, also those that are scheduled meanwhile. */
+  runUntil(atMs: number): void {
+    while ((this.#events[0]?.atMs ?? Number.POSITIVE_INFINITY) <= atMs) {
+      const event = this.#takeFirst()
+      if (event === undefined) break
+      this.#nowMs = event.atMs
+      event.run()
+    }
+    this.#nowMs = atMs
+  }
+
   #takeFirst(): ScheduledEvent | undefined {
     const first = this.#events[0]
     const last = this.#events.pop()
