--- a/src/quotas/__tests__/quotaReplay.spec.ts
+++ b/src/quotas/__tests__/quotaReplay.spec.ts
@@ -179,14 +179,13 @@
       network.sent.clear()
       network.runFor(endMs - startMs)
       const [hot, ...others] = [...quotas.keys()].map((tenant) => network.outcomeOf(tenant))
-      const use = useOfQuota(hot as TenantOutcome, LARGE, startMs + 2000, endMs)
+      const use = useOfQuota(hot ?? network.outcomeOf('t1'), LARGE, startMs + 2000, endMs)
       const refused = refusedOf(others)
       print('77 tenants, hot', use)
       print('77 tenants, below the limit', refused)
       print('77 tenants, worst', {
         refused: Math.max(...others.map((other) => refusedOf([other]).refused)),
       })
-      for (const [i, o] of others.entries()) print('T' + i, { n: o.asked.length, ...refusedOf([o]), und: o.undecided.length })
       printMessages('77 tenants', network, 45)
       print('77 tenants, peak', { peak: checkBound(network) })
       expect(use.used).to.be.at.least(0.95)
@@ -194,6 +193,48 @@
     })
   })
 
+  describe('tenants below their limits while a keeper fails', () => {
+    for (const fault of ['kill', 'pause', 'restart'] as const) {
+      it(`guards against long gaps until its successor grants: ${fault}`, () => {
+        const quotas = new Map<string, TenantQuota>()
+        for (const requestsPerSecond of [5, 20, 100, 540]) {
+          quotas.set(`t${requestsPerSecond}`, { requestsPerSecond, burst: requestsPerSecond })
+        }
+        const network = createNetwork(quotas)
+        const endMs = network.nowMs + 20_000
+        const keeper = network.keeper('a').name
+        const names = [...network.instances.keys()].filter((name) => name !== keeper)
+        for (const [tenant, { requestsPerSecond }] of quotas) {
+          network.load(
+            tenant,
+            () => 0.7 * requestsPerSecond,
+            () => pickFrom(network, names),
+            endMs,
+          )
+        }
+        network.runFor(6000)
+        const faultMs = network.nowMs
+        network[fault](keeper)
+        if (fault === 'pause') {
+          network.runFor(5000)
+          network.resume(keeper)
+        }
+        network.runFor(endMs - network.nowMs)
+        for (const tenant of quotas.keys()) {
+          const { asked, overLimit, undecided } = network.outcomeOf(tenant)
+          const figures: Record<string, number> = {}
+          for (const second of [0, 1, 2, 3, 4, 5, 6]) {
+            const fromMs = faultMs + second * 1000
+            const refused = countIn([...overLimit, ...undecided], fromMs, fromMs + 1000)
+            figures[`second ${second}`] = refused / countIn(asked, fromMs, fromMs + 1000)
+          }
+          print(`${fault}, ${tenant}, refused`, figures)
+        }
+        print(`${fault}, peak`, { peak: checkBound(network) })
+      })
+    }
+  })
+
   describe('small tenants at all instances', () => {
     it('guards against fractions of tokens that nobody can use', () => {
       const tenants = Array.from({ length: 20 }, (_, index) => `s${index}`)
@@ -217,7 +258,7 @@
         .slice(10)
         .map((outcome) => useOfQuota(outcome, SMALL, startMs + 2000, endMs))
       print('small tenants, 0.8 of the limit', below)
-      print('small tenants, 9 times the limit', uses[0] as Record<string, number>)
+      print('small tenants, 9 times the limit', uses[0] ?? {})
       print('small tenants, peak', { peak: checkBound(network) })
       expect(below.refused).to.be.at.most(below.byOwner)
       for (const { used } of uses) expect(used).to.be.at.least(0.95)
--- a/src/quotas/quotaAsks.ts
+++ b/src/quotas/quotaAsks.ts
@@ -1,6 +1,11 @@
 /** Requests of this instance that wait for the keeper's decision. */
 import { MAX_COUNT } from './quotaMessageFormat.js'
-import type { QuotaAskMessage, QuotaGrantMessage } from './quotaMessages.js'
+import type {
+  QuotaAskMessage,
+  QuotaDecision,
+  QuotaGrantMessage,
+  QuotaRefusalDetails,
+} from './quotaMessages.js'
 import { QuotaMessageKind, QuotaRefusal } from './quotaMessages.js'
 
 /** Time after which an ask goes to the next keeper, in milliseconds. */
@@ -13,6 +18,10 @@
 const MAX_RETRY_AFTER_MS = 10_000
 /** Time after which a request that was not decided may find a keeper, in milliseconds. */
 const UNDECIDED_RETRY_MS = 500
+/** Time for which requests wait for a keeper that cannot decide yet, in milliseconds. */
+const UNDECIDED_WAIT_MS = 500
+/** Most requests of a tenant that wait for it. */
+const MAX_UNDECIDED = 1000
 /** Keepers to which an ask may be sent at once, if links to them turn out to be closed. */
 const MAX_SENDS = 2
 
@@ -22,11 +31,12 @@
   onRefused(reason: QuotaRefusal, retryAfterMs: number): void
 }
 
-/** Answer of a keeper, without the fields that only messages need. */
-export type QuotaDecision = Pick<
-  QuotaGrantMessage,
-  'granted' | 'reason' | 'retryAfterMs' | 'holdOffMs'
->
+/** Refusal if an answer grants less than was asked for without telling why. */
+const UNEXPLAINED: QuotaRefusalDetails = {
+  reason: QuotaRefusal.Undecided,
+  retryAfterMs: UNDECIDED_RETRY_MS,
+  holdOffMs: MAX_HOLD_OFF_MS,
+}
 
 export interface QuotaAskDependencies {
   readonly selfName: string
@@ -41,6 +51,7 @@
 
 interface WaitingRequest {
   readonly listener: QuotaListener
+  readonly askedAtMs: number
   /** Whether it was already sent to a keeper that did not answer. */
   isMoved: boolean
   /** Set when it is decided or cancelled. */
@@ -63,6 +74,8 @@
   refusedUntilMs: number
   reason: QuotaRefusal
   retryAtMs: number
+  /** Time of the next ask, if the keeper could not decide the last one. */
+  askAgainAtMs: number | undefined
   /** Requests refused without a message since the last ask. */
   refused: number
 }
@@ -81,6 +94,8 @@
   readonly #dependencies: QuotaAskDependencies
   readonly #tenants = new Map<string, TenantAsks>()
   readonly #pending = new Set<TenantAsks>()
+  /** Tenants with requests that the keeper could not decide. */
+  readonly #postponed = new Set<TenantAsks>()
   readonly #refused = { [QuotaRefusal.OverLimit]: 0, [QuotaRefusal.Undecided]: 0 }
   #allowed = 0
   #lastId = 0
@@ -95,20 +110,31 @@
     return { allowed: this.#allowed, refused: { ...this.#refused } }
   }
 
+  /** Number of tenants whose requests wait for a decision. */
   get pendingCount(): number {
-    return this.#pending.size
+    return this.#pending.size + this.#postponed.size
   }
 
   /** Requests a token; the returned function cancels the request. */
   request(tenant: string, listener: QuotaListener, nowMs: number): () => void {
     const asks = this.#asksOf(tenant)
-    const request: WaitingRequest = { listener, isMoved: false, isDone: false }
+    const request: WaitingRequest = {
+      listener,
+      askedAtMs: nowMs,
+      isMoved: false,
+      isDone: false,
+    }
     if (nowMs < asks.refusedUntilMs) {
       this.#refuseLocally(asks, request, nowMs)
       return () => undefined
     }
     asks.waiting.push(request)
-    if (asks.pending === undefined) this.#sendAsk(asks, nowMs)
+    if (asks.askAgainAtMs !== undefined && asks.waiting.length > MAX_UNDECIDED) {
+      asks.waiting.pop()
+      this.#refuse(request, QuotaRefusal.Undecided, UNDECIDED_RETRY_MS)
+    } else if (asks.pending === undefined && asks.askAgainAtMs === undefined) {
+      this.#sendAsk(asks, nowMs)
+    }
     return () => {
       request.isDone = true
     }
@@ -139,8 +165,12 @@
     this.#settle(asks, pending, message, nowMs)
   }
 
-  /** Sends asks that are not answered in time to the next keeper. */
+  /** Sends asks that are not answered in time to the next keeper, and those not decided again. */
   tick(nowMs: number): void {
+    for (const asks of [...this.#postponed]) {
+      if (nowMs < (asks.askAgainAtMs ?? nowMs) || asks.pending !== undefined) continue
+      this.#sendAsk(asks, nowMs)
+    }
     for (const asks of [...this.#pending]) {
       const { pending } = asks
       if (pending === undefined || nowMs - pending.sentAtMs < ANSWER_TIMEOUT_MS) continue
@@ -181,6 +211,7 @@
       refusedUntilMs: Number.NEGATIVE_INFINITY,
       reason: QuotaRefusal.OverLimit,
       retryAtMs: 0,
+      askAgainAtMs: undefined,
       refused: 0,
     }
     this.#tenants.set(tenant, created)
@@ -189,6 +220,8 @@
 
   #sendAsk(asks: TenantAsks, nowMs: number): void {
     const { selfName, decide, send } = this.#dependencies
+    asks.askAgainAtMs = undefined
+    this.#postponed.delete(asks)
     const undecided = asks.waiting.filter(({ isDone }) => !isDone)
     const requests = undecided.slice(0, MAX_COUNT)
     asks.waiting = undecided.slice(MAX_COUNT)
@@ -237,18 +270,21 @@
     }
     asks.waiting = [...again, ...asks.waiting]
     // A listener that was called may have sent the next ask.
-    if (asks.pending === undefined) this.#sendAsk(asks, nowMs)
+    if (asks.pending === undefined && asks.askAgainAtMs === undefined) this.#sendAsk(asks, nowMs)
   }
 
   #settle(asks: TenantAsks, pending: PendingAsk, decision: QuotaDecision, nowMs: number): void {
     const { requests, keeper } = pending
     let left = Math.min(decision.granted, requests.length)
-    const retryAfterMs = Math.min(decision.retryAfterMs, MAX_RETRY_AFTER_MS)
-    if (left < requests.length) {
-      asks.refusedUntilMs = nowMs + Math.min(decision.holdOffMs, MAX_HOLD_OFF_MS)
-      asks.reason = decision.reason
+    const { reason, retryAfterMs: statedMs, holdOffMs } = decision.refusal ?? UNEXPLAINED
+    const retryAfterMs = Math.min(statedMs, MAX_RETRY_AFTER_MS)
+    const isUndecided = reason === QuotaRefusal.Undecided
+    if (left < requests.length && !isUndecided) {
+      asks.refusedUntilMs = nowMs + Math.min(holdOffMs, MAX_HOLD_OFF_MS)
+      asks.reason = reason
       asks.retryAtMs = nowMs + retryAfterMs
     }
+    const again: WaitingRequest[] = []
     for (const request of requests) {
       if (request.isDone) continue
       if (left > 0) {
@@ -256,10 +292,17 @@
         request.isDone = true
         this.#allowed += 1
         request.listener.onAllowed()
-      } else this.#refuse(request, decision.reason, retryAfterMs)
+      } else if (isUndecided && nowMs - request.askedAtMs < UNDECIDED_WAIT_MS) {
+        again.push(request)
+      } else this.#refuse(request, reason, retryAfterMs)
+    }
+    if (again.length > 0) {
+      asks.waiting = [...again, ...asks.waiting]
+      asks.askAgainAtMs = nowMs + Math.min(holdOffMs, MAX_HOLD_OFF_MS)
+      this.#postponed.add(asks)
     }
     if (left > 0) this.#dependencies.giveBack(keeper, asks.tenant, left, nowMs)
-    if (asks.pending !== undefined) return
+    if (asks.pending !== undefined || asks.askAgainAtMs !== undefined) return
     if (nowMs >= asks.refusedUntilMs) {
       this.#sendAsk(asks, nowMs)
       return
--- a/src/quotas/quotaMessageFormat.ts
+++ b/src/quotas/quotaMessageFormat.ts
@@ -26,6 +26,10 @@
     entries.every(([name, check]) => check((value as Readonly<Record<string, unknown>>)[name]))
 }
 
+function isOptional(check: QuotaMessageCheck): QuotaMessageCheck {
+  return (value) => value === undefined || check(value)
+}
+
 function isListOf(...checks: readonly QuotaMessageCheck[]): QuotaMessageCheck {
   return (value) =>
     Array.isArray(value) &&
@@ -50,9 +54,9 @@
       askId: isId,
       tenant: isText,
       granted: isCount,
-      reason: isRefusal,
-      retryAfterMs: isAmount,
-      holdOffMs: isAmount,
+      refusal: isOptional(
+        hasFields({ reason: isRefusal, retryAfterMs: isAmount, holdOffMs: isAmount }),
+      ),
     }),
   ],
   [QuotaMessageKind.Return, hasFields({ tenant: isText, count: isCount })],
--- a/src/quotas/quotaMessages.ts
+++ b/src/quotas/quotaMessages.ts
@@ -40,18 +40,27 @@
   Undecided = 'u',
 }
 
-export interface QuotaGrantMessage {
-  readonly kind: QuotaMessageKind.Grant
-  readonly askId: number
-  readonly tenant: string
-  readonly granted: number
-  /** The following three concern the requests for which no token was granted. */
+/** Concerns the requests of an ask for which no token was granted. */
+export interface QuotaRefusalDetails {
   readonly reason: QuotaRefusal
   readonly retryAfterMs: number
-  /** Time for which the receiver refuses further requests of the tenant by itself. */
+  /** Time for which the receiver refuses further requests of the tenant, or doesn't ask again. */
   readonly holdOffMs: number
 }
 
+/** Answer of a keeper. */
+export interface QuotaDecision {
+  readonly granted: number
+  /** Left out if tokens were granted for all requests. */
+  readonly refusal?: QuotaRefusalDetails
+}
+
+export interface QuotaGrantMessage extends QuotaDecision {
+  readonly kind: QuotaMessageKind.Grant
+  readonly askId: number
+  readonly tenant: string
+}
+
 export interface QuotaReturnMessage {
   readonly kind: QuotaMessageKind.Return
   readonly tenant: string
--- a/src/quotas/regionalTokens.ts
+++ b/src/quotas/regionalTokens.ts
@@ -22,6 +22,8 @@
 const RATE_TIME_CONSTANT_MS = 1000
 /** Longest time that a caller is told to wait, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 10_000
+/** Time after which a new keeper can tell whether a limit is reached, in milliseconds. */
+const CERTAIN_AFTER_MS = 1000
 /** Time without requests after which a tenant's state may be removed, in milliseconds. */
 const IDLE_MS = 2000
 
@@ -60,6 +62,8 @@
   readonly granted: number
   /** For the requests that got no token. */
   readonly retryAfterMs: number
+  /** Whether the limit is reached, as far as is known; a new keeper does not know. */
+  readonly isCertain: boolean
 }
 
 /** Most tokens that a keeper with a share of the time holds; over all keepers about the burst. */
@@ -100,10 +104,6 @@
     return this.#clock.current(nowMs).share
   }
 
-  ageMs(nowMs: number): number {
-    return this.#clock.ageMs(nowMs)
-  }
-
   get tenantCount(): number {
     return this.#states.size
   }
@@ -128,15 +128,15 @@
     state.demand += (count + refusedBefore) * perSecond
     state.granted += granted * perSecond
     const rate = this.#expectedRate(state, nowMs)
-    state.backlog = Math.min(
-      state.backlog + count - granted + refusedBefore,
-      (rate * MAX_RETRY_AFTER_MS) / 1000,
-    )
-    if (granted === count) return { granted, retryAfterMs: 0 }
+    const isCertain = this.#clock.ageMs(nowMs) >= CERTAIN_AFTER_MS && this.share(nowMs) > 0
+    // Requests that are not decided are asked for again.
+    const refused = refusedBefore + (isCertain ? count - granted : 0)
+    state.backlog = Math.min(state.backlog + refused, (rate * MAX_RETRY_AFTER_MS) / 1000)
+    if (granted === count) return { granted, retryAfterMs: 0, isCertain }
     state.refusedAtMs = nowMs
     const missing = Math.max(1, state.backlog) - (state.tokens % 1)
     const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, (missing * 1000) / rate)
-    return { granted, retryAfterMs: Math.ceil(retryAfterMs) }
+    return { granted, retryAfterMs: Math.ceil(retryAfterMs), isCertain }
   }
 
   /** Adds tokens that were granted here or by another keeper of the region and not used. */
--- a/src/quotas/tenantQuotas.ts
+++ b/src/quotas/tenantQuotas.ts
@@ -1,10 +1,10 @@
 /** Limits of tenants for the sum of all entry instances. */
 import type { TenantQuota } from '../tenants/tenant.js'
-import type { QuotaCounts, QuotaDecision, QuotaListener } from './quotaAsks.js'
+import type { QuotaCounts, QuotaListener } from './quotaAsks.js'
 import { QuotaAsks } from './quotaAsks.js'
 import { tokensToMove } from './quotaDivision.js'
 import { MAX_COUNT } from './quotaMessageFormat.js'
-import type { QuotaMessage, TenantDemand, TenantTokens } from './quotaMessages.js'
+import type { QuotaDecision, QuotaMessage, TenantDemand, TenantTokens } from './quotaMessages.js'
 import { QuotaMessageKind, QuotaRefusal } from './quotaMessages.js'
 import { PAUSE_MS, QuotaPart } from './quotaPart.js'
 import type { TenantTokenState } from './regionalTokens.js'
@@ -24,8 +24,6 @@
 const STOCK_TARGET_SHARE = 0.5
 /** Time without a part of others after which a former keeper passes its tokens on, in ms. */
 const HANDOVER_AFTER_MS = 500
-/** Time after which a new keeper can tell whether a limit is reached, in milliseconds. */
-const CERTAIN_AFTER_MS = 1000
 /** Longest time for which instances refuse further requests of a tenant by themselves, in ms. */
 const MAX_HOLD_OFF_MS = 100
 const HOUSEKEEPING_INTERVAL_MS = 1000
@@ -175,6 +173,11 @@
     }
   }
 
+  /** Whether requests wait for a decision, so that ticks are due every 25 ms. */
+  get hasWaiters(): boolean {
+    return this.#asks.pendingCount > 0
+  }
+
   stats(nowMs: number): QuotaStats {
     const states: TenantTokenState[] = []
     for (const tenant of [...this.#tokens.tenants]) {
@@ -246,16 +249,14 @@
       // Another version of the configuration than that of the instance that asks.
       const retryAfterMs = MAX_HOLD_OFF_MS
       const reason = QuotaRefusal.Undecided
-      return { granted: 0, reason, retryAfterMs, holdOffMs: MAX_HOLD_OFF_MS }
-    }
-    const { granted, retryAfterMs } = this.#tokens.take(tenant, quota, count, refused, nowMs)
-    const isCertain = this.#tokens.ageMs(nowMs) >= CERTAIN_AFTER_MS && this.#tokens.share(nowMs) > 0
-    return {
-      granted,
-      reason: isCertain ? QuotaRefusal.OverLimit : QuotaRefusal.Undecided,
-      retryAfterMs,
-      holdOffMs: Math.min(retryAfterMs, MAX_HOLD_OFF_MS),
+      return { granted: 0, refusal: { reason, retryAfterMs, holdOffMs: MAX_HOLD_OFF_MS } }
     }
+    const decision = this.#tokens.take(tenant, quota, count, refused, nowMs)
+    const { granted, retryAfterMs, isCertain } = decision
+    if (granted === count) return { granted }
+    const reason = isCertain ? QuotaRefusal.OverLimit : QuotaRefusal.Undecided
+    const holdOffMs = Math.min(retryAfterMs, MAX_HOLD_OFF_MS)
+    return { granted, refusal: { reason, retryAfterMs, holdOffMs } }
   }
 
   #keep(tenant: string, tokens: number, nowMs: number): void {
