feat(quotas): requests wait up to 700 ms for a new keeper

A new keeper is certain that a limit is reached after 2 s, and at most 200 requests of a tenant wait at an instance.

--- a/src/quotas/__tests__/quotaReplay.spec.ts
+++ b/src/quotas/__tests__/quotaReplay.spec.ts
@@ -200,8 +200,10 @@
     for (const fault of ['kill', 'pause', 'restart'] as const) {
       it(`guards against long gaps until its successor grants: ${fault}`, () => {
         const quotas = new Map<string, TenantQuota>()
-        for (const requestsPerSecond of [5, 20, 100, 540]) {
-          quotas.set(`t${requestsPerSecond}`, { requestsPerSecond, burst: requestsPerSecond })
+        const countByRate = { 5: 30, 20: 10, 100: 2, 540: 1 }
+        for (const [rate, count] of Object.entries(countByRate)) {
+          const quota = { requestsPerSecond: Number(rate), burst: Number(rate) }
+          for (let copy = 0; copy < count; copy += 1) quotas.set(`t${rate}-${copy}`, quota)
         }
         const network = createNetwork(quotas)
         const endMs = network.nowMs + 20_000
@@ -223,15 +225,25 @@
           network.resume(keeper)
         }
         network.runFor(endMs - network.nowMs)
-        for (const tenant of quotas.keys()) {
-          const { asked, overLimit, undecided } = network.outcomeOf(tenant)
-          const figures: Record<string, number> = {}
-          for (const second of [0, 1, 2, 3, 4, 5, 6]) {
-            const fromMs = faultMs + second * 1000
-            const refused = countIn([...overLimit, ...undecided], fromMs, fromMs + 1000)
-            figures[`second ${second}`] = refused / countIn(asked, fromMs, fromMs + 1000)
+        for (const rate of Object.keys(countByRate)) {
+          const outcomes = [...quotas.keys()]
+            .filter((tenant) => tenant.startsWith(`t${rate}-`))
+            .map((tenant) => network.outcomeOf(tenant))
+          const refusedIn = (fromMs: number, toMs: number): number => {
+            const refused = outcomes.flatMap(({ overLimit, undecided }) => [
+              ...overLimit,
+              ...undecided,
+            ])
+            const asked = outcomes.flatMap((outcome) => outcome.asked)
+            return countIn(refused, fromMs, toMs) / countIn(asked, fromMs, toMs)
           }
-          print(`${fault}, ${tenant}, refused`, figures)
+          const figures = {
+            before: refusedIn(faultMs - 5000, faultMs),
+            twoSeconds: refusedIn(faultMs, faultMs + 2000),
+            after: refusedIn(faultMs + 2000, endMs),
+          }
+          print(`${fault}, ${rate} a second`, figures)
+          expect(figures.twoSeconds).to.be.at.most(0.06)
         }
         print(`${fault}, peak`, { peak: checkBound(network) })
       })
--- a/src/quotas/quotaAsks.ts
+++ b/src/quotas/quotaAsks.ts
@@ -19,9 +19,9 @@
 /** Time after which a request that was not decided may find a keeper, in milliseconds. */
 const UNDECIDED_RETRY_MS = 500
 /** Time for which requests wait for a keeper that cannot decide yet, in milliseconds. */
-const UNDECIDED_WAIT_MS = 500
+const UNDECIDED_WAIT_MS = 700
 /** Most requests of a tenant that wait for it. */
-const MAX_UNDECIDED = 1000
+const MAX_UNDECIDED = 200
 /** Keepers to which an ask may be sent at once, if links to them turn out to be closed. */
 const MAX_SENDS = 2
 
--- a/src/quotas/regionalTokens.ts
+++ b/src/quotas/regionalTokens.ts
@@ -23,7 +23,7 @@
 /** Longest time that a caller is told to wait, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 10_000
 /** Time after which a new keeper can tell whether a limit is reached, in milliseconds. */
-const CERTAIN_AFTER_MS = 1000
+const CERTAIN_AFTER_MS = 2000
 /** Time without requests after which a tenant's state may be removed, in milliseconds. */
 const IDLE_MS = 2000
 
