--- a/src/quotas/tenantQuotas.ts
+++ b/src/quotas/tenantQuotas.ts
@@ -117,8 +117,8 @@
   }
 
   /**
-   * Requests a token for a request of a tenant. The returned function cancels a request that is not
-   * decided; a token that comes later is given back.
+   * Requests a token for a request of a tenant. The listener may be called before this returns. The
+   * returned function cancels a request that is not decided; a token that comes later is given back.
    */
   request(tenant: string, listener: QuotaListener, nowMs: number): () => void {
     if (this.#dependencies.quotaOf(tenant) === undefined) {
