feat(quotas): requests of limited tenants take a token before a slot

Cause: quotas were not in force. Change: the runner asks TenantQuotas before it asks for a slot, and gives the token back if nothing was sent; messages go over the links of peers; the keeper of a region is chosen as coordinators are. Deployments without quotas send no message and take no further step.

--- a/src/entry/__tests__/peerMesh.spec.ts
+++ b/src/entry/__tests__/peerMesh.spec.ts
@@ -5,6 +5,7 @@
 import { noopLog } from '../entryLog.js'
 import { InstanceTable } from '../instanceTable.js'
 import { PeerMesh } from '../peerMesh.js'
+import type { PeerMessage } from '../peerMessages.js'
 import { PeerMessageKind } from '../peerMessages.js'
 import { testInstance } from './testInstance.js'
 
@@ -19,7 +20,7 @@
 interface MeshNode {
   readonly mesh: PeerMesh
   readonly table: InstanceTable
-  readonly received: PeerMessageKind[]
+  readonly received: PeerMessage['kind'][]
   readonly lost: string[]
   readonly address: string
 }
@@ -36,7 +37,7 @@
     peerAddress: address,
     capacity: 1,
   })
-  const received: PeerMessageKind[] = []
+  const received: PeerMessage['kind'][] = []
   const lost: string[] = []
   const mesh = new PeerMesh({
     table,
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -15,7 +15,7 @@
 import type { EntryLog } from './entryLog.js'
 import { EntryMetrics } from './entryMetrics.js'
 import type { InstanceRecord } from './instanceRecord.js'
-import { InstanceTable, storeReaderOrder } from './instanceTable.js'
+import { InstanceTable, coordinatorOrder, storeReaderOrder } from './instanceTable.js'
 import type { HelloMessage, PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
 import { handlePeerMessage } from './peerMessageHandlers.js'
@@ -31,6 +31,8 @@
 import { ServerBeliefs } from './serverBeliefs.js'
 import { SharedRetryBudget } from './sharedRetryBudget.js'
 import { SlotClient } from './slotClient.js'
+import { QuotaRefusal } from '../quotas/quotaMessages.js'
+import { TenantQuotas } from '../quotas/tenantQuotas.js'
 import type { SimpleAnswer } from './simpleAnswer.js'
 import { startSimpleServer } from './simpleHttpServer.js'
 import { StoreCatchUp } from './storeCatchUp.js'
@@ -62,6 +64,9 @@
  */
 const OLDER_ITEM_REWRITE_MS = 10_000
 
+/** Name by which the keepers of quotas are chosen, as coordinators are by the name of a service. */
+const QUOTA_KEEPER = 'tenant quotas'
+
 /** Timeout of the last store call; shorter than the rest of the grace period. */
 const LAST_STORE_CALL_TIMEOUT_MS = 150
 
@@ -86,6 +91,7 @@
   readonly #mesh: PeerMesh
   readonly #coordination: Coordination
   readonly #slots: SlotClient
+  readonly #quotas: TenantQuotas
   readonly #beliefs: ServerBeliefs
   readonly #pool: ConnectionPool
   readonly #bodyBudget: ByteBudget
@@ -159,6 +165,7 @@
         linkLost: (peer, loss) => {
           this.#coordination.handlePeerLoss(peer, loss, clock())
           this.#slots.handlePeerLoss(peer)
+          this.#quotas.handlePeerLoss(peer, clock())
           this.#catchUp.removePeer(peer)
         },
       },
@@ -174,6 +181,19 @@
       targetLatencyMs: (route) => this.#routing.targetLatencyMs(route),
     })
     this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
+    this.#quotas = new TenantQuotas(
+      {
+        selfName: settings.record.name,
+        region: settings.record.region,
+        regions: () => [...new Set(settings.regionOfZone.values())],
+        keeperOf: (region, nowMs, excluded) => this.#quotaKeeperOf(region, nowMs, excluded),
+        instanceCount: () => this.#table.countForBudgets(),
+        hasQuotas: () => this.#routing.current?.tenants?.hasQuotas === true,
+        quotaOf: (tenant) => this.#routing.current?.tenants?.findByName(tenant)?.quota,
+        send: (peer, message) => this.#mesh.send(peer, message),
+      },
+      clock(),
+    )
     this.#pool = new ConnectionPool(platform.serverHeaders, clock, this.#answerBudget)
     this.#bodyBudget = new ByteBudget(settings.requestBodyBytes)
     this.#metrics = new EntryMetrics(() => ({
@@ -210,6 +230,7 @@
       budget: new SharedRetryBudget(settings.retryBounds),
       headers: platform.serverHeaders,
       credentials: platform.credentialHeaders,
+      quotas: this.#quotas,
       storeAgeMs: () => Math.round(this.#contact.ageMs(clock())),
       regionOfZone: (zone) => settings.regionOfZone.get(zone),
     })
@@ -293,8 +314,10 @@
     const nowMs = this.#clock()
     this.#checkPause(nowMs)
     this.#coordination.tick(nowMs)
+    this.#quotas.tick(nowMs)
     this.#requestMissingChanges(nowMs)
-    const intervalMs = this.#coordination.hasWaiters ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS
+    const hasWaiters = this.#coordination.hasWaiters || this.#quotas.hasWaiters
+    const intervalMs = hasWaiters ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS
     this.#eventLoopDelay.expectTick(nowMs + intervalMs)
     this.#tickTimer = setTimeout(() => {
       this.#eventLoopDelay.recordTick(this.#clock())
@@ -361,6 +384,16 @@
     return this.#callers.openRequests > 0 || this.#callers.deliveringConnections(nowMs) > 0
   }
 
+  /** Instance that gives out the quotas of tenants in a region; this one if it reaches no other. */
+  #quotaKeeperOf(region: string, nowMs: number, excluded?: string): string | undefined {
+    const { self } = this.#table
+    const order = coordinatorOrder(QUOTA_KEEPER, this.#table.liveInstances(region, nowMs))
+    const candidates = order.filter(({ name }) => name !== excluded)
+    if (region !== self.region) return candidates[0]?.name
+    const reached = candidates.find(({ name }) => name === self.name || this.#mesh.isUp(name))
+    return reached?.name ?? self.name
+  }
+
   /** Position of this instance in its region's order of store readers, from 0. */
   #storeReaderPosition(): number {
     const { region, name } = this.#settings.record
@@ -439,6 +472,7 @@
         mirror: this.#mirror,
         catchUp: this.#catchUp,
         beliefs: this.#beliefs,
+        quotas: this.#quotas,
         sendChanges: (to, since) => {
           this.#sendChanges(to, since)
         },
@@ -559,6 +593,7 @@
     this.#beliefs.expire(nowMs)
     this.#registry.expireLeavingMarks(nowMs)
     this.#logEventLoop(nowMs)
+    this.#logQuotas(nowMs)
     for (const stats of this.#coordination.stats(nowMs)) {
       if (stats.arrivalsPerSecond < 0.5) continue
       this.#log.event('coordinating', {
@@ -570,6 +605,23 @@
     }
   }
 
+  /** Only a keeper has the state of tenants. */
+  #logQuotas(nowMs: number): void {
+    const { share, largest, refused, ...counts } = this.#quotas.stats(nowMs)
+    if (counts.keptTenants === 0 || share === 0) return
+    this.#log.event('quotas', {
+      ...counts,
+      overLimit: refused[QuotaRefusal.OverLimit],
+      undecided: refused[QuotaRefusal.Undecided],
+      share: Math.round(share * 1000) / 1000,
+      largest: largest.map(
+        ({ tenant, demand, granted, tokens, limit }) =>
+          `${tenant}: ${Math.round(granted)}/s of ${Math.round(demand)}/s, ` +
+          `${Math.round(tokens)} of ${Math.round(limit)} tokens`,
+      ),
+    })
+  }
+
   #logEventLoop(nowMs: number): void {
     const { turns, turnMs, utilization, accepted } = this.#eventLoopActivity.measure(
       readEventLoopCounters(),
--- a/src/entry/peerMessageFormat.ts
+++ b/src/entry/peerMessageFormat.ts
@@ -2,6 +2,7 @@
  * Checks that lines of peers are messages. Fields of a wrong type would otherwise fail later, when
  * they are used, and not with the link on which they arrived.
  */
+import { QUOTA_MESSAGE_CHECKS } from '../quotas/quotaMessageFormat.js'
 import type { PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
 
@@ -58,7 +59,8 @@
 })
 const isStoreItem = hasFields({ key: isText, revision: isNumber, value: isOptional(isText) })
 
-const CHECK_BY_KIND: ReadonlyMap<string, Check> = new Map<PeerMessageKind, Check>([
+const CHECK_BY_KIND: ReadonlyMap<string, Check> = new Map<string, Check>([
+  ...QUOTA_MESSAGE_CHECKS,
   // The record and the instances that come along are checked one by one where they are read.
   [
     PeerMessageKind.Hello,
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -2,6 +2,9 @@
 import type { Coordination } from './coordination.js'
 import type { EntryLog } from './entryLog.js'
 import type { InstanceTable } from './instanceTable.js'
+import type { QuotaMessage } from '../quotas/quotaMessages.js'
+import { QuotaMessageKind } from '../quotas/quotaMessages.js'
+import type { TenantQuotas } from '../quotas/tenantQuotas.js'
 import type { PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
 import type { ServerBeliefs } from './serverBeliefs.js'
@@ -24,17 +27,22 @@
   readonly mirror: StoreMirror
   readonly catchUp: StoreCatchUp
   readonly beliefs: ServerBeliefs
+  readonly quotas: TenantQuotas
   /** Sends a peer the changes of the store after a revision. */
   readonly sendChanges: (peer: string, since: number) => void
 }
 
 type Handlers = {
-  readonly [Kind in PeerMessageKind]: (
+  readonly [Kind in PeerMessageKind | QuotaMessageKind]: (
     context: PeerMessageContext,
     message: Extract<PeerMessage, { kind: Kind }>,
   ) => void
 }
 
+function handleQuotaMessage(context: PeerMessageContext, message: QuotaMessage): void {
+  context.quotas.handleMessage(context.peer, message, context.nowMs)
+}
+
 const HANDLER_BY_KIND: Handlers = {
   [PeerMessageKind.Hello]: () => undefined,
   [PeerMessageKind.Heartbeat]: (context, { storeAgeMs, latestChange = 0 }) => {
@@ -98,6 +106,12 @@
   [PeerMessageKind.ServersLeaving]: ({ beliefs, peer, nowMs }, { servers }) => {
     beliefs.acceptLeaving(servers, peer, nowMs)
   },
+  [QuotaMessageKind.Part]: handleQuotaMessage,
+  [QuotaMessageKind.Ask]: handleQuotaMessage,
+  [QuotaMessageKind.Grant]: handleQuotaMessage,
+  [QuotaMessageKind.Return]: handleQuotaMessage,
+  [QuotaMessageKind.Demand]: handleQuotaMessage,
+  [QuotaMessageKind.Tokens]: handleQuotaMessage,
 }
 
 /** Calls the handler for the message's kind; kinds of a later release are ignored. */
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -1,4 +1,5 @@
 /** Messages between entry instances, sent as one JSON object per line. */
+import type { QuotaMessage } from '../quotas/quotaMessages.js'
 import type { InstanceRecord } from './instanceRecord.js'
 import type { LoadReport } from './loadReport.js'
 import type { LeavingServer } from './serverBeliefs.js'
@@ -252,3 +253,4 @@
   | LendSlotsMessage
   | StatedLimitsMessage
   | ServersLeavingMessage
+  | QuotaMessage
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -25,6 +25,8 @@
 import type { Tenant } from '../tenants/tenant.js'
 import type { TenantDirectory } from '../tenants/tenantDirectory.js'
 import { allowedRegions, effectivePriority } from '../tenants/tenantPolicy.js'
+import { QuotaRefusal } from '../quotas/quotaMessages.js'
+import type { TenantQuotas } from '../quotas/tenantQuotas.js'
 import { objectIdentity } from '../placement/objectPlacement.js'
 
 /** Time reserved for the answer to reach the caller. */
@@ -51,6 +53,7 @@
   readonly budget: SharedRetryBudget
   readonly headers: ServerHeaders
   readonly credentials: CredentialHeaders
+  readonly quotas: Pick<TenantQuotas, 'request' | 'giveBack'>
   readonly regionOfZone: (zone: string) => string | undefined
   /** Time since the last contact of this instance or a peer with the store, in milliseconds. */
   readonly storeAgeMs: () => number
@@ -78,6 +81,17 @@
   mayHaveRun: boolean
 }
 
+/** Why a request got no token of its tenant's quota. */
+interface TokenRefusal {
+  readonly kind: FailureKind
+  readonly retryAfterMs: number
+}
+
+const FAILURE_BY_QUOTA_REFUSAL: Readonly<Record<QuotaRefusal, FailureKind>> = {
+  [QuotaRefusal.OverLimit]: FailureKind.OverQuota,
+  [QuotaRefusal.Undecided]: FailureKind.QuotaUndecided,
+}
+
 type SlotResult =
   | { readonly grant: SlotGrant }
   | { readonly reason: string; readonly retryAfterMs: number; readonly coordinator: string }
@@ -130,12 +144,20 @@
     if (shutdown?.mayAccept(state.deadlineAtMs, request.arrivedAtMs) === false) {
       return this.#fail(request, state, FailureKind.Leaving, LEAVING_RETRY_AFTER_MS)
     }
+    const decision = this.#acquireToken(state)
+    const refusal = decision === undefined ? undefined : await decision
+    if (refusal !== undefined) {
+      return this.#fail(request, state, refusal.kind, refusal.retryAfterMs)
+    }
     this.#dependencies.budget.recordRequest(
       state.service,
       this.#dependencies.table.countForBudgets(),
       request.arrivedAtMs,
     )
     const answer = await this.#serve(state)
+    if (tenant !== undefined && state.sendCount === 0) {
+      this.#dependencies.quotas.giveBack(tenant.name, clock())
+    }
     metrics.answered(route.name, answer.status, clock() - request.arrivedAtMs)
     return answer
   }
@@ -174,6 +196,48 @@
     }
   }
 
+  /** Takes a token of the tenant's quota; returns why the request is refused if there is none. */
+  #acquireToken({
+    tenant,
+    request,
+    deadlineAtMs,
+  }: RequestState): Promise<TokenRefusal | undefined> | undefined {
+    if (tenant?.quota === undefined) return undefined
+    const { quotas, clock } = this.#dependencies
+    return new Promise((resolve) => {
+      const nowMs = clock()
+      let cancelRequest: () => void = () => undefined
+      const giveUp = (kind: FailureKind): void => {
+        cancelRequest()
+        finish({ kind, retryAfterMs: 0 })
+      }
+      const onAbort = (): void => {
+        giveUp(FailureKind.Abandoned)
+      }
+      const timer = setTimeout(
+        () => {
+          giveUp(FailureKind.QuotaUndecided)
+        },
+        Math.max(0, deadlineAtMs - nowMs - MIN_TIME_TO_SEND_MS),
+      )
+      const finish = (result: TokenRefusal | undefined): void => {
+        clearTimeout(timer)
+        request.signal.removeEventListener('abort', onAbort)
+        resolve(result)
+      }
+      request.signal.addEventListener('abort', onAbort, { once: true })
+      const listener = {
+        onAllowed: () => {
+          finish(undefined)
+        },
+        onRefused: (reason: QuotaRefusal, retryAfterMs: number) => {
+          finish({ kind: FAILURE_BY_QUOTA_REFUSAL[reason], retryAfterMs })
+        },
+      }
+      cancelRequest = quotas.request(tenant.name, listener, nowMs)
+    })
+  }
+
   async #serve(state: RequestState): Promise<CallerAnswer> {
     const { clock } = this.#dependencies
     let uncertainOutcome: SendOutcome | undefined
--- a/src/tenants/tenantDirectory.ts
+++ b/src/tenants/tenantDirectory.ts
@@ -5,9 +5,12 @@
 export class TenantDirectory {
   readonly #byKey = new Map<string, Tenant>()
   readonly #byName = new Map<string, Tenant>()
+  /** Whether any tenant has a limit. */
+  readonly hasQuotas: boolean
 
   /** @param tenants no two of them share a name or a key */
   constructor(tenants: readonly Tenant[]) {
+    this.hasQuotas = tenants.some(({ quota }) => quota !== undefined)
     for (const tenant of tenants) {
       this.#byName.set(tenant.name, tenant)
       for (const key of tenant.keys) this.#byKey.set(key, tenant)
