fix(entry): status lines with more than three digits are no answers

Cause: the parser's library matches three digits and takes the rest of the line for the text, so that "4210" and "503x" with the not-run header counted as "not run". Interim answers that state a length were waited for until the deadline. The store's client took 000 for an answer, and endLease for success. Change: three digits and a space or the end of the line; a length in an interim answer is broken at once; clients of the store and of the gateway's servers take only 200 to 599 in HTTP/1; CallerServer writes only these. After: 14 passed. The test that a safe request is sent to another server passed before, too (one run).

--- a/src/common/exchange.ts
+++ b/src/common/exchange.ts
@@ -66,3 +66,11 @@
   }
   return pairs
 }
+
+/** Whether a status can end an exchange; Node.js reads and writes any three digits. */
+export function isFinalStatus(status: number | undefined): status is number {
+  return status !== undefined && status >= MIN_FINAL_STATUS && status <= MAX_STATUS
+}
+
+export const MIN_FINAL_STATUS = 200
+export const MAX_STATUS = 599
--- a/src/common/httpExchange.ts
+++ b/src/common/httpExchange.ts
@@ -4,7 +4,13 @@
 import type { Socket } from 'node:net'
 import type { Clock } from './clock.js'
 import type { ExchangeResult, HeaderPair } from './exchange.js'
-import { ExchangeFailureReason, ExchangeKind, findHeader, toHeaderPairs } from './exchange.js'
+import {
+  ExchangeFailureReason,
+  ExchangeKind,
+  findHeader,
+  isFinalStatus,
+  toHeaderPairs,
+} from './exchange.js'
 import { parseHostAndPort } from './listen.js'
 
 /** Options of {@link HttpExchangeClient}. */
@@ -113,7 +119,9 @@
       this.#fail(toFailureReason(error))
     })
     request.once('response', (response) => {
-      this.#read(response)
+      const isAnswer = response.httpVersionMajor === 1 && isFinalStatus(response.statusCode)
+      if (isAnswer) this.#read(response)
+      else this.#fail(ExchangeFailureReason.Malformed)
     })
     request.end(call.body)
   }
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -5,7 +5,7 @@
 import type { ByteBudget, ByteReservation } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
-import { CONNECTION_HEADERS, findHeader, toHeaderPairs } from '../common/exchange.js'
+import { CONNECTION_HEADERS, findHeader, isFinalStatus, toHeaderPairs } from '../common/exchange.js'
 import { listen } from '../common/listen.js'
 import { BodyRejection, readCallerBody, reserveBody } from './callerBody.js'
 import { CallerConnection } from './callerConnection.js'
@@ -310,6 +310,8 @@
   #write(socket: Socket, response: ServerResponse, original: CallerAnswer, close: boolean): void {
     const connection = this.#connections.get(socket)
     if (connection === undefined || response.headersSent || response.destroyed) return
+    // After a status below 200 the caller would wait for another answer.
+    if (!isFinalStatus(original.status)) throw new RangeError('invalid status')
     // Closing the connection would cut off other requests that were already read from it.
     const isLast = connection.openRequests <= 1
     // A body that may be truncated must not get a Content-Length that makes it look complete.
--- a/src/entry/responseParser.ts
+++ b/src/entry/responseParser.ts
@@ -1,7 +1,7 @@
 /** Parser of HTTP/1.1 answers that rejects heads and lengths which HTTP does not allow. */
 import { HTTPParser } from 'http-parser-js'
 import type { HeaderPair } from '../common/exchange.js'
-import { findHeader } from '../common/exchange.js'
+import { MAX_STATUS, MIN_FINAL_STATUS, findHeader } from '../common/exchange.js'
 
 export type ResponseParser = InstanceType<typeof HTTPParser>
 
@@ -19,7 +19,7 @@
   line: string
   chunk: Buffer
   trailers: string[]
-  info: { versionMajor: number; statusCode: number; statusMessage: string }
+  info: { versionMajor: number; versionMinor: number; statusCode: number; statusMessage: string }
   state: string
   offset: number
   end: number
@@ -37,9 +37,12 @@
 const CONTINUATION_LINE = /^[ \t]/
 /** Bytes of a header value or a status text: no control characters other than tabs. */
 const FIELD_TEXT = /^[\t\x20-\x7e\x80-\xff]*$/
+/** The library takes the first three digits of `4210` or `503x` for the status. */
+const STATUS_LINE = /^HTTP\/1\.(\d) (\d{3})(?: (.*))?$/
 const MIN_STATUS = 100
-const MAX_STATUS = 599
 const SWITCHING_PROTOCOLS = 101
+/** Other statuses without a body than those of interim answers. */
+const STATUSES_WITHOUT_BODY = new Set([204, 304])
 /** Longer sizes are read by the slower way. */
 const MAX_PLAIN_SIZE_DIGITS = 7
 const CARRIAGE_RETURN = 0x0d
@@ -56,8 +59,7 @@
 export function createResponseParser(): ResponseParser {
   const parser = new HTTPParser('RESPONSE')
   const states = parser as unknown as ParserStates
-  const { parseHeader, RESPONSE_LINE: readStatusLine } = states
-  const { BODY_CHUNKEMPTYLINE: readChunkEnd } = states
+  const { parseHeader, BODY_CHUNKEMPTYLINE: readChunkEnd } = states
   states.BODY_CHUNKHEAD = () => {
     const size = readPlainChunkSize(states) ?? readChunkSize(states)
     if (size === undefined) return
@@ -84,8 +86,9 @@
     states.state = 'BODY_CHUNKHEAD'
   }
   states.RESPONSE_LINE = () => {
-    readStatusLine.call(parser)
-    if (states.state === 'HEADER') checkStatusLine(states.info)
+    const line = states.consumeLine()
+    // Empty lines before an answer are allowed.
+    if (line !== undefined && line !== '') readStatusLine(states, line)
   }
   states.parseHeader = (line, headers) => {
     const isTrailer = headers === states.trailers
@@ -133,13 +136,22 @@
 }
 
 /** Throws if the version or the status is none, or if the text holds a control character. */
-function checkStatusLine(info: ParserStates['info']): void {
-  const { versionMajor, statusCode, statusMessage } = info
-  if (versionMajor !== 1) throw new Error('unknown version of HTTP')
+function readStatusLine(states: ParserStates, line: string): void {
+  const [, versionMinor, status, statusMessage = ''] = STATUS_LINE.exec(line) ?? []
+  if (versionMinor === undefined) throw new Error('invalid status line')
+  const statusCode = Number(status)
   if (statusCode < MIN_STATUS || statusCode > MAX_STATUS) throw new Error('invalid status')
   // No request asks for another protocol.
   if (statusCode === SWITCHING_PROTOCOLS) throw new Error('unexpected switch of protocols')
   if (!FIELD_TEXT.test(statusMessage)) throw new Error('invalid character in status text')
+  const { info } = states
+  info.versionMajor = 1
+  info.versionMinor = Number(versionMinor)
+  info.statusCode = statusCode
+  info.statusMessage = statusMessage
+  const hasNoBody = statusCode < MIN_FINAL_STATUS || STATUSES_WITHOUT_BODY.has(statusCode)
+  if (hasNoBody) states.body_bytes = 0
+  states.state = 'HEADER'
 }
 
 function checkHeaderLine(line: string, hasPrevious: boolean): void {
@@ -161,3 +173,10 @@
   const lengths = headers.filter(([name]) => name.toLowerCase() === 'content-length')
   return lengths.every(([, value]) => /^\d{1,15}$/.test(value)) && lengths.length <= 1
 }
+
+/** Whether the head states how long the body is. */
+export function statesBody(headers: readonly HeaderPair[]): boolean {
+  return FRAMING_HEADERS.some((name) => findHeader(headers, name) !== undefined)
+}
+
+const FRAMING_HEADERS = ['content-length', 'transfer-encoding']
--- a/src/entry/responseReader.ts
+++ b/src/entry/responseReader.ts
@@ -4,7 +4,7 @@
 import type { HeaderPair } from '../common/exchange.js'
 import { findHeader, toHeaderPairs } from '../common/exchange.js'
 import { GrowableBuffer } from '../common/growableBuffer.js'
-import { bytesLeft, createResponseParser, hasValidFraming } from './responseParser.js'
+import { bytesLeft, createResponseParser, hasValidFraming, statesBody } from './responseParser.js'
 import type { ServerAnswer } from './serverExchange.js'
 
 /** Answers are buffered in memory; larger ones are rejected. */
@@ -179,6 +179,8 @@
     const isInterim = info.statusCode < 200
     if (isInterim) this.#interimAnswers += 1
     if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#fail('too many interim answers')
+    // The body would be waited for, or swallow the start of the answer.
+    if (isInterim && statesBody(this.#headers)) this.#fail('interim answer with a body')
     this.#origin = isInterim ? AnswerOrigin.Other : this.#originOf(this.#headers, info.statusCode)
     if (this.#origin === AnswerOrigin.Unknown) this.#fail('answer without a request identifier')
     if (!hasValidFraming(this.#headers)) this.#fail('length of the body is invalid')
--- a/src/platform/httpJsonClient.ts
+++ b/src/platform/httpJsonClient.ts
@@ -4,6 +4,7 @@
 import wreck from '@hapi/wreck'
 import { ByteBudget } from '../common/byteBudget.js'
 import { messageOf } from '../common/errors.js'
+import { isFinalStatus } from '../common/exchange.js'
 import { GrowableBuffer } from '../common/growableBuffer.js'
 
 /** Whether a call without a usable answer may have been executed. */
@@ -83,6 +84,7 @@
     signal?.addEventListener('abort', abort, { once: true })
     try {
       const response = await pending
+      checkHead(response)
       const remainingMs = Math.max(1, options.timeoutMs - (performance.now() - startedAtMs))
       const body = await readBody(response, remainingMs)
       const status = response.statusCode ?? 0
@@ -100,6 +102,14 @@
   }
 }
 
+/** Throws if the status or the version is none; Node.js also accepts the versions 0.9 and 2.0. */
+function checkHead({ httpVersionMajor, statusCode, socket }: IncomingMessage): void {
+  if (httpVersionMajor === 1 && isFinalStatus(statusCode)) return
+  // Nothing that follows on the connection can be trusted.
+  socket.destroy()
+  throw new Error(`invalid answer: HTTP version ${httpVersionMajor}, status ${String(statusCode)}`)
+}
+
 /** Reads the body into one block; a list of its chunks could take many times its size. */
 async function readBody(response: IncomingMessage, timeoutMs: number): Promise<Buffer> {
   const reservation = new ByteBudget(MAX_ANSWER_BYTES).open()
