feat(cli): tamarackdrift check FILE, a check of a configuration before it is sent

Cause: an operator learned of a mistake only after the version was sent, and only of the first one; entries that no request can match, and values that contradict, were never told. Change: the decoder of the entry instances collects all problems with their rows; the check reports these, and what it finds in the decoded configuration (src/configurationCheck, without input and output). Keys appear as fingerprints. The messages of the JSON parser, which quote the text, no longer reach the log of an instance: before, it logged "...""s3cret", oops]]]}}" is not valid JSON". Two types in operatorProgram.spec.ts are number in place of ExitCode, because the exit codes of this command are others; what is compared is unchanged.

--- a/src/cli/__tests__/operatorProgram.spec.ts
+++ b/src/cli/__tests__/operatorProgram.spec.ts
@@ -60,7 +60,7 @@
     args: readonly string[],
     servers = daemons.map(({ operatorAddress }) => operatorAddress),
     token = OPERATOR_TOKEN,
-  ): Promise<{ code: ExitCode; out: string; error: string }> {
+  ): Promise<{ code: number; out: string; error: string }> {
     const out: string[] = []
     const errors: string[] = []
     const options = ['--servers', servers.join(','), '--operator-token', token]
@@ -77,7 +77,7 @@
     return JSON.parse(out) as PlanDocument
   }
 
-  async function confirm({ planId, digest }: PlanDocument): Promise<ExitCode> {
+  async function confirm({ planId, digest }: PlanDocument): Promise<number> {
     return (await run(['confirm', planId, '--digest', digest])).code
   }
 
--- a/src/cli/operatorProgram.ts
+++ b/src/cli/operatorProgram.ts
@@ -4,6 +4,8 @@
 import { SteeringError, messageOf } from '../common/errors.js'
 import { HttpRpcClient } from '../common/rpcClient.js'
 import { addSettingOptions, checkSettings } from '../common/settings.js'
+import type { InspectConfiguration } from '../configurationCheck/inspection.js'
+import { addCheckCommand } from './checkFileCommand.js'
 import type { CliSettings } from './cliSettings.js'
 import { CLI_SETTINGS } from './cliSettings.js'
 import { ControlClient } from './controlClient.js'
@@ -45,12 +47,14 @@
  * Runs the program and returns its exit code.
  *
  * @param argv arguments after the program's name
+ * @param inspect reads configurations in the format of the platform
  */
 export async function runOperatorProgram(
   argv: readonly string[],
   terminal: Terminal = STANDARD_TERMINAL,
-): Promise<ExitCode> {
-  let exitCode = ExitCode.Done
+  inspect?: InspectConfiguration,
+): Promise<number> {
+  let exitCode: number = ExitCode.Done
   const program = new Command('tamarackdrift')
   const run = async (task: SessionTask): Promise<void> => {
     exitCode = await runSession(program, terminal, task)
@@ -64,6 +68,14 @@
     .action(async (requestId: string, files: string[]) => {
       exitCode = await explainRequest(requestId, files, terminal)
     })
+  addCheckCommand(program, {
+    terminal,
+    inspect,
+    checkServers: () => run(({ commands, clientsByServer }) => commands.check(clientsByServer)),
+    onExitCode: (code) => {
+      exitCode = code
+    },
+  })
   try {
     await program.parseAsync([...argv], { from: 'user' })
   } catch (error) {
@@ -73,12 +85,12 @@
 }
 
 /** Entry point of `bin/tamarackdrift.js`. */
-export async function main(argv: readonly string[]): Promise<void> {
+export async function main(argv: readonly string[], inspect?: InspectConfiguration): Promise<void> {
   // A reader such as `head` may close the pipe early, which is not an error.
   process.stdout.on('error', (error: NodeJS.ErrnoException) => {
     if (error.code !== 'EPIPE') throw error
   })
-  process.exitCode = await runOperatorProgram(argv)
+  process.exitCode = await runOperatorProgram(argv, STANDARD_TERMINAL, inspect)
 }
 
 function describeProgram(program: Command, terminal: Terminal): void {
@@ -145,10 +157,6 @@
     .action((flags: { limit: string }) =>
       run(({ commands }) => commands.history(Number(flags.limit))),
     )
-  program
-    .command('check')
-    .description('check the settings and call each control daemon')
-    .action(() => run(({ commands, clientsByServer }) => commands.check(clientsByServer)))
   // Only runs when no command is given, for example with --check alone.
   program.action(() =>
     run(() => {
