fix(quotas): no message for a token of a tenant without a quota

The caller of giveBack need not know whether the tenant has a quota; each refused request of one without sent a message that the keeper ignored.

--- a/src/quotas/__tests__/tenantQuotas.spec.ts
+++ b/src/quotas/__tests__/tenantQuotas.spec.ts
@@ -85,6 +85,7 @@
     const fixture = new Fixture()
     fixture.hasQuotas = false
     fixture.request('unlimited')
+    fixture.quotas.giveBack('unlimited', 0)
     fixture.advance(3000)
     expect(fixture.outcomes).to.deep.equal(['allowed'])
     expect(fixture.sent).to.deep.equal([])
--- a/src/quotas/tenantQuotas.ts
+++ b/src/quotas/tenantQuotas.ts
@@ -131,6 +131,7 @@
 
   /** Gives the token of an allowed request back that was refused for another reason. */
   giveBack(tenant: string, nowMs: number): void {
+    if (this.#dependencies.quotaOf(tenant) === undefined) return
     this.#observe(nowMs)
     this.#returned.set(tenant, (this.#returned.get(tenant) ?? 0) + 1)
   }
