fix(quotas): an instance that may be cut off counts for ten minutes where limits are divided

Change: names of removed instances are counted for ten minutes unless they announced their end. An instance that is gone for good costs 1/N of each limit for that time. Measured: instanceState.spec passes; the new test fails without the count.

--- a/src/entry/__tests__/instanceState.spec.ts
+++ b/src/entry/__tests__/instanceState.spec.ts
@@ -134,6 +134,21 @@
     expect(table.liveInstances('north', 60_000)).to.have.length(2)
   })
 
+  // Guards against limits that are given out twice, on both sides of a long cut between instances.
+  it('counts an instance that may be cut off where quotas are divided, unless it was leaving', () => {
+    const table = new InstanceTable(record('a'))
+    for (const name of ['cut', 'left']) {
+      table.register(record(name), 0)
+      table.markExpired(name, 100)
+    }
+    table.markLeaving('left', record('left').incarnation)
+    table.removeExpired(60_000, 1000)
+    expect(table.others()).to.have.length(0)
+    expect(table.countForQuotas()).to.equal(2)
+    table.register(record('cut'), 61_000)
+    expect(table.countForQuotas()).to.equal(2)
+  })
+
   // Guards against a directory that names an instance for good because another one named it once,
   // and against instances that are passed on from greeting to greeting after they have left.
   it('uses and passes on an instance that another one named only once that is confirmed', () => {
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -187,7 +187,7 @@
         region: settings.record.region,
         regions: () => [...new Set(settings.regionOfZone.values())],
         keeperOf: (region, nowMs, excluded) => this.#quotaKeeperOf(region, nowMs, excluded),
-        instanceCount: () => this.#table.countForBudgets(),
+        instanceCount: () => this.#table.countForQuotas(),
         hasQuotas: () => this.#routing.current?.tenants?.hasQuotas === true,
         quotaOf: (tenant) => this.#routing.current?.tenants?.findByName(tenant)?.quota,
         send: (peer, message) => this.#mesh.send(peer, message),
--- a/src/entry/instanceTable.ts
+++ b/src/entry/instanceTable.ts
@@ -30,6 +30,12 @@
  */
 const EXPIRED_RECORD_GRACE_MS = 1000
 
+/**
+ * Time for which an instance that was removed without having announced its end counts where limits
+ * are divided, in milliseconds. It may still run, cut off from this one.
+ */
+const REMOVED_RETENTION_MS = 600_000
+
 interface RegisteredInstance {
   record: InstanceRecord
   registeredAtMs: number
@@ -46,6 +52,8 @@
 export class InstanceTable {
   readonly self: InstanceRecord
   readonly #instances = new Map<string, RegisteredInstance>()
+  /** Time of the removal of instances that may still run, by name. */
+  readonly #removedAtMs = new Map<string, number>()
   #isSelfLeaving = false
 
   constructor(self: InstanceRecord) {
@@ -125,8 +133,12 @@
       const isExpired = instance.expiredAtMs !== undefined && nowMs - instance.expiredAtMs > afterMs
       if (isExpired && instance.link !== LinkState.Up) {
         this.#instances.delete(name)
+        if (!instance.isLeaving) this.#removedAtMs.set(name, nowMs)
       }
     }
+    for (const [name, removedAtMs] of this.#removedAtMs) {
+      if (nowMs - removedAtMs > REMOVED_RETENTION_MS) this.#removedAtMs.delete(name)
+    }
   }
 
   /** Live instances of a region that are not leaving; may include this one. */
@@ -159,7 +171,13 @@
     return 1 + this.#instances.size
   }
 
+  /** As {@link countForBudgets}, with those that may run for long without a link to this one. */
+  countForQuotas(): number {
+    return this.countForBudgets() + this.#removedAtMs.size
+  }
+
   #add(record: InstanceRecord, nowMs: number, isConfirmed: boolean): void {
+    this.#removedAtMs.delete(record.name)
     this.#instances.set(record.name, {
       record,
       registeredAtMs: nowMs,
