--- a/src/cli/checkFileCommand.ts
+++ b/src/cli/checkFileCommand.ts
@@ -12,7 +12,7 @@
   ConfigurationInspection,
   InspectConfiguration,
 } from '../configurationCheck/inspection.js'
-import { keyRemover } from '../configurationCheck/keyFingerprint.js'
+import { keyRemover } from '../tenants/keyFingerprint.js'
 import type { RoutingConfiguration } from '../entry/routingConfiguration.js'
 import type { Terminal } from './operatorCommands.js'
 import { formatCheckReport } from './checkOutput.js'
--- a/src/cli/explainRequest.ts
+++ b/src/cli/explainRequest.ts
@@ -30,6 +30,8 @@
   'kind',
   'reason',
   'route',
+  'tenant',
+  'keyFingerprint',
   'service',
   'version',
   'coordinator',
--- a/src/configurationCheck/configurationDifferences.ts
+++ b/src/configurationCheck/configurationDifferences.ts
@@ -7,7 +7,7 @@
 } from '../entry/routingConfiguration.js'
 import type { Tenant } from '../tenants/tenant.js'
 import { ConfigurationTable } from './finding.js'
-import { keyFingerprint } from './keyFingerprint.js'
+import { keyFingerprint } from '../tenants/keyFingerprint.js'
 
 export enum ChangeKind {
   Added = 'added',
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -21,7 +21,8 @@
 import type { ServerStatement } from './serverStatement.js'
 import type { SharedRetryBudget } from './sharedRetryBudget.js'
 import type { SlotClient, SlotGrant } from './slotClient.js'
-import { CallerKind, authenticate } from '../tenants/authentication.js'
+import { CallerKind, CredentialKind, authenticate } from '../tenants/authentication.js'
+import { keyFingerprint } from '../tenants/keyFingerprint.js'
 import type { Tenant } from '../tenants/tenant.js'
 import type { TenantDirectory } from '../tenants/tenantDirectory.js'
 import { allowedRegions, effectivePriority } from '../tenants/tenantPolicy.js'
@@ -121,13 +122,16 @@
       return this.#fail(request, undefined, FailureKind.RouteNotServed, 0)
     }
     const { tenants } = configuration
-    const caller = authenticate(
-      this.#dependencies.credentials.read(request.headers),
-      tenants,
-      route.allowsAnonymous === true,
-    )
+    const credentials = this.#dependencies.credentials.read(request.headers)
+    const caller = authenticate(credentials, tenants, route.allowsAnonymous === true)
     if (caller.kind === CallerKind.Rejected) {
-      const detail = { route: route.name, reason: caller.reason }
+      const detail = {
+        route: route.name,
+        reason: caller.reason,
+        ...(credentials.kind === CredentialKind.Key
+          ? { keyFingerprint: keyFingerprint(credentials.key) }
+          : {}),
+      }
       return this.#fail(request, undefined, FailureKind.UnknownKey, 0, detail)
     }
     const tenant = caller.kind === CallerKind.Tenant ? caller.tenant : undefined
