feat(entry): a request whose homes are elsewhere asks the coordinator of a home region

Cause: such requests were put to the coordinator of the caller's region, which refuses them ('no backend server') unless it has borrowed slots of a home region because its own were short. For routes only probes met it; a tenant with homes elsewhere would hardly be served at all. Change: SlotClient asks the coordinator of the first home region with live instances; while there is no link, the request waits for it up to 0.7 s and is refused as not run then.

--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -315,6 +315,7 @@
     this.#checkPause(nowMs)
     this.#coordination.tick(nowMs)
     this.#quotas.tick(nowMs)
+    this.#slots.refuseUnsent(nowMs)
     this.#requestMissingChanges(nowMs)
     const hasWaiters = this.#coordination.hasWaiters || this.#quotas.hasWaiters
     const intervalMs = hasWaiters ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -67,16 +67,32 @@
   readonly request: LocalSlotRequest
   readonly listener: SlotListener
   readonly coordinator: string
+  /** Set while the request waits for a link to its coordinator. */
+  readonly unsentSinceMs: number | undefined
 }
 
 interface HeldSlot {
   readonly service: string
+  /** Region of the coordinators that grant such slots. */
+  readonly region: string
   readonly route: string
   readonly serverId: string
   readonly coordinator: string
   readonly sinceMs: number
 }
 
+/** Coordinator that got the latest request for a service in a region. */
+interface LastCoordinator {
+  readonly service: string
+  readonly region: string
+  readonly name: string
+}
+
+/** Time in which a link to the coordinator of another region opens, in ms; some round trips. */
+const MAX_LINK_WAIT_MS = 700
+/** Time after which a caller comes back whose request found no link, in milliseconds. */
+const NO_LINK_RETRY_AFTER_MS = 500
+
 /** Requests slots from the coordinator of each service, or from its successor if it fails. */
 export class SlotClient {
   readonly #table: InstanceTable
@@ -85,7 +101,7 @@
   readonly #clock: Clock
   readonly #pending = new Map<number, PendingRequest>()
   readonly #heldSlots = new Map<number, HeldSlot>()
-  readonly #lastCoordinator = new Map<string, string>()
+  readonly #lastCoordinators = new Map<string, LastCoordinator>()
   #lastId = 0
 
   constructor(table: InstanceTable, peers: PeerSender, local: LocalCoordinators, clock: Clock) {
@@ -152,8 +168,22 @@
   /** Handles a new link: reports the slots in use to a coordinator that may have given them up. */
   handlePeerUp(peer: string): void {
     const nowMs = this.#clock()
-    for (const [service, coordinator] of this.#lastCoordinator) {
-      if (coordinator === peer) this.#sendHeldSlots(service, coordinator, nowMs)
+    for (const last of this.#lastCoordinators.values()) {
+      if (last.name === peer) this.#sendHeldSlots(last, nowMs)
+    }
+    for (const [askId, { coordinator, request, listener, unsentSinceMs }] of [...this.#pending]) {
+      if (coordinator !== peer || unsentSinceMs === undefined) continue
+      this.#pending.delete(askId)
+      this.#sendRequest(askId, request, listener)
+    }
+  }
+
+  /** Refuses requests that found no link to a region that may serve them. */
+  refuseUnsent(nowMs: number): void {
+    for (const [askId, { listener, unsentSinceMs, coordinator }] of [...this.#pending]) {
+      if (unsentSinceMs === undefined || nowMs - unsentSinceMs < MAX_LINK_WAIT_MS) continue
+      this.#pending.delete(askId)
+      listener.onRefused('no link to a home region', NO_LINK_RETRY_AFTER_MS, coordinator)
     }
   }
 
@@ -162,9 +192,25 @@
     return this.#lastId
   }
 
-  /** Current coordinator of a service; this instance if no other is reachable. */
-  coordinatorOf(service: string, nowMs: number): string {
+  /**
+   * Region whose coordinator is asked: this one if it may serve the request, so that its objects stay
+   * with the servers of one coordinator; else the first that may and has live instances.
+   */
+  #regionFor({ regions }: LocalSlotRequest, nowMs: number): string {
+    const { self } = this.#table
+    if (regions.length === 0 || regions.includes(self.region)) return self.region
+    return (
+      regions.find((region) => this.#table.liveInstances(region, nowMs).length > 0) ?? self.region
+    )
+  }
+
+  /** Current coordinator of a service; this instance if no other of its region is reachable. */
+  coordinatorOf(service: string, nowMs: number, region = this.#table.self.region): string {
     const { self } = this.#table
+    if (region !== self.region) {
+      const [first] = coordinatorOrder(service, this.#table.liveInstances(region, nowMs))
+      return first?.name ?? self.name
+    }
     for (const { name } of coordinatorOrder(
       service,
       this.#table.liveInstances(self.region, nowMs),
@@ -176,14 +222,19 @@
 
   #sendRequest(askId: number, request: LocalSlotRequest, listener: SlotListener): void {
     const nowMs = this.#clock()
-    const coordinator = this.coordinatorOf(request.service, nowMs)
-    this.#reportHeldSlots(request.service, coordinator, nowMs)
-    this.#pending.set(askId, { request, listener, coordinator })
+    const region = this.#regionFor(request, nowMs)
+    const coordinator = this.coordinatorOf(request.service, nowMs, region)
+    const { self } = this.#table
+    const isLinked = coordinator === self.name || this.#peers.isUp(coordinator)
+    const isUnsent = region !== self.region && !isLinked
+    const unsentSinceMs = isUnsent ? nowMs : undefined
+    if (!isUnsent)
+      this.#reportHeldSlots({ service: request.service, region, name: coordinator }, nowMs)
+    this.#pending.set(askId, { request, listener, coordinator, unsentSinceMs })
     const { targetAtMs, deadlineAtMs, ...rest } = request
     const targetInMs = Math.round(targetAtMs - nowMs)
     const deadlineInMs = Math.round(deadlineAtMs - nowMs)
     const details: SlotRequestDetails = { ...rest, askId, targetInMs, deadlineInMs }
-    const { self } = this.#table
     if (coordinator !== self.name) {
       this.#peers.send(coordinator, { kind: PeerMessageKind.SlotRequest, ask: details })
       return
@@ -210,26 +261,27 @@
   }
 
   /** Reports the slots in use to a new coordinator before the first slot request is sent to it. */
-  #reportHeldSlots(service: string, coordinator: string, nowMs: number): void {
-    if (this.#lastCoordinator.get(service) === coordinator) return
-    const isFirst = !this.#lastCoordinator.has(service)
-    this.#lastCoordinator.set(service, coordinator)
-    if (!isFirst) this.#sendHeldSlots(service, coordinator, nowMs)
+  #reportHeldSlots(coordinator: LastCoordinator, nowMs: number): void {
+    const key = lastKey(coordinator)
+    const previous = this.#lastCoordinators.get(key)
+    if (previous?.name === coordinator.name) return
+    this.#lastCoordinators.set(key, coordinator)
+    if (previous !== undefined) this.#sendHeldSlots(coordinator, nowMs)
   }
 
   /** The coordinator may have granted some of the slots itself and given them up since. */
-  #sendHeldSlots(service: string, coordinator: string, nowMs: number): void {
+  #sendHeldSlots({ service, region, name }: LastCoordinator, nowMs: number): void {
     const uses: HeldSlotReport[] = []
     for (const [askId, held] of this.#heldSlots) {
-      if (held.service !== service) continue
+      if (held.service !== service || held.region !== region) continue
       const { serverId, route, sinceMs } = held
       uses.push({ askId, serverId, route, forMs: Math.round(nowMs - sinceMs) })
     }
     const { self } = this.#table
-    if (coordinator === self.name) this.#local.adopt(service, self.name, uses, nowMs)
+    if (name === self.name) this.#local.adopt(service, self.name, uses, nowMs)
     else {
       const kind = PeerMessageKind.HeldSlots
-      this.#peers.send(coordinator, { kind, service, uses, isComplete: true })
+      this.#peers.send(name, { kind, service, uses, isComplete: true })
     }
   }
 
@@ -237,28 +289,37 @@
     this.#pending.delete(askId)
     const { service, route } = pending.request
     const { coordinator } = pending
-    this.#heldSlots.set(askId, { service, route, serverId, coordinator, sinceMs: this.#clock() })
+    const sinceMs = this.#clock()
+    const region = this.#table.find(coordinator)?.region ?? this.#table.self.region
+    this.#heldSlots.set(askId, { service, region, route, serverId, coordinator, sinceMs })
     pending.listener.onGranted({
       serverId,
       coordinator,
       release: (use, durationMs, report, stated) => {
         if (!this.#heldSlots.delete(askId)) return
-        this.#release(askId, service, coordinator, use, durationMs, report, stated)
+        this.#release(
+          askId,
+          { service, region, name: coordinator },
+          use,
+          durationMs,
+          report,
+          stated,
+        )
       },
     })
   }
 
   #release(
     askId: number,
-    service: string,
-    grantedBy: string,
+    grantedBy: LastCoordinator,
     use: SlotOutcome,
     durationMs: number,
     report: LoadReport | null,
     stated: ServerStatement | undefined,
   ): void {
-    const current = this.#lastCoordinator.get(service) ?? grantedBy
-    for (const coordinator of new Set([grantedBy, current])) {
+    const { service } = grantedBy
+    const current = this.#lastCoordinators.get(lastKey(grantedBy)) ?? grantedBy
+    for (const coordinator of new Set([grantedBy.name, current.name])) {
       if (coordinator === this.#table.self.name) {
         const key = `${coordinator}/${askId}`
         this.#local.releaseSlot(service, key, use, durationMs, report, this.#clock(), stated)
@@ -283,3 +344,7 @@
     }
   }
 }
+
+function lastKey({ service, region }: LastCoordinator): string {
+  return `${service}/${region}`
+}
