feat(entry): connections are reused up to the stated idle timeout, and kept when the answer is late

Change: limits follow the timeout that the server states: less one margin (0.3 of it, at most 1 s) for idempotent requests, less two for others; never shorter than before. Without a statement they are the earlier ones. Signs of loss bring the earlier limits back for 15 s. After a time-out the connection waits 250 ms for the answer of a server that keeps to the deadline. After a pause that clocks may not count, non-idempotent requests use no connection from before it.

--- a/src/entry/connectionPool.ts
+++ b/src/entry/connectionPool.ts
@@ -2,9 +2,10 @@
 import { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import { ReadTurns } from './readTurns.js'
+import { ReuseLimits } from './reuseLimits.js'
 import type { SharedConnectionResources } from './serverConnection.js'
 import { ServerConnection } from './serverConnection.js'
-import type { SendOutcome, ServerHeaders, ServerRequest } from './serverExchange.js'
+import type { PooledOutcome, SendOutcome, ServerHeaders, ServerRequest } from './serverExchange.js'
 import { OutcomeKind } from './serverExchange.js'
 
 /** Connect timeout within the region; tolerates some lost packets. */
@@ -13,15 +14,6 @@
 const REMOTE_CONNECT_TIMEOUT_MS = 600
 /** An instance rarely has more concurrent requests at one server. */
 const MAX_IDLE_CONNECTIONS_PER_SERVER = 12
-/**
- * Idle time up to which a connection is reused for a non-idempotent request. Later the server
- * may have dropped the connection unnoticed, and a reset does not show whether the request ran.
- */
-const MAX_NON_IDEMPOTENT_IDLE_MS = 2500
-/** Replaces {@link MAX_NON_IDEMPOTENT_IDLE_MS} after a reused connection broke. */
-const REDUCED_NON_IDEMPOTENT_IDLE_MS = 150
-/** Time after a reused connection broke during which the shorter idle limit applies. */
-const REDUCED_IDLE_PERIOD_MS = 15_000
 
 /** Memory for answers that are being read, or not fetched yet; several of the largest ones fit. */
 export const ANSWER_MEMORY_BYTES = 48 * 1024 * 1024
@@ -31,7 +23,9 @@
   readonly #headers: ServerHeaders
   readonly #clock: Clock
   readonly #idle = new Map<string, ServerConnection[]>()
-  #reducedIdleUntilMs = Number.NEGATIVE_INFINITY
+  readonly #limits = new ReuseLimits()
+  /** Connections that were idle at this time get no non-idempotent requests. */
+  #pausedAtMs = Number.NEGATIVE_INFINITY
   #openedCount = 0
 
   /** @param answerBudget memory for answers, shared with those that callers have not fetched */
@@ -59,17 +53,26 @@
     address: string,
     isRemote: boolean,
     request: ServerRequest,
-    onEnd: (outcome: SendOutcome) => void,
+    onEnd: (outcome: PooledOutcome) => void,
   ): (kind: OutcomeKind.Abandoned | OutcomeKind.TimedOut) => void {
     const connection = this.#takeIdle(key, request) ?? this.#open(address, isRemote)
-    return connection.send(request, (outcome) => {
-      const isBrokenReuse = outcome.kind === OutcomeKind.Broken && outcome.isReused
-      if (isBrokenReuse && outcome.answer === undefined) {
-        this.#reducedIdleUntilMs = this.#clock() + REDUCED_IDLE_PERIOD_MS
-      }
-      if (connection.isUsable) this.#addIdle(key, connection)
-      onEnd(outcome)
-    })
+    const { hasCarriedRequest } = connection
+    return connection.send(
+      request,
+      (outcome) => {
+        this.#recordOutcome(outcome, isRemote)
+        onEnd({ ...outcome, keptForMs: this.#keep(key, connection) })
+      },
+      (isSilent) => {
+        if (isSilent && hasCarriedRequest) this.#limits.recordUnreachable(this.#clock())
+        this.#keep(key, connection)
+      },
+    )
+  }
+
+  /** Connections from before a pause are not trusted, because clocks may not have counted it. */
+  handlePause(nowMs: number): void {
+    this.#pausedAtMs = nowMs
   }
 
   /** Closes idle connections of all servers except `keys`. */
@@ -85,7 +88,7 @@
   closeExpired(nowMs: number): void {
     for (const [key, connections] of this.#idle) {
       const kept = connections.filter((connection) => {
-        const isKept = connection.isUsable && connection.isWithinIdleTimeout(nowMs)
+        const isKept = this.#isReusable(connection, true, nowMs)
         if (!isKept) connection.destroy()
         return isKept
       })
@@ -98,23 +101,42 @@
     this.retain(new Set())
   }
 
-  #takeIdle(key: string, request: ServerRequest): ServerConnection | undefined {
-    const connections = this.#idle.get(key)
+  #recordOutcome({ kind, isReused, answer, durationMs }: SendOutcome, isRemote: boolean): void {
     const nowMs = this.#clock()
-    const maxIdleMs =
-      nowMs < this.#reducedIdleUntilMs ? REDUCED_NON_IDEMPOTENT_IDLE_MS : MAX_NON_IDEMPOTENT_IDLE_MS
-    // The most recently used connection is the least likely to be closed by the server.
-    for (let latest = connections?.pop(); latest !== undefined; latest = connections?.pop()) {
-      if (!latest.isUsable || !latest.isWithinIdleTimeout(nowMs)) {
-        latest.destroy()
-        continue
-      }
-      const isFresh = request.isIdempotent || latest.idleMs(nowMs) < maxIdleMs
-      if (isFresh && !latest.hasRefused(request.requestId)) return latest
-      connections?.push(latest)
-      return undefined
+    if (kind === OutcomeKind.Broken && isReused && answer === undefined) {
+      this.#limits.recordBrokenReuse(durationMs, nowMs)
     }
-    return undefined
+    // A refused connection shows that the server is gone; silence, that connections may be lost.
+    const isSilent = durationMs >= connectTimeoutMs(isRemote)
+    if (kind === OutcomeKind.Unreachable && isSilent) this.#limits.recordUnreachable(nowMs)
+  }
+
+  #isReusable(connection: ServerConnection, isIdempotent: boolean, nowMs: number): boolean {
+    if (!connection.isUsable) return false
+    const { idleSinceMs, statedIdleTimeoutMs } = connection
+    const { idempotentMs, nonIdempotentMs } = this.#limits.limits(statedIdleTimeoutMs, nowMs)
+    const idleMs = nowMs - idleSinceMs
+    if (isIdempotent) return idleMs < idempotentMs
+    return idleMs < nonIdempotentMs && idleSinceMs > this.#pausedAtMs
+  }
+
+  /** The most recently used connection is the least likely to be closed by the server. */
+  #takeIdle(key: string, request: ServerRequest): ServerConnection | undefined {
+    const connections = this.#idle.get(key) ?? []
+    const nowMs = this.#clock()
+    const index = connections.findLastIndex(
+      (connection) =>
+        this.#isReusable(connection, request.isIdempotent, nowMs) &&
+        !connection.mayRepeatAnswerTo(request.requestId),
+    )
+    return index < 0 ? undefined : connections.splice(index, 1)[0]
+  }
+
+  /** Keeps a usable connection; returns for how long it may carry non-idempotent requests. */
+  #keep(key: string, connection: ServerConnection): number {
+    if (!connection.isUsable) return 0
+    this.#addIdle(key, connection)
+    return this.#limits.limits(connection.statedIdleTimeoutMs, this.#clock()).nonIdempotentMs
   }
 
   #addIdle(key: string, connection: ServerConnection): void {
@@ -126,7 +148,11 @@
 
   #open(address: string, isRemote: boolean): ServerConnection {
     this.#openedCount += 1
-    const connectTimeoutMs = isRemote ? REMOTE_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS
-    return new ServerConnection(address, this.#headers, connectTimeoutMs, this.#shared, this.#clock)
+    const timeoutMs = connectTimeoutMs(isRemote)
+    return new ServerConnection(address, this.#headers, timeoutMs, this.#shared, this.#clock)
   }
 }
+
+function connectTimeoutMs(isRemote: boolean): number {
+  return isRemote ? REMOTE_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS
+}
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -310,6 +310,7 @@
     if (pausedMs === 0) return
     this.#log.event('paused', { pausedMs: Math.round(pausedMs) })
     this.#coordination.handlePause(nowMs)
+    this.#pool.handlePause(nowMs)
     this.#slots.renewPending()
   }
 
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -1,7 +1,7 @@
 /** Connection to a backend server that carries one request at a time. */
 import type { Socket } from 'node:net'
 import { connect } from 'node:net'
-import type { ByteBudget } from '../common/byteBudget.js'
+import type { ByteBudget, ByteReservation } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
 import { findHeader } from '../common/exchange.js'
@@ -12,12 +12,13 @@
 import type { ServerStatement } from './serverStatement.js'
 import { OutcomeKind } from './serverExchange.js'
 
-/** Idle timeout assumed for a server that states none. */
-const DEFAULT_IDLE_TIMEOUT_MS = 4000
-/** Fraction of the stated idle timeout that is used; allows for network latency and late timers. */
-const IDLE_TIMEOUT_FRACTION = 0.7
-/** Refusals after which a connection is closed, because their identifiers are remembered. */
-const MAX_REFUSED_REQUESTS = 64
+/** Remembered identifiers after which a connection is closed. */
+const MAX_REMEMBERED_REQUESTS = 64
+/**
+ * Time after a time-out for which the connection awaits the answer. A server that keeps to the
+ * deadline answers at it, and the answer takes up to a round trip between regions.
+ */
+const LATE_ANSWER_MS = 250
 
 /** Bytes of one answer after which its connection is read in turns with others. */
 const UNSHARED_READ_BYTES = 256 * 1024
@@ -37,15 +38,15 @@
   readonly #clock: Clock
   readonly #headers: ServerHeaders
   readonly #shared: SharedConnectionResources
-  /** Identifiers of requests that the server refused on this connection. */
-  readonly #refusedRequestIds = new Set<string>()
+  /** Identifiers of requests that were refused, or answered late, on this connection. */
+  readonly #unrepeatableRequestIds = new Set<string>()
   #reader: ResponseReader | undefined
   #finish: ((kind: OutcomeKind, detail: string) => void) | undefined
   #isOpen = true
   #isConnected = false
   #requestCount = 0
   #idleSinceMs = 0
-  #maxIdleMs = DEFAULT_IDLE_TIMEOUT_MS
+  #statedIdleTimeoutMs: number | undefined
 
   /** @param address `host:port` */
   constructor(
@@ -88,30 +89,40 @@
     return this.#isOpen && this.#finish === undefined
   }
 
-  idleMs(nowMs: number): number {
-    return nowMs - this.#idleSinceMs
+  get hasCarriedRequest(): boolean {
+    return this.#requestCount > 0
   }
 
-  /** Whether the connection was idle for less than the time after which the server may close it. */
-  isWithinIdleTimeout(nowMs: number): boolean {
-    return this.idleMs(nowMs) < this.#maxIdleMs
+  /** Time at which the last answer was complete. */
+  get idleSinceMs(): number {
+    return this.#idleSinceMs
   }
 
-  /** Whether a refusal that the server repeats could be taken for an answer to this request. */
-  hasRefused(requestId: string): boolean {
-    return this.#refusedRequestIds.has(requestId)
+  /** Idle timeout that the server stated last; `undefined` if it states none. */
+  get statedIdleTimeoutMs(): number | undefined {
+    return this.#statedIdleTimeoutMs
   }
 
-  /** Sends a request and calls `onEnd` once. The returned function aborts the send. */
+  /** Whether an earlier answer that the server repeats could be taken for one to this request. */
+  mayRepeatAnswerTo(requestId: string): boolean {
+    return this.#unrepeatableRequestIds.has(requestId)
+  }
+
+  /**
+   * Sends a request and calls `onEnd` once. The returned function aborts the send. After a
+   * time-out the connection awaits the answer for a short time; `onLateEnd` is then called with
+   * whether the server stayed silent, and the connection is usable again or closed.
+   */
   send(
     request: ServerRequest,
     onEnd: (outcome: SendOutcome) => void,
+    onLateEnd: (isSilent: boolean) => void = () => undefined,
   ): (kind: OutcomeKind.Abandoned | OutcomeKind.TimedOut) => void {
     const startedAtMs = this.#clock()
     const isReused = this.#requestCount > 0
     this.#requestCount += 1
     const reservation = this.#shared.answerBudget.open(() => {
-      finish(OutcomeKind.Broken, 'memory for answers is used up by smaller ones')
+      this.#finish?.(OutcomeKind.Broken, 'memory for answers is used up by smaller ones')
     })
     const reader = new ResponseReader(
       (headers, status) => this.#originOf(request, headers, status, isReused),
@@ -121,8 +132,13 @@
     const finish = (kind: OutcomeKind, detail: string): void => {
       if (this.#finish !== finish) return
       this.#finish = undefined
-      this.#reader = undefined
-      reservation.release()
+      const isAnswerAwaited = kind === OutcomeKind.TimedOut && this.#isOpen && this.#isConnected
+      if (isAnswerAwaited) {
+        this.#awaitLateAnswer(request.requestId, reader, reservation, onLateEnd)
+      } else {
+        this.#reader = undefined
+        reservation.release()
+      }
       const nowMs = this.#clock()
       this.#idleSinceMs = nowMs
       const { answer } = reader
@@ -130,9 +146,8 @@
       const isAnswered = kind === OutcomeKind.Answered && answer !== undefined
       if (isAnswered) this.#recordIdleTimeout(answer)
       const outcomeKind = isAnswered ? this.#outcomeKindOf(answer) : kind
-      if (outcomeKind === OutcomeKind.Declined) this.#refusedRequestIds.add(request.requestId)
-      const isReusable = reader.isReusable && this.#refusedRequestIds.size < MAX_REFUSED_REQUESTS
-      if (!isAnswered || !isReusable) this.destroy()
+      if (outcomeKind === OutcomeKind.Declined) this.#unrepeatableRequestIds.add(request.requestId)
+      if (!isAnswerAwaited && !(isAnswered && this.#isReusableAfter(reader))) this.destroy()
       const statement = isAnswered
         ? this.#statementOf(answer, outcomeKind, request.requestId)
         : endlessAnswerStatement(kind, reader)
@@ -167,6 +182,37 @@
     this.#socket.destroy()
   }
 
+  #isReusableAfter(reader: ResponseReader): boolean {
+    return reader.isReusable && this.#unrepeatableRequestIds.size < MAX_REMEMBERED_REQUESTS
+  }
+
+  /** Reads the answer to a request that timed out, and drops it. */
+  #awaitLateAnswer(
+    requestId: string,
+    reader: ResponseReader,
+    reservation: ByteReservation,
+    onLateEnd: (isSilent: boolean) => void,
+  ): void {
+    const finish = (kind: OutcomeKind): void => {
+      if (this.#finish !== finish) return
+      clearTimeout(timer)
+      this.#finish = undefined
+      this.#reader = undefined
+      reservation.release()
+      this.#idleSinceMs = this.#clock()
+      const { answer } = reader
+      this.#unrepeatableRequestIds.add(requestId)
+      const isAnswered = kind === OutcomeKind.Answered && answer !== undefined
+      if (isAnswered) this.#recordIdleTimeout(answer)
+      if (!isAnswered || !this.#isReusableAfter(reader)) this.destroy()
+      onLateEnd(kind === OutcomeKind.TimedOut && reader.readBytes === 0)
+    }
+    const timer = setTimeout(() => {
+      finish(OutcomeKind.TimedOut)
+    }, LATE_ANSWER_MS)
+    this.#finish = finish
+  }
+
   /**
    * Servers echo the identifier of the request. A faulty one may repeat an earlier answer on a
    * kept connection, so one without an identifier is accepted only if nothing was answered on the
@@ -208,9 +254,8 @@
 
   #recordIdleTimeout(answer: ServerAnswer): void {
     const statedSeconds = /timeout=(\d+)/.exec(findHeader(answer.headers, 'keep-alive') ?? '')?.[1]
-    this.#maxIdleMs =
-      (statedSeconds === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Number(statedSeconds) * 1000) *
-      IDLE_TIMEOUT_FRACTION
+    this.#statedIdleTimeoutMs =
+      statedSeconds === undefined ? undefined : Number(statedSeconds) * 1000
   }
 
   #handleData(bytes: Buffer): void {
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -59,6 +59,12 @@
   readonly isReused: boolean
 }
 
+/** Outcome of a send through the pool. */
+export interface PooledOutcome extends SendOutcome {
+  /** Time for which the connection may carry a request that must run at most once; 0 if closed. */
+  readonly keptForMs: number
+}
+
 /** Headers of the exchange with backend servers. */
 export interface ServerHeaders {
   /** Response header that echoes the request identifier; lower case. */
