feat(entry): the coordinator prefers servers to which the instance keeps a connection

Change: an instance states with each released slot for how long it may reuse the connection. In the comparison of servers a kept connection counts a fifth of the usual duration, and free servers with one are among the candidates of large services.

--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -105,9 +105,10 @@
     report: LoadReport | null,
     nowMs: number,
     stated?: ServerStatement,
+    keptForMs?: number,
   ): void {
     const coordinator = this.#services.get(service)?.coordinator
-    coordinator?.releaseSlot(key, use, durationMs, report, nowMs, stated)
+    coordinator?.releaseSlot(key, use, durationMs, report, nowMs, stated, keptForMs)
   }
 
   adopt(service: string, instance: string, uses: readonly HeldSlotReport[], nowMs: number): void {
--- a/src/entry/peerMessageFormat.ts
+++ b/src/entry/peerMessageFormat.ts
@@ -98,6 +98,7 @@
       durationMs: isNumber,
       report: isOptional(isLoadReport),
       stated: isOptional(isStatement),
+      keptForMs: isNumber,
     }),
   ],
   [
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -59,8 +59,9 @@
     slots.handleRefusal(peer, message)
   },
   [PeerMessageKind.ReleaseSlot]: ({ coordination, peer, nowMs }, message) => {
-    const { service, askId, use, durationMs, report, stated } = message
-    coordination.releaseSlot(service, `${peer}/${askId}`, use, durationMs, report, nowMs, stated)
+    const { service, askId, use, durationMs, report, stated, keptForMs } = message
+    const key = `${peer}/${askId}`
+    coordination.releaseSlot(service, key, use, durationMs, report, nowMs, stated, keptForMs)
   },
   [PeerMessageKind.HeldSlots]: ({ coordination, peer, nowMs }, message) => {
     coordination.handleHeldSlots(peer, message, nowMs)
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -137,6 +137,8 @@
   readonly report: LoadReport | null
   /** What the server stated in its answer; left out if nothing. */
   readonly stated?: ServerStatement
+  /** Time for which the sender may reuse the connection, in milliseconds; left out if it may not. */
+  readonly keptForMs?: number
 }
 
 /** Slot that an instance holds, as reported to a coordinator. */
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -16,7 +16,7 @@
 import type { Route } from './routingConfiguration.js'
 import { Repeatability, RestrictionKind } from './routingConfiguration.js'
 import { NEXT_STEP_BY_OUTCOME, SLOT_OUTCOME_BY_SEND_OUTCOME, answerOf } from './sendOutcomes.js'
-import type { SendOutcome, ServerHeaders } from './serverExchange.js'
+import type { PooledOutcome, SendOutcome, ServerHeaders } from './serverExchange.js'
 import { OutcomeKind } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
 import type { SharedRetryBudget } from './sharedRetryBudget.js'
@@ -218,7 +218,7 @@
     state: RequestState,
     grant: SlotGrant,
     server: RegisteredBackendServer,
-  ): Promise<SendOutcome> {
+  ): Promise<PooledOutcome> {
     const { pool, clock, headers, regionOfZone, table, log, routing } = this.#dependencies
     const nowMs = clock()
     const leftMs = state.deadlineAtMs - nowMs
@@ -226,7 +226,7 @@
     const isIdempotent = state.route.repeatability === Repeatability.Idempotent
     state.sendCount += 1
     state.excludedServers.push(server.id)
-    const outcome = await new Promise<SendOutcome>((resolve) => {
+    const outcome = await new Promise<PooledOutcome>((resolve) => {
       const sentHeaders: HeaderPair[] = [
         ...state.request.headers,
         [headers.deadline, String(Math.max(1, Math.floor(leftMs - CALLER_LATENCY_MARGIN_MS)))],
@@ -236,7 +236,7 @@
         // A non-idempotent request continues, because aborting it could leave it half done.
         if (isIdempotent) abortSend(OutcomeKind.Abandoned)
       }
-      const finish = (result: SendOutcome): void => {
+      const finish = (result: PooledOutcome): void => {
         clearTimeout(timer)
         state.request.signal.removeEventListener('abort', onAbort)
         resolve(result)
@@ -270,6 +270,7 @@
       durationMs,
       outcome.report,
       outcome.statement,
+      outcome.keptForMs,
     )
     log.decision(state.request.requestId, 'sent', {
       route: state.route.name,
--- a/src/entry/serverIndex.ts
+++ b/src/entry/serverIndex.ts
@@ -15,6 +15,8 @@
 const PREFERRED_SERVERS = 8
 /** Free servers that are compared beside the others, so that no slot stays unused. */
 const MAX_FREE_CANDIDATES = 8
+/** Free servers to which the instance has a connection that are compared beside the others. */
+const MAX_CONNECTED_CANDIDATES = 8
 /** Objects whose preferred servers are remembered. */
 const MAX_REMEMBERED_OBJECTS = 4096
 
@@ -113,26 +115,38 @@
   /**
    * Servers to compare for an object: all of a small service; else those that hold the object,
    * those that its hash prefers, and some that are free. Valid until the next call.
+   * @param connected servers to which the instance has a connection, the best choice first
    */
   candidates(
     object: string,
     objectHash: number,
     isLocal: boolean,
     nowMs: number,
+    connected: Iterable<ServerState> = NO_SERVERS,
   ): Iterable<ServerState> {
     if (this.#states.size <= MAX_COMPARED_SERVERS) return this.#states.values()
     this.#selection += 1
     this.#selected.length = 0
     for (const state of this.holders.of(object)) this.#select(state)
     for (const state of this.#preferredOf(object, objectHash, isLocal)) this.#select(state)
-    let freeCount = 0
-    for (const state of this.#open) {
+    this.#selectFree(connected, MAX_CONNECTED_CANDIDATES, isLocal, nowMs)
+    this.#selectFree(this.#open, MAX_FREE_CANDIDATES, isLocal, nowMs)
+    return this.#selected
+  }
+
+  #selectFree(
+    states: Iterable<ServerState>,
+    maxCount: number,
+    isLocal: boolean,
+    nowMs: number,
+  ): void {
+    let count = 0
+    for (const state of states) {
       if (this.#isLocal(state) !== isLocal || state.freeSlots(nowMs) <= 0) continue
       this.#select(state)
-      freeCount += 1
-      if (freeCount >= MAX_FREE_CANDIDATES) break
+      count += 1
+      if (count >= maxCount) break
     }
-    return this.#selected
   }
 
   #select(state: ServerState): void {
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -22,6 +22,7 @@
   usableSlots,
   targetRemoteShare,
 } from './remoteShare.js'
+import { KeptConnections } from './keptConnections.js'
 import { LimitedCapacity } from './limitedCapacity.js'
 import type { LimitStatement } from './serverLimits.js'
 import type { CoordinatedServer, RunningRequest } from './serverState.js'
@@ -99,6 +100,7 @@
   readonly #awaitedServers = new Map<string, string>()
   readonly #waiterCounts = new Map<string, number>()
   readonly #unconfirmedSlots = new UnconfirmedSlots()
+  readonly #keptConnections = new KeptConnections<ServerState>()
   readonly #lentSlots = new Map<string, readonly LentSlots[]>()
   readonly #borrowedSlots = new Map<
     string,
@@ -193,6 +195,7 @@
     report: LoadReport | null,
     nowMs: number,
     stated?: ServerStatement,
+    keptForMs = 0,
   ): void {
     this.#expireBorrowedSlots(nowMs)
     this.#unconfirmedSlots.remove(key)
@@ -201,6 +204,7 @@
     if (state !== undefined) {
       this.#servers.refresh(state)
       this.#capacity.recordAnswer(state.server.id, stated, use, running, nowMs)
+      if (keptForMs > 0) this.#keptConnections.add(instanceOf(key), state, nowMs + keptForMs)
       const { retryAfterMs, avoidForMs } = stated ?? {}
       const turnedAwayForMs = avoidForMs ?? retryAfterMs
       if (turnedAwayForMs !== undefined) state.turnAway(instanceOf(key), nowMs + turnedAwayForMs)
@@ -294,6 +298,7 @@
   /** Drops the queued requests of an instance without a link; its slots stay in use for a time. */
   suspectInstance(instance: string, loss: LinkLoss, nowMs: number): void {
     this.#removeWaitersOf(instance)
+    this.#keptConnections.removeInstance(instance)
     for (const { key, request } of this.#requestsOf(instance)) {
       this.#unconfirmedSlots.add(key, unconfirmedUntilMs(request, loss, nowMs))
     }
@@ -534,10 +539,14 @@
       const server = servers.get(state.server.id)
       if (server === undefined && state.running.size === 0) {
         this.#servers.remove(state)
+        this.#keptConnections.removeServer(state)
         continue
       }
       const isRestarted = server !== undefined && server.startedAtMs !== state.server.startedAtMs
-      if (isRestarted) this.#capacity.forget(state.server.id)
+      if (isRestarted) {
+        this.#capacity.forget(state.server.id)
+        this.#keptConnections.removeServer(state)
+      }
       if (state.server.slots === 0) state.limit?.restart(nowMs)
       state.update(server ?? { ...state.server, slots: 0 })
       this.#servers.refresh(state)
@@ -585,6 +594,7 @@
       nowMs,
     )
     this.#servers.setRequest(waiter.key, state)
+    this.#keptConnections.take(instanceOf(waiter.key), state)
     this.#remoteShare.recordRequest(region !== this.#region, nowMs)
     waiter.onGranted(id)
   }
@@ -615,13 +625,22 @@
     const slotTimeWeight = this.#slotTimeWeight(waiter)
     const instance = instanceOf(waiter.key)
     let durations: UsualDurations | undefined
-    for (const state of this.#servers.candidates(object, objectHash, isLocal, nowMs)) {
+    const kept = this.#keptConnections.serversOf(instance, nowMs)
+    for (const state of this.#servers.candidates(object, objectHash, isLocal, nowMs, kept)) {
       const { id, region, slots } = state.server
       if ((region === this.#region) !== isLocal || slots <= 0 || state.isSuspended(nowMs)) continue
       if (state.turnedAwayUntilMs(instance, nowMs) > 0) continue
       if (waiter.request.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
       if (durations?.region !== region) durations = this.#usualDurations(route, region)
-      const costMs = this.#costMs(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
+      const costMs = this.#costMs(
+        waiter,
+        instance,
+        objectHash,
+        slotTimeWeight,
+        state,
+        durations,
+        nowMs,
+      )
       if (costMs < bestMs) {
         best = state
         bestMs = costMs
@@ -644,6 +663,7 @@
    */
   #costMs(
     waiter: Waiter,
+    instance: string,
     objectHash: number,
     slotTimeWeight: number,
     state: ServerState,
@@ -662,7 +682,8 @@
       waitMs +
       usualMs * slowdown * slotTimeWeight +
       usualMs * (LOAD_WEIGHT * load + OBJECT_AFFINITY_WEIGHT * preference) +
-      (zone === waiter.zone ? 0 : CROSS_ZONE_COST_MS)
+      (zone === waiter.zone ? 0 : CROSS_ZONE_COST_MS) -
+      this.#keptConnections.savingMs(instance, state, durations.cachedMs, nowMs)
     )
   }
 
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -27,6 +27,7 @@
     report: LoadReport | null,
     nowMs: number,
     stated?: ServerStatement,
+    keptForMs?: number,
   ): void
   adopt(service: string, instance: string, uses: readonly HeldSlotReport[], nowMs: number): void
 }
@@ -42,12 +43,17 @@
   readonly serverId: string
   /** Name of the instance that granted the slot. */
   readonly coordinator: string
-  /** Releases the slot; further calls have no effect. @param stated by the server in its answer */
+  /**
+   * Releases the slot; further calls have no effect.
+   * @param stated by the server in its answer
+   * @param keptForMs time for which the connection to the server may be reused
+   */
   release(
     use: SlotOutcome,
     durationMs: number,
     report: LoadReport | null,
     stated?: ServerStatement,
+    keptForMs?: number,
   ): void
 }
 
@@ -241,9 +247,9 @@
     pending.listener.onGranted({
       serverId,
       coordinator,
-      release: (use, durationMs, report, stated) => {
+      release: (use, durationMs, report, stated, keptForMs = 0) => {
         if (!this.#heldSlots.delete(askId)) return
-        this.#release(askId, service, coordinator, use, durationMs, report, stated)
+        this.#release(askId, service, coordinator, use, durationMs, report, stated, keptForMs)
       },
     })
   }
@@ -256,16 +262,26 @@
     durationMs: number,
     report: LoadReport | null,
     stated: ServerStatement | undefined,
+    keptForMs: number,
   ): void {
     const current = this.#lastCoordinator.get(service) ?? grantedBy
     for (const coordinator of new Set([grantedBy, current])) {
       if (coordinator === this.#table.self.name) {
         const key = `${coordinator}/${askId}`
-        this.#local.releaseSlot(service, key, use, durationMs, report, this.#clock(), stated)
+        const nowMs = this.#clock()
+        this.#local.releaseSlot(service, key, use, durationMs, report, nowMs, stated, keptForMs)
       } else if (this.#peers.isUp(coordinator)) {
         const kind = PeerMessageKind.ReleaseSlot as const
-        const release = { kind, service, askId, use, durationMs, report }
-        this.#peers.send(coordinator, stated === undefined ? release : { ...release, stated })
+        this.#peers.send(coordinator, {
+          kind,
+          service,
+          askId,
+          use,
+          durationMs,
+          report,
+          ...(stated === undefined ? {} : { stated }),
+          ...(keptForMs > 0 ? { keptForMs } : {}),
+        })
       }
     }
   }
--- a/testing/loadSimulation.ts
+++ b/testing/loadSimulation.ts
@@ -19,6 +19,12 @@
   readonly seconds: number
   /** Requests per second as a function of the time in seconds. */
   readonly rateAt: (second: number) => number
+  /** Instances that send the requests in turn, each on its own connections; one if left out. */
+  readonly instances?: number
+  /** Time for which instances reuse a connection. */
+  readonly reuseMs?: number
+  /** Whether they state it to the coordinator. */
+  readonly statesReuse?: boolean
 }
 
 /** Outcomes of the requests. */
@@ -33,6 +39,10 @@
   readonly cacheMisses: number
   /** Longest wait of a request that was refused in the end, in milliseconds. */
   readonly longestRefusedWaitMs: number
+  /** Connections that the instances opened. */
+  readonly openedConnections: number
+  /** Servers in the order of the grants. */
+  readonly grants: readonly string[]
 }
 
 const REGION = 'here'
@@ -62,7 +72,12 @@
     late: 0,
     refused: 0,
     longestRefusedWaitMs: 0,
+    openedConnections: 0,
   }
+  const { instances = 1, reuseMs = 0, statesReuse = false } = options
+  const grants: string[] = []
+  /** Times until which kept connections may be reused, by instance and server. */
+  const kept = new Map<string, number[]>()
 
   const run = (
     key: string,
@@ -72,18 +87,28 @@
     nowMs: number,
   ) => {
     const durationMs = simulated.start(serverId, object)
+    grants.push(serverId)
+    const pair = `${key.slice(0, key.indexOf('/'))}>${serverId}`
+    const keptUntilMs = kept.get(pair)?.pop() ?? 0
+    if (keptUntilMs <= nowMs) {
+      result.openedConnections += 1
+      kept.delete(pair)
+    }
     queue.schedule(nowMs + durationMs, () => {
       const endMs = queue.nowMs
       simulated.end(serverId)
       if (endMs - arrivedAtMs <= options.targetMs) result.inTime += 1
       else result.late += 1
-      coordinator.releaseSlot(key, SlotOutcome.Completed, durationMs, null, endMs)
+      kept.set(pair, [...(kept.get(pair) ?? []), endMs + reuseMs])
+      const keptForMs = statesReuse ? reuseMs : 0
+      const completed = SlotOutcome.Completed
+      coordinator.releaseSlot(key, completed, durationMs, null, endMs, undefined, keptForMs)
     })
   }
   const arrive = (nowMs: number): void => {
     result.requests += 1
     const askId = result.requests
-    const key = `instance/${askId}`
+    const key = `instance-${askId % instances}/${askId}`
     const object = `object-${Math.floor(random() * options.objects)}`
     const targetAtMs = nowMs + options.targetMs
     const deadlineAtMs = nowMs + options.deadlineMs
@@ -133,5 +158,5 @@
   }
   queue.run()
   const { peakConcurrency, cacheMisses } = simulated
-  return { ...result, peakConcurrency, cacheMisses }
+  return { ...result, peakConcurrency, cacheMisses, grants }
 }
