--- a/src/entry/peerMessageFormat.ts
+++ b/src/entry/peerMessageFormat.ts
@@ -100,6 +100,7 @@
       durationMs: isNumber,
       report: isOptional(isLoadReport),
       stated: isOptional(isStatement),
+      keptForMs: isNumber,
     }),
   ],
   [
