test(soak): callers that send requests ahead, and more connections than descriptors

Real entry process with a heap of 64 MB and 400 descriptors; 24 connections that send up to 16 MB each and read nothing, and 450 connections. Checked: the process runs, at most 160 MB resident and 360 descriptors, and afterwards, beside the crowd, a request, a readiness check and a look-up are answered.

--- a/testing/soak/deployment.ts
+++ b/testing/soak/deployment.ts
@@ -69,6 +69,8 @@
   routeTimeoutMs = 1500
   /** Limit on bodies of requests, in configurations that are published from now on. */
   bodyBytes = 1_048_576
+  /** Limit on the descriptors of each entry process; `undefined`: that of this process. */
+  descriptors: number | undefined
   #serverCount = 0
   #writeCount = 0
 
@@ -177,6 +179,7 @@
         retryRatio: RETRY_BUDGET_RATIO,
         retrySlack: RETRY_BUDGET_SLACK,
         nodeOptions,
+        descriptors: this.descriptors,
         folder: path.join(this.#folder, 'entries'),
       }),
     )
--- a/testing/soak/entryProcess.ts
+++ b/testing/soak/entryProcess.ts
@@ -1,7 +1,7 @@
 /** Runs an entry instance as a process: the bundled program with a settings file and signals. */
 import type { ChildProcess } from 'node:child_process'
 import { spawn } from 'node:child_process'
-import { mkdirSync, createWriteStream, readFileSync, writeFileSync } from 'node:fs'
+import { mkdirSync, createWriteStream, readFileSync, readdirSync, writeFileSync } from 'node:fs'
 import type { WriteStream } from 'node:fs'
 import path from 'node:path'
 
@@ -34,6 +34,8 @@
   readonly retrySlack: number
   /** Command line options of Node.js, such as for profiling. */
   readonly nodeOptions: readonly string[]
+  /** Limit on the descriptors of the process; `undefined`: that of this process. */
+  readonly descriptors?: number | undefined
   /** Folder for the settings file and the log. */
   readonly folder: string
 }
@@ -77,17 +79,21 @@
   start(): void {
     if (this.#child !== undefined || this.#isTerminated) return
     this.#startCount += 1
-    const child = spawn(
+    const { descriptors, nodeOptions } = this.options
+    const program = [
       process.execPath,
-      [
-        `--max-old-space-size=${HEAP_LIMIT_MB}`,
-        ...this.options.nodeOptions,
-        PROGRAM_PATH,
-        '--settings',
-        this.#settingsPath,
-      ],
-      { stdio: ['ignore', 'pipe', 'pipe'] },
-    )
+      `--max-old-space-size=${HEAP_LIMIT_MB}`,
+      ...nodeOptions,
+      PROGRAM_PATH,
+      '--settings',
+      this.#settingsPath,
+    ]
+    // The shell replaces itself, so that the program has the identifier of the child.
+    const [command = '', ...words] =
+      descriptors === undefined
+        ? program
+        : ['/bin/sh', '-c', `ulimit -n ${descriptors}; exec "$0" "$@"`, ...program]
+    const child = spawn(command, words, { stdio: ['ignore', 'pipe', 'pipe'] })
     this.#child = child
     child.stdout.pipe(this.#log, { end: false })
     child.stderr.pipe(this.#log, { end: false })
@@ -111,6 +117,13 @@
     return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024
   }
 
+  /** Number of descriptors that the current process has open. */
+  get openDescriptors(): number {
+    const pid = this.#child?.pid
+    if (pid === undefined) throw new Error('the process does not run')
+    return readdirSync(`/proc/${pid}/fd`).length
+  }
+
   /** Ends the readers of standard output and standard error. */
   closeOutput(): void {
     this.#child?.stdout?.destroy()
@@ -145,7 +158,12 @@
       directory: `${host}:${EntryPort.Directory}`,
     },
     seed_nodes: options.seeds,
-    limits: { cpu_share: 0.54, cpu_cores: 1, link_bandwidth_mbps: 1000 },
+    limits: {
+      cpu_share: 0.54,
+      cpu_cores: 1,
+      link_bandwidth_mbps: 1000,
+      ...(options.descriptors === undefined ? {} : { file_descriptors: options.descriptors }),
+    },
     bounds: {
       retry_budget_ratio: options.retryRatio,
       retry_budget_slack: options.retrySlack,
