fix(entry): bound what callers' connections make a process hold

Cause: Node.js turns all that it has read into requests, thousands a chunk, and each became objects, a running request and an answer without any bound a connection; answers of our own did not count, and nothing kept descriptors for the store, peers and servers.

Change: the input of a connection is passed to the parser one request at a time (ConnectionInput). A connection with 128 open requests or 1 MB of unfetched answers is not read; what it sent beyond that is then read at one request in 100 ms. Requests ahead, heads and unread input share 32 MB a listener. A connection that fetches nothing for 30 s is closed. Beyond the connections of a listener (a part of the descriptors) those that are needed least are closed. Answers count with 1 KB beside their body. Requests with an unknown expectation, which Node.js answered by itself, are counted and close the connection. The bounds are settings (caller_bounds).

Weighed: pausing the socket from the request's handler comes too late, since the whole chunk is parsed by then; a stream between socket and server copies every byte.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,7 +11,7 @@
   'src/**/http*.ts',
   'src/**/*Daemon.ts',
   'src/**/*Settings.ts',
-  'src/entry/{callerBody,callerConnection,connectionPool,lingeringConnections,peerLink,peerMesh,responseReader,serverConnection}.ts',
+  'src/entry/{callerBody,callerConnection,connectionInput,connectionLimits,connectionPool,lingeringConnections,peerLink,peerMesh,responseReader,serverConnection}.ts',
 ]
 
 export default tseslint.config(
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -8,10 +8,11 @@
 import { CONNECTION_HEADERS, findHeader, toHeaderPairs } from '../common/exchange.js'
 import { listen } from '../common/listen.js'
 import { BodyRejection, readCallerBody, reserveBody } from './callerBody.js'
-import { CallerConnection } from './callerConnection.js'
+import { DEFAULT_CALLER_BOUNDS } from './callerBounds.js'
+import type { ListenerBounds } from './callerBounds.js'
+import { CallerConnections, headSizeBytes } from './callerConnection.js'
 import type { CallerAnswer, CallerHeaders, CallerRequest } from './callerRequest.js'
 import { FailureKind, failureAnswer } from './callerRequest.js'
-import { LingeringConnections } from './lingeringConnections.js'
 import type { CallerLimits } from './routingConfiguration.js'
 
 export interface CallerServerDependencies {
@@ -27,6 +28,7 @@
   readonly answerBudget: ByteBudget
   /** Whether the event loop was blocked recently, so that closes may be pending behind requests. */
   readonly isEventLoopDelayed: () => boolean
+  readonly bounds?: ListenerBounds | undefined
 }
 
 /** Limit on request heads that Node.js enforces; the configured limit is checked in addition. */
@@ -37,6 +39,8 @@
 const DEFAULT_BODY_TIMEOUT_MS = 30_000
 /** Retry-After when the memory for bodies is used up; others are answered meanwhile. */
 const BODY_MEMORY_RETRY_AFTER_MS = 500
+/** Memory of an answer that was not fetched, beside its body. */
+const ANSWER_HEAD_BYTES = 1024
 const HOP_BY_HOP_HEADERS = new Set([...CONNECTION_HEADERS, 'te', 'expect'])
 
 /**
@@ -53,13 +57,13 @@
 export class CallerServer {
   readonly #dependencies: CallerServerDependencies
   readonly #server: Server
-  readonly #connections = new Map<Socket, CallerConnection>()
-  readonly #lingering = new LingeringConnections()
+  readonly #connections: CallerConnections
   #isLeaving = false
   #acceptedConnections = 0
 
   constructor(dependencies: CallerServerDependencies) {
     this.#dependencies = dependencies
+    this.#connections = new CallerConnections(dependencies.bounds ?? DEFAULT_CALLER_BOUNDS.callers)
     this.#server = new ListenerOnlyServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       requireHostHeader: false,
@@ -69,10 +73,14 @@
     }
     this.#server.on('connection', (socket) => {
       this.#acceptedConnections += 1
-      this.#addConnection(socket)
+      this.#connections.add(socket)
+    })
+    this.#server.on('close', () => {
+      this.#connections.stop()
     })
     this.#server.on('request', handle)
     this.#server.on('checkContinue', handle)
+    this.#server.on('checkExpectation', handle)
     this.#server.on('clientError', (error: Error & { code?: string }, socket) => {
       if (socket instanceof Socket) this.#handleInvalidInput(socket, error.code)
     })
@@ -81,7 +89,7 @@
   /** Number of requests that were read and are not answered yet. */
   get openRequests(): number {
     let total = 0
-    for (const { openRequests } of this.#connections.values()) total += openRequests
+    for (const [, { openRequests }] of this.#connections) total += openRequests
     return total
   }
 
@@ -115,7 +123,7 @@
   stop(nowMs: number): void {
     this.#server.close()
     for (const [socket, connection] of this.#connections) {
-      if (connection.isIdle(nowMs) && !this.#lingering.has(socket)) socket.destroy()
+      if (connection.isIdle(nowMs) && !this.#connections.isLingering(socket)) socket.destroy()
     }
   }
 
@@ -123,35 +131,24 @@
   deliveringConnections(nowMs: number): number {
     let total = 0
     for (const [socket, connection] of this.#connections) {
-      if (this.#lingering.has(socket) || connection.isDelivering(nowMs)) total += 1
+      if (this.#connections.isLingering(socket) || connection.isDelivering(nowMs)) total += 1
     }
     return total
   }
 
-  #addConnection(socket: Socket): void {
-    const connection = new CallerConnection(socket)
-    this.#connections.set(socket, connection)
-    this.#lingering.attach(socket)
-    socket.once('close', () => {
-      this.#connections.delete(socket)
-      // Of several pipelined requests, Node.js closes only the response of the first.
-      connection.abortRequests()
-    })
-  }
-
   #handleInvalidInput(socket: Socket, code: string | undefined): void {
     const connection = this.#connections.get(socket)
-    if (this.#lingering.has(socket)) return
+    if (this.#connections.isLingering(socket)) return
     if (!socket.writable || code === 'ECONNRESET' || connection === undefined) {
       socket.destroy()
       return
     }
     // The requests before it are still answered.
-    connection.isInputInvalid = true
+    connection.markInputInvalid()
     connection.rejectBody?.()
     if (connection.openRequests > 0) return
     socket.write(`HTTP/1.1 ${statusForParserError(code)}\r\nConnection: close\r\n\r\n`)
-    this.#lingering.add(socket)
+    this.#connections.linger(socket)
   }
 
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
@@ -161,12 +158,13 @@
     if (connection === undefined || connection.isClosing) return
     // A connection waits to be accepted for up to a second on a busy instance.
     const isFirst = !connection.hasRead
-    const callerAbort = connection.openRequest()
+    const headBytes = headSizeBytes(message)
+    const callerAbort = connection.openRequest(message, headBytes)
     response.once('close', () => {
       connection.endRequest(callerAbort, this.#dependencies.clock())
       if (!response.writableFinished) callerAbort.abort()
     })
-    const rejection = this.#validate(message)
+    const rejection = this.#validate(message, headBytes)
     if (rejection !== undefined) {
       this.#answer(message, response, rejection, true)
       return
@@ -239,11 +237,15 @@
     if (message.headers.expect !== undefined) response.writeContinue()
   }
 
-  #validate(message: IncomingMessage): CallerAnswer | undefined {
+  #validate(message: IncomingMessage, headBytes: number): CallerAnswer | undefined {
     const limit = this.#dependencies.limits()?.headerBytes
-    if (limit !== undefined && headSizeBytes(message) > limit) {
+    if (limit !== undefined && headBytes > limit) {
       return rejectionAnswer(431, 'headers too large')
     }
+    const { expect } = message.headers
+    if (expect !== undefined && expect.toLowerCase() !== '100-continue') {
+      return rejectionAnswer(417, 'unknown expectation')
+    }
     if (message.headers.host === undefined) return rejectionAnswer(400, 'Host is missing')
     if (message.url?.startsWith('/') !== true) return rejectionAnswer(400, 'target is not a path')
     if (message.headers[this.#dependencies.headers.requestId] === undefined) {
@@ -316,7 +318,7 @@
     const isDelimitedByClose = original.isDelimitedByClose === true && isLast
     const isCompletenessUnknown = original.isDelimitedByClose === true && !isLast
     const answer = isCompletenessUnknown ? failureAnswer(FailureKind.AnswerLost, 0) : original
-    if (!this.#reserveAnswer(socket, response, answer.body.length)) {
+    if (!this.#reserveAnswer(socket, response, ANSWER_HEAD_BYTES + answer.body.length)) {
       socket.destroy()
       return
     }
@@ -329,7 +331,7 @@
       rawHeaders.push('Content-Length', String(answer.body.length))
     }
     if (isClosing) {
-      connection.isClosing = true
+      connection.startClosing()
       rawHeaders.push('Connection', 'close')
     }
     if (answer.statusText === undefined) response.writeHead(answer.status, rawHeaders)
@@ -347,8 +349,10 @@
       reservation.release()
       socket.destroy()
     })
+    const endCount = this.#connections.get(socket)?.addAnswer(bytes)
     response.once('close', () => {
       reservation.release()
+      endCount?.()
     })
     return reservation.grow(bytes)
   }
@@ -389,12 +393,6 @@
   return { status, headers: [['Content-Type', 'text/plain']], body: Buffer.from(`${text}\n`) }
 }
 
-function headSizeBytes(message: IncomingMessage): number {
-  let bytes = (message.url ?? '').length + (message.method ?? '').length
-  for (const text of message.rawHeaders) bytes += text.length + 2
-  return bytes
-}
-
 function connectionOptions(headers: readonly HeaderPair[]): ReadonlySet<string> {
   const value = findHeader(headers, 'connection')
   if (value === undefined) return NO_OPTIONS
--- a/src/entry/entryPlatform.ts
+++ b/src/entry/entryPlatform.ts
@@ -1,6 +1,7 @@
 /** Settings of an entry instance, and the interface to the platform that it runs on. */
 import type { HostAndPort } from '../common/listen.js'
 import type { ContentOrder } from './heldItems.js'
+import type { CallerBounds } from './callerBounds.js'
 import type { ServerUpdate } from './backendServerRegistry.js'
 import type { CallerHeaders } from './callerRequest.js'
 import type { InstanceRecord } from './instanceRecord.js'
@@ -27,6 +28,8 @@
   readonly graceMs: number
   /** Memory for the bodies of callers' requests, in bytes. */
   readonly requestBodyBytes: number
+  /** Bounds of callers' connections; {@link DEFAULT_CALLER_BOUNDS} if not stated. */
+  readonly callerBounds?: CallerBounds | undefined
 }
 
 /** Decoded item of the store. */
--- a/src/entry/lingeringConnections.ts
+++ b/src/entry/lingeringConnections.ts
@@ -24,9 +24,13 @@
     return this.#sockets.has(socket)
   }
 
-  /** Makes Node.js close the connection this way after an answer with `Connection: close`. */
-  attach(socket: Socket): void {
+  /**
+   * Makes Node.js close the connection this way after an answer with `Connection: close`.
+   * @param onEnd called when it does
+   */
+  attach(socket: Socket, onEnd?: () => void): void {
     socket.destroySoon = () => {
+      onEnd?.()
       this.add(socket)
     }
   }
--- a/src/entry/simpleHttpServer.ts
+++ b/src/entry/simpleHttpServer.ts
@@ -1,8 +1,11 @@
 /** HTTP server for requests without a body: readiness, directory, metrics. */
-import type { IncomingMessage, Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer } from 'node:http'
+import { monotonicClock } from '../common/clock.js'
 import { listen } from '../common/listen.js'
-import { LingeringConnections } from './lingeringConnections.js'
+import { DEFAULT_CALLER_BOUNDS } from './callerBounds.js'
+import type { ListenerBounds } from './callerBounds.js'
+import { CallerConnections, headSizeBytes } from './callerConnection.js'
 import type { SimpleAnswer } from './simpleAnswer.js'
 
 /** Answers a request; `undefined` results in status 404. */
@@ -17,22 +20,34 @@
   readonly handle: SimpleHandler
   /** Called with the error of a request, which is answered with status 500. */
   readonly onError: (target: string, error: unknown) => void
+  readonly bounds?: ListenerBounds | undefined
 }
 
 /** Resolves once the server listens. */
 export async function startSimpleServer(options: SimpleServerOptions): Promise<Server> {
-  const server = createServer((request, response) => {
+  const connections = new CallerConnections(options.bounds ?? DEFAULT_CALLER_BOUNDS.directory)
+  const handle = (request: IncomingMessage, response: ServerResponse): void => {
+    const connection = connections.get(request.socket)
+    if (connection === undefined) return
+    const abort = connection.openRequest(request, headSizeBytes(request))
+    response.once('close', () => {
+      connection.endRequest(abort, monotonicClock())
+    })
     void answerOf(request, options).then(({ status, contentType, body }) => {
-      response.writeHead(status, {
-        'Content-Type': contentType,
-        'Content-Length': Buffer.byteLength(body),
-      })
+      const length = Buffer.byteLength(body)
+      response.once('close', connection.addAnswer(length))
+      response.writeHead(status, { 'Content-Type': contentType, 'Content-Length': length })
       response.end(body)
     })
-  })
-  const lingering = new LingeringConnections()
+  }
+  const server = createServer(handle)
+  // Without a listener, Node.js answers such requests itself, and they are not counted.
+  server.on('checkExpectation', handle)
   server.on('connection', (socket) => {
-    lingering.attach(socket)
+    connections.add(socket)
+  })
+  server.on('close', () => {
+    connections.stop()
   })
   await listen(server, options.host, options.port)
   return server
