--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -224,6 +224,7 @@
         log.decision(requestId, 'requestError', { error: stackOf(error) })
       },
       isEventLoopDelayed: () => this.#eventLoopDelay.isDelayed(clock()),
+      bounds: settings.callerBounds?.callers,
     })
     this.#follower = new StoreFollower({
       store: platform.store,
@@ -257,7 +258,8 @@
 
   /** Resolves once all servers listen; the instance is ready once it has a configuration. */
   async start(): Promise<void> {
-    const { peers, callers, readiness, directory, metrics, seeds, record } = this.#settings
+    const { peers, callers, readiness, directory, metrics, seeds, record, callerBounds } =
+      this.#settings
     await this.#mesh.start(peers.host, peers.port)
     for (const seed of seeds) if (seed !== record.peerAddress) this.#mesh.connectToSeed(seed)
     void this.#follower.run()
@@ -267,13 +269,24 @@
       this.#log.event('requestError', { target, error: stackOf(error) })
     }
     this.#simpleServers.push(
-      await startSimpleServer({ ...readiness, onError, handle: (url) => this.#readiness(url) }),
+      await startSimpleServer({
+        ...readiness,
+        onError,
+        bounds: callerBounds?.readiness,
+        handle: (url) => this.#readiness(url),
+      }),
       await startSimpleServer({
         ...directory,
         onError,
+        bounds: callerBounds?.directory,
         handle: (url, request) => this.#directory(url, request.socket.remoteAddress ?? ''),
       }),
-      await startSimpleServer({ ...metrics, onError, handle: (url) => this.#metricsPage(url) }),
+      await startSimpleServer({
+        ...metrics,
+        onError,
+        bounds: callerBounds?.metrics,
+        handle: (url) => this.#metricsPage(url),
+      }),
     )
     this.#timers.push(
       setInterval(() => {
