test(soak): an ordinary request beside a crowd is sent again when the instance says so

The check expected 200 of the first attempt. As strict otherwise: the request must be served within its 30 s; crowd and bounds are unchanged.

--- a/testing/soak/__tests__/sentAhead.spec.ts
+++ b/testing/soak/__tests__/sentAhead.spec.ts
@@ -126,13 +126,28 @@
     await sleep(SENDING_MS)
   }
 
+  /**
+   * Sends an ordinary request, again when the instance says so: a crowd whose requests are good
+   * keeps the servers busy, and what finds no slot is refused.
+   */
+  async function askAsCaller(): Promise<string> {
+    const endMs = monotonicClock() + REQUEST_TIMEOUT_MS
+    for (;;) {
+      entry.callerDeadlineMs = Math.max(1, Math.round(endMs - monotonicClock()))
+      const answer = await entry.exchange(SAFE_HOST, 'GET', '/usual')
+      const retryAfter = /^HTTP\/1\.1 503 .*^Retry-After: ([\d.]+)/ims.exec(answer)?.[1]
+      if (retryAfter === undefined || monotonicClock() > endMs) return answer
+      await sleep(Number(retryAfter) * 1000)
+    }
+  }
+
   /** Checks the process beside the crowd, which is still connected. */
   async function expectSound(): Promise<void> {
     expect(entry.process.isRunning, 'runs').to.equal(true)
     const { openDescriptors } = entry.process
     if (areFiguresPrinted) console.log(`        ${openDescriptors} descriptors`)
     expect(openDescriptors).to.be.below(MAX_OPEN_DESCRIPTORS)
-    expect(await entry.exchange(SAFE_HOST, 'GET', '/usual')).to.match(/^HTTP\/1\.1 200 /)
+    expect(await askAsCaller()).to.match(/^HTTP\/1\.1 200 /)
     const readiness = request('GET /readiness HTTP/1.1', HOST, 'Connection: close')
     expect(await entry.exchangeBytes(EntryPort.Readiness, readiness)).to.match(/^HTTP\/1\.1 200 /)
     const lookUp = request(
