fix(entry): no pace for connections that only fetch large answers slowly

The bound on unfetched bytes stops reading; only a connection that has had as many requests open as it may is read at one request in 100 ms afterwards.

--- a/src/entry/callerConnection.ts
+++ b/src/entry/callerConnection.ts
@@ -13,8 +13,8 @@
 /** Memory of a request that was sent ahead and of its answer, without their contents. */
 const REQUEST_AHEAD_BYTES = 8 * 1024
 /**
- * Time between two requests of a connection that has reached its bounds and goes on sending, in
- * milliseconds. Without it, callers that ignore refusals keep the servers' queues full for others.
+ * Time between two requests of a connection that has sent more ahead than it may, in milliseconds.
+ * Without it, callers that ignore refusals keep the servers' queues full for others.
  */
 const PACE_MS = 100
 /** Part of the memory for input that requests ahead may use; the rest is for first requests. */
@@ -34,7 +34,7 @@
   #bytesReadAtLastEnd = 0
   #unfetchedAnswers = 0
   #unfetchedBytes = 0
-  /** Whether the connection has reached its bounds and has sent more since. */
+  /** Whether the connection has had as many requests open as it may, and has sent more. */
   #isPaced = false
   #isPausing = false
   #isClosing = false
@@ -165,11 +165,14 @@
     if (this.#isPaced) return open === 0 && !this.#isPausing
     if (open === 0) return true
     const { requestsPerConnection, answerBytesPerConnection, inputBytes } = this.#bounds
-    if (open >= requestsPerConnection || this.#unfetchedBytes >= answerBytesPerConnection) {
+    if (open >= requestsPerConnection) {
       this.#isPaced = true
       return false
     }
-    return this.#inputBudget.usedBytes < inputBytes * AHEAD_SHARE
+    return (
+      this.#unfetchedBytes < answerBytesPerConnection &&
+      this.#inputBudget.usedBytes < inputBytes * AHEAD_SHARE
+    )
   }
 }
 
