--- a/src/entry/__tests__/callerBounds.spec.ts
+++ b/src/entry/__tests__/callerBounds.spec.ts
@@ -136,6 +136,33 @@
     })
   }
 
+  // Guards against a connection that stops for ever, or loses requests, when Node.js itself stops
+  // reading because answers wait behind one that is not ready.
+  it('answers all requests whose answers wait for earlier ones, as they are sent bit by bit', async () => {
+    await start({ requestsPerConnection: 16 })
+    isAnswering = false
+    answerBytes = 40_000
+    const { socket, answered } = open()
+    const count = 48
+    const kinds = Object.keys(BODIES)
+    const answerLast = setInterval(() => answers.pop()?.(done()), 3)
+    for (let id = 0; id < count; id += 1) {
+      const text = requestText(id, kinds[id % kinds.length] ?? '')
+      socket.write(text.slice(0, 40))
+      if (id % 5 === 0) await sleep(4)
+      socket.write(text.slice(40))
+      if (id % 7 === 0) socket.pause()
+      await sleep(1)
+      socket.resume()
+    }
+    await waitUntil(() => answered() === count)
+    clearInterval(answerLast)
+    expect(answered()).to.equal(count)
+    expect(read.map(({ id }) => id)).to.have.members(
+      Array.from({ length: count }, (_, id) => `${id}`),
+    )
+  })
+
   // Guards against answers without bound to a caller that fetches none of them.
   it('reads no requests ahead while too many bytes of answers are not fetched', async () => {
     await start({ answerBytesPerConnection: 1_000_000 })
