feat(entry): instances share the sign that servers forget kept connections

Cause: with the longer idle limits, each instance has to lose a request before it distrusts its kept connections.

Change: an instance states with the slot what became of the connection; the coordinator warns with each grant of the service for 15 s. Only a reset within a round trip of a connection idle for over 150 ms is shared, so that a server that ends does not cost all instances new connections.

--- a/src/entry/__tests__/keptConnections.spec.ts
+++ b/src/entry/__tests__/keptConnections.spec.ts
@@ -14,10 +14,10 @@
   // Load: many instances share a server, so each has a few connections of different age to it.
   it('knows for each instance and server whether the latest connection may be reused', () => {
     const kept = new KeptConnections<string>()
-    kept.add('a', 's', 100)
-    kept.add('a', 's', 200)
-    kept.add('b', 's', 150)
-    kept.add('a', 't', 150)
+    kept.recordUse('a', 's', { keptForMs: 100 }, 0)
+    kept.recordUse('a', 's', { keptForMs: 200 }, 0)
+    kept.recordUse('b', 's', { keptForMs: 150 }, 0)
+    kept.recordUse('a', 't', { keptForMs: 150 }, 0)
     expect(['a', 'b', 'c'].map((instance) => hasKept(kept, instance, 's', 120))).to.deep.equal([
       true,
       true,
@@ -33,10 +33,19 @@
     expect([...kept.serversOf('a', 120)]).to.deep.equal([])
   })
 
+  // Load: a server forgets the connections of all instances, which then each lose a request.
+  it('tells for 15 s that an instance lost a connection', () => {
+    const kept = new KeptConnections<string>()
+    kept.recordUse('a', 's', { keptForMs: 100 }, 0)
+    expect(kept.mayBeLost(0)).to.equal(false)
+    kept.recordUse('a', 's', { isLost: true }, 10)
+    expect([kept.mayBeLost(15_009), kept.mayBeLost(15_010)]).to.deep.equal([true, false])
+  })
+
   // Guards against memory that grows with each request to a server.
   it('remembers a bounded number of connections of an instance', () => {
     const kept = new KeptConnections<string>()
-    for (let index = 0; index < 1000; index += 1) kept.add('a', 's', 100)
+    for (let index = 0; index < 1000; index += 1) kept.recordUse('a', 's', { keptForMs: 100 }, 0)
     let count = 0
     for (; hasKept(kept, 'a', 's', 0); count += 1) kept.take('a', 's')
     expect(count).to.equal(12)
--- a/src/entry/__tests__/reuseLimits.spec.ts
+++ b/src/entry/__tests__/reuseLimits.spec.ts
@@ -16,10 +16,10 @@
   )
   const recorders: Readonly<Record<string, (limits: ReuseLimits, nowMs: number) => void>> = {
     break: (limits, nowMs) => {
-      limits.recordBrokenReuse(2, nowMs)
+      limits.recordBrokenReuse(400, 2, nowMs)
     },
     lateBreak: (limits, nowMs) => {
-      limits.recordBrokenReuse(900, nowMs)
+      limits.recordBrokenReuse(400, 900, nowMs)
     },
     unreachable: (limits, nowMs) => {
       limits.recordUnreachable(nowMs)
@@ -48,7 +48,7 @@
     fc.assert(
       fc.property(statedMs, fc.integer({ min: 0, max: 14_999 }), (timeoutMs, laterMs) => {
         const broken = new ReuseLimits()
-        broken.recordBrokenReuse(500, 0)
+        broken.recordBrokenReuse(400, 500, 0)
         broken.recordUnreachable(0)
         const silent = new ReuseLimits()
         silent.recordUnreachable(0)
@@ -62,6 +62,18 @@
     )
   })
 
+  // Guards against instances that all open new connections because one server ended.
+  it('warns other instances only of a reset that shows a dropped connection', () => {
+    const isClear = (idleMs: number, afterMs: number) =>
+      new ReuseLimits().recordBrokenReuse(idleMs, afterMs, 0)
+    expect([isClear(400, 120), isClear(400, 500), isClear(100, 2)]).to.deep.equal([
+      true,
+      false,
+      false,
+    ])
+    expect(new ReuseLimits().limits(10_000, 0, true).nonIdempotentMs).to.equal(150)
+  })
+
   // Guards against new connections where earlier releases reused one.
   it('reuses connections for at least as long as before without signs of loss', () => {
     const now = (timeoutMs: number | undefined) => new ReuseLimits().limits(timeoutMs, 0)
--- a/src/entry/connectionPool.ts
+++ b/src/entry/connectionPool.ts
@@ -18,6 +18,9 @@
 /** Memory for answers that are being read, or not fetched yet; several of the largest ones fit. */
 export const ANSWER_MEMORY_BYTES = 48 * 1024 * 1024
 
+type RequestSafety = Pick<ServerRequest, 'isIdempotent' | 'mayConnectionsBeLost'>
+const ANY_IDEMPOTENT: RequestSafety = { isIdempotent: true }
+
 export class ConnectionPool {
   readonly #shared: SharedConnectionResources
   readonly #headers: ServerHeaders
@@ -56,12 +59,17 @@
     onEnd: (outcome: PooledOutcome) => void,
   ): (kind: OutcomeKind.Abandoned | OutcomeKind.TimedOut) => void {
     const connection = this.#takeIdle(key, request) ?? this.#open(address, isRemote)
-    const { hasCarriedRequest } = connection
+    const { hasCarriedRequest, idleSinceMs } = connection
+    const idleMs = this.#clock() - idleSinceMs
     return connection.send(
       request,
       (outcome) => {
-        this.#recordOutcome(outcome, isRemote)
-        onEnd({ ...outcome, keptForMs: this.#keep(key, connection) })
+        const isLost = this.#recordOutcome(outcome, idleMs, isRemote)
+        const keptForMs = this.#keep(key, connection)
+        onEnd({
+          ...outcome,
+          connection: { ...(keptForMs > 0 ? { keptForMs } : {}), ...(isLost ? { isLost } : {}) },
+        })
       },
       (isSilent) => {
         if (isSilent && hasCarriedRequest) this.#limits.recordUnreachable(this.#clock())
@@ -88,7 +96,7 @@
   closeExpired(nowMs: number): void {
     for (const [key, connections] of this.#idle) {
       const kept = connections.filter((connection) => {
-        const isKept = this.#isReusable(connection, true, nowMs)
+        const isKept = this.#isReusable(connection, ANY_IDEMPOTENT, nowMs)
         if (!isKept) connection.destroy()
         return isKept
       })
@@ -101,20 +109,34 @@
     this.retain(new Set())
   }
 
-  #recordOutcome({ kind, isReused, answer, durationMs }: SendOutcome, isRemote: boolean): void {
+  /** Returns whether the server had dropped the connection before the send. */
+  #recordOutcome(
+    { kind, isReused, answer, durationMs }: SendOutcome,
+    idleMs: number,
+    isRemote: boolean,
+  ): boolean {
     const nowMs = this.#clock()
     if (kind === OutcomeKind.Broken && isReused && answer === undefined) {
-      this.#limits.recordBrokenReuse(durationMs, nowMs)
+      return this.#limits.recordBrokenReuse(idleMs, durationMs, nowMs)
     }
     // A refused connection shows that the server is gone; silence, that connections may be lost.
     const isSilent = durationMs >= connectTimeoutMs(isRemote)
     if (kind === OutcomeKind.Unreachable && isSilent) this.#limits.recordUnreachable(nowMs)
+    return false
   }
 
-  #isReusable(connection: ServerConnection, isIdempotent: boolean, nowMs: number): boolean {
+  #isReusable(
+    connection: ServerConnection,
+    { isIdempotent, mayConnectionsBeLost }: RequestSafety,
+    nowMs: number,
+  ): boolean {
     if (!connection.isUsable) return false
     const { idleSinceMs, statedIdleTimeoutMs } = connection
-    const { idempotentMs, nonIdempotentMs } = this.#limits.limits(statedIdleTimeoutMs, nowMs)
+    const { idempotentMs, nonIdempotentMs } = this.#limits.limits(
+      statedIdleTimeoutMs,
+      nowMs,
+      mayConnectionsBeLost,
+    )
     const idleMs = nowMs - idleSinceMs
     if (isIdempotent) return idleMs < idempotentMs
     return idleMs < nonIdempotentMs && idleSinceMs > this.#pausedAtMs
@@ -126,7 +148,7 @@
     const nowMs = this.#clock()
     const index = connections.findLastIndex(
       (connection) =>
-        this.#isReusable(connection, request.isIdempotent, nowMs) &&
+        this.#isReusable(connection, request, nowMs) &&
         !connection.mayRepeatAnswerTo(request.requestId),
     )
     return index < 0 ? undefined : connections.splice(index, 1)[0]
--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -17,6 +17,7 @@
 import type { ServiceSettings } from './routingConfiguration.js'
 import type { LimitStatement } from './serverLimits.js'
 import type { CoordinatedServer } from './serverState.js'
+import type { ConnectionUse } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
 import type { CoordinatorStats } from './serviceCoordinator.js'
 import { ServiceCoordinator } from './serviceCoordinator.js'
@@ -105,10 +106,10 @@
     report: LoadReport | null,
     nowMs: number,
     stated?: ServerStatement,
-    keptForMs?: number,
+    connection?: ConnectionUse,
   ): void {
     const coordinator = this.#services.get(service)?.coordinator
-    coordinator?.releaseSlot(key, use, durationMs, report, nowMs, stated, keptForMs)
+    coordinator?.releaseSlot(key, use, durationMs, report, nowMs, stated, connection)
   }
 
   adopt(service: string, instance: string, uses: readonly HeldSlotReport[], nowMs: number): void {
@@ -128,8 +129,9 @@
         arrivedAtMs: nowMs,
         targetAtMs: nowMs + details.targetInMs,
         deadlineAtMs: nowMs + details.deadlineInMs,
-        onGranted: (serverId) => {
-          peers.send(peer, { kind: PeerMessageKind.Grant, askId, serverId })
+        onGranted: (serverId, mayConnectionsBeLost = false) => {
+          const grant = { kind: PeerMessageKind.Grant as const, askId, serverId }
+          peers.send(peer, mayConnectionsBeLost ? { ...grant, mayConnectionsBeLost } : grant)
         },
         onRefused: (reason, retryAfterMs) => {
           peers.send(peer, { kind: PeerMessageKind.Refuse, askId, reason, retryAfterMs })
--- a/src/entry/keptConnections.ts
+++ b/src/entry/keptConnections.ts
@@ -8,6 +8,9 @@
  * it until slots have been released.
  */
 
+import { CAUTION_MS } from './reuseLimits.js'
+import type { ConnectionUse } from './serverExchange.js'
+
 /**
  * Cost of a new connection, relative to the usual duration of a request: it decides between servers
  * that are nearly alike. With 0.5, requests run at servers that are too slow for them.
@@ -23,9 +26,28 @@
    * The servers of an instance are in the order of the latest release.
    */
   readonly #untilMs = new Map<string, Map<Server, number[]>>()
+  #lossUntilMs = Number.NEGATIVE_INFINITY
+
+  /** Records what became of the connection of a request that has ended. */
+  recordUse(
+    instance: string,
+    server: Server,
+    { keptForMs = 0, isLost = false }: ConnectionUse,
+    nowMs: number,
+  ): void {
+    if (isLost) this.#lossUntilMs = nowMs + CAUTION_MS
+    if (keptForMs > 0) this.#add(instance, server, nowMs + keptForMs)
+  }
+
+  /**
+   * Whether an instance lost a connection a short time ago. Instances are told so with each grant,
+   * so that not each of them has to lose one before it distrusts the others.
+   */
+  mayBeLost(nowMs: number): boolean {
+    return nowMs < this.#lossUntilMs
+  }
 
-  /** Records that an instance keeps a connection. */
-  add(instance: string, server: Server, untilMs: number): void {
+  #add(instance: string, server: Server, untilMs: number): void {
     const servers = this.#untilMs.get(instance) ?? new Map<Server, number[]>()
     this.#untilMs.set(instance, servers)
     const times = servers.get(server) ?? []
--- a/src/entry/peerMessageFormat.ts
+++ b/src/entry/peerMessageFormat.ts
@@ -87,7 +87,14 @@
     }),
   ],
   [PeerMessageKind.CancelSlotRequest, hasFields({ service: isText, askId: isNumber })],
-  [PeerMessageKind.Grant, hasFields({ askId: isNumber, serverId: isText })],
+  [
+    PeerMessageKind.Grant,
+    hasFields({
+      askId: isNumber,
+      serverId: isText,
+      mayConnectionsBeLost: isOptional(isBoolean),
+    }),
+  ],
   [PeerMessageKind.Refuse, hasFields({ askId: isNumber, reason: isText, retryAfterMs: isNumber })],
   [
     PeerMessageKind.ReleaseSlot,
@@ -98,7 +105,7 @@
       durationMs: isNumber,
       report: isOptional(isLoadReport),
       stated: isOptional(isStatement),
-      keptForMs: isNumber,
+      connection: isOptional(hasFields({ keptForMs: isNumber, isLost: isOptional(isBoolean) })),
     }),
   ],
   [
--- a/src/entry/peerMessageHandlers.ts
+++ b/src/entry/peerMessageHandlers.ts
@@ -59,9 +59,9 @@
     slots.handleRefusal(peer, message)
   },
   [PeerMessageKind.ReleaseSlot]: ({ coordination, peer, nowMs }, message) => {
-    const { service, askId, use, durationMs, report, stated, keptForMs } = message
+    const { service, askId, use, durationMs, report, stated, connection } = message
     const key = `${peer}/${askId}`
-    coordination.releaseSlot(service, key, use, durationMs, report, nowMs, stated, keptForMs)
+    coordination.releaseSlot(service, key, use, durationMs, report, nowMs, stated, connection)
   },
   [PeerMessageKind.HeldSlots]: ({ coordination, peer, nowMs }, message) => {
     coordination.handleHeldSlots(peer, message, nowMs)
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -2,6 +2,7 @@
 import type { InstanceRecord } from './instanceRecord.js'
 import type { LoadReport } from './loadReport.js'
 import type { LeavingServer } from './serverBeliefs.js'
+import type { ConnectionUse } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
 
 /** Wire values are one letter because each request causes three messages. */
@@ -106,6 +107,8 @@
   readonly kind: PeerMessageKind.Grant
   readonly askId: number
   readonly serverId: string
+  /** Whether instances lost connections to servers of the service; left out if not. */
+  readonly mayConnectionsBeLost?: boolean
 }
 
 export interface RefuseMessage {
@@ -137,8 +140,8 @@
   readonly report: LoadReport | null
   /** What the server stated in its answer; left out if nothing. */
   readonly stated?: ServerStatement
-  /** Time for which the sender may reuse the connection, in milliseconds; left out if it may not. */
-  readonly keptForMs?: number
+  /** What became of the connection; left out if nothing was sent, or it was closed as usual. */
+  readonly connection?: ConnectionUse
 }
 
 /** Slot that an instance holds, as reported to a coordinator. */
--- a/src/entry/requestQueue.ts
+++ b/src/entry/requestQueue.ts
@@ -12,7 +12,8 @@
   readonly targetAtMs: number
   readonly deadlineAtMs: number
   /** Called at most once. */
-  onGranted(serverId: string): void
+  /** @param mayConnectionsBeLost whether instances lost connections to servers of the service */
+  onGranted(serverId: string, mayConnectionsBeLost?: boolean): void
   /** Called at most once, and not after {@link onGranted}. */
   onRefused(reason: string, retryAfterMs: number): void
 }
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -246,7 +246,15 @@
         `${server.id}@${server.address}#${server.startedAtMs}`,
         server.address,
         isRemote,
-        { requestId, method, target, headers: sentHeaders, body, isIdempotent },
+        {
+          requestId,
+          method,
+          target,
+          headers: sentHeaders,
+          body,
+          isIdempotent,
+          mayConnectionsBeLost: grant.mayConnectionsBeLost,
+        },
         (result) => {
           finish(result)
         },
@@ -270,7 +278,7 @@
       durationMs,
       outcome.report,
       outcome.statement,
-      outcome.keptForMs,
+      outcome.connection,
     )
     log.decision(state.request.requestId, 'sent', {
       route: state.route.name,
--- a/src/entry/reuseLimits.ts
+++ b/src/entry/reuseLimits.ts
@@ -21,12 +21,14 @@
 /** Limit for non-idempotent requests after a reused connection broke. */
 const BROKEN_REUSE_IDLE_MS = 150
 /** Time for which a sign of lost connections shortens the limit. */
-const CAUTION_MS = 15_000
+export const CAUTION_MS = 15_000
 /**
  * A server that has dropped a connection resets it within a round trip and a retransmission. A
  * connection that breaks later broke while the server worked on the request.
  */
 const MAX_RESET_DELAY_MS = 600
+/** Round trip between regions; a reset after it may be that of a server that ends. */
+const ROUND_TRIP_MS = 200
 
 /** How far a kept connection is trusted. */
 export interface IdleLimits {
@@ -38,8 +40,11 @@
   #brokenReuseUntilMs = Number.NEGATIVE_INFINITY
   #unreachableUntilMs = Number.NEGATIVE_INFINITY
 
-  /** @param statedTimeoutMs idle timeout that the server states; `undefined` if none */
-  limits(statedTimeoutMs: number | undefined, nowMs: number): IdleLimits {
+  /**
+   * @param statedTimeoutMs idle timeout that the server states; `undefined` if none
+   * @param mayBeLost whether other instances lost connections a short time ago
+   */
+  limits(statedTimeoutMs: number | undefined, nowMs: number, mayBeLost = false): IdleLimits {
     const timeoutMs = statedTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS
     // Without a statement the timeout is a guess, which leaves the margin no upper bound.
     const maxMarginMs = statedTimeoutMs === undefined ? Number.POSITIVE_INFINITY : MAX_MARGIN_MS
@@ -48,7 +53,7 @@
     const cautiousMs = Math.min(idempotentMs, CAUTIOUS_IDLE_MS)
     const usualMs = Math.max(cautiousMs, timeoutMs - 2 * marginMs)
     const nonIdempotentMs =
-      nowMs < this.#brokenReuseUntilMs
+      mayBeLost || nowMs < this.#brokenReuseUntilMs
         ? Math.min(cautiousMs, BROKEN_REUSE_IDLE_MS)
         : nowMs < this.#unreachableUntilMs
           ? cautiousMs
@@ -57,12 +62,15 @@
   }
 
   /**
-   * Records that a reused connection broke without an answer.
+   * Records that a reused connection broke without an answer; returns whether it is clear enough
+   * that the server had dropped it to distrust the connections of other instances.
+   * @param idleMs time for which the connection was idle before the send
    * @param afterMs time from the send to the break
    */
-  recordBrokenReuse(afterMs: number, nowMs: number): void {
+  recordBrokenReuse(idleMs: number, afterMs: number, nowMs: number): boolean {
     if (afterMs > MAX_RESET_DELAY_MS) this.#unreachableUntilMs = nowMs + CAUTION_MS
     else this.#brokenReuseUntilMs = nowMs + CAUTION_MS
+    return idleMs > BROKEN_REUSE_IDLE_MS && afterMs <= ROUND_TRIP_MS
   }
 
   /** Records that a server did not accept a connection, or fell silent on a reused one. */
--- a/src/entry/serverExchange.ts
+++ b/src/entry/serverExchange.ts
@@ -14,6 +14,8 @@
   readonly body: Buffer
   /** Whether the request may run twice, and so may use a connection that was idle for long. */
   readonly isIdempotent: boolean
+  /** Whether other instances lost connections to servers of the service a short time ago. */
+  readonly mayConnectionsBeLost?: boolean
 }
 
 /** Complete answer of a backend server. */
@@ -59,10 +61,17 @@
   readonly isReused: boolean
 }
 
+/** What became of the connection that carried a request. */
+export interface ConnectionUse {
+  /** Time for which it may carry another request that must run at most once; left out if closed. */
+  readonly keptForMs?: number
+  /** Whether the server had dropped it unnoticed, and reset it when the request arrived. */
+  readonly isLost?: boolean
+}
+
 /** Outcome of a send through the pool. */
 export interface PooledOutcome extends SendOutcome {
-  /** Time for which the connection may carry a request that must run at most once; 0 if closed. */
-  readonly keptForMs: number
+  readonly connection: ConnectionUse
 }
 
 /** Headers of the exchange with backend servers. */
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -28,6 +28,7 @@
 import type { CoordinatedServer, RunningRequest } from './serverState.js'
 import { ServerIndex } from './serverIndex.js'
 import { ServerState } from './serverState.js'
+import type { ConnectionUse } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
 import type { RegionDemand } from './slotLending.js'
 import { chooseLentSlots } from './slotLending.js'
@@ -195,7 +196,7 @@
     report: LoadReport | null,
     nowMs: number,
     stated?: ServerStatement,
-    keptForMs = 0,
+    connection: ConnectionUse = {},
   ): void {
     this.#expireBorrowedSlots(nowMs)
     this.#unconfirmedSlots.remove(key)
@@ -204,7 +205,7 @@
     if (state !== undefined) {
       this.#servers.refresh(state)
       this.#capacity.recordAnswer(state.server.id, stated, use, running, nowMs)
-      if (keptForMs > 0) this.#keptConnections.add(instanceOf(key), state, nowMs + keptForMs)
+      this.#keptConnections.recordUse(instanceOf(key), state, connection, nowMs)
       const { retryAfterMs, avoidForMs } = stated ?? {}
       const turnedAwayForMs = avoidForMs ?? retryAfterMs
       if (turnedAwayForMs !== undefined) state.turnAway(instanceOf(key), nowMs + turnedAwayForMs)
@@ -596,7 +597,7 @@
     this.#servers.setRequest(waiter.key, state)
     this.#keptConnections.take(instanceOf(waiter.key), state)
     this.#remoteShare.recordRequest(region !== this.#region, nowMs)
-    waiter.onGranted(id)
+    waiter.onGranted(id, this.#keptConnections.mayBeLost(nowMs))
   }
 
   /** Returns the server with the earliest expected completion, which may be a full one. */
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -12,6 +12,7 @@
   SlotOutcome,
 } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
+import type { ConnectionUse } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
 import type { Waiter } from './requestQueue.js'
 
@@ -27,7 +28,7 @@
     report: LoadReport | null,
     nowMs: number,
     stated?: ServerStatement,
-    keptForMs?: number,
+    connection?: ConnectionUse,
   ): void
   adopt(service: string, instance: string, uses: readonly HeldSlotReport[], nowMs: number): void
 }
@@ -43,17 +44,19 @@
   readonly serverId: string
   /** Name of the instance that granted the slot. */
   readonly coordinator: string
+  /** Whether instances lost connections to servers of the service a short time ago. */
+  readonly mayConnectionsBeLost: boolean
   /**
    * Releases the slot; further calls have no effect.
    * @param stated by the server in its answer
-   * @param keptForMs time for which the connection to the server may be reused
+   * @param connection what became of the connection to the server
    */
   release(
     use: SlotOutcome,
     durationMs: number,
     report: LoadReport | null,
     stated?: ServerStatement,
-    keptForMs?: number,
+    connection?: ConnectionUse,
   ): void
 }
 
@@ -135,7 +138,7 @@
       // Withdrawn, or sent to another coordinator meanwhile; the cancel message releases the slot.
       return
     }
-    this.#acceptGrant(message.askId, pending, message.serverId)
+    this.#acceptGrant(pending, message)
   }
 
   /** Handles the refusal of a coordinator. */
@@ -203,8 +206,9 @@
         arrivedAtMs: nowMs,
         targetAtMs,
         deadlineAtMs,
-        onGranted: (serverId) => {
-          this.handleGrant(answeredBy, { kind: PeerMessageKind.Grant, askId, serverId })
+        onGranted: (serverId, mayConnectionsBeLost = false) => {
+          const kind = PeerMessageKind.Grant
+          this.handleGrant(answeredBy, { kind, askId, serverId, mayConnectionsBeLost })
         },
         onRefused: (reason, retryAfterMs) => {
           const kind = PeerMessageKind.Refuse
@@ -239,7 +243,8 @@
     }
   }
 
-  #acceptGrant(askId: number, pending: PendingRequest, serverId: string): void {
+  #acceptGrant(pending: PendingRequest, message: GrantMessage): void {
+    const { askId, serverId, mayConnectionsBeLost = false } = message
     this.#pending.delete(askId)
     const { service, route } = pending.request
     const { coordinator } = pending
@@ -247,9 +252,10 @@
     pending.listener.onGranted({
       serverId,
       coordinator,
-      release: (use, durationMs, report, stated, keptForMs = 0) => {
+      mayConnectionsBeLost,
+      release: (use, durationMs, report, stated, connection = {}) => {
         if (!this.#heldSlots.delete(askId)) return
-        this.#release(askId, service, coordinator, use, durationMs, report, stated, keptForMs)
+        this.#release(askId, service, coordinator, use, durationMs, report, stated, connection)
       },
     })
   }
@@ -262,14 +268,14 @@
     durationMs: number,
     report: LoadReport | null,
     stated: ServerStatement | undefined,
-    keptForMs: number,
+    connection: ConnectionUse,
   ): void {
     const current = this.#lastCoordinator.get(service) ?? grantedBy
     for (const coordinator of new Set([grantedBy, current])) {
       if (coordinator === this.#table.self.name) {
         const key = `${coordinator}/${askId}`
         const nowMs = this.#clock()
-        this.#local.releaseSlot(service, key, use, durationMs, report, nowMs, stated, keptForMs)
+        this.#local.releaseSlot(service, key, use, durationMs, report, nowMs, stated, connection)
       } else if (this.#peers.isUp(coordinator)) {
         const kind = PeerMessageKind.ReleaseSlot as const
         this.#peers.send(coordinator, {
@@ -280,7 +286,7 @@
           durationMs,
           report,
           ...(stated === undefined ? {} : { stated }),
-          ...(keptForMs > 0 ? { keptForMs } : {}),
+          ...(Object.keys(connection).length === 0 ? {} : { connection }),
         })
       }
     }
--- a/testing/loadSimulation.ts
+++ b/testing/loadSimulation.ts
@@ -100,9 +100,9 @@
       if (endMs - arrivedAtMs <= options.targetMs) result.inTime += 1
       else result.late += 1
       kept.set(pair, [...(kept.get(pair) ?? []), endMs + reuseMs])
-      const keptForMs = statesReuse ? reuseMs : 0
+      const connection = statesReuse ? { keptForMs: reuseMs } : undefined
       const completed = SlotOutcome.Completed
-      coordinator.releaseSlot(key, completed, durationMs, null, endMs, undefined, keptForMs)
+      coordinator.releaseSlot(key, completed, durationMs, null, endMs, undefined, connection)
     })
   }
   const arrive = (nowMs: number): void => {
