--- a/src/entry/connectionPool.ts
+++ b/src/entry/connectionPool.ts
@@ -30,6 +30,7 @@
   /** Connections that were idle at this time get no non-idempotent requests. */
   #pausedAtMs = Number.NEGATIVE_INFINITY
   #openedCount = 0
+  #isClosed = false
 
   /** @param answerBudget memory for answers, shared with those that callers have not fetched */
   constructor(
@@ -105,7 +106,9 @@
     }
   }
 
+  /** Closes idle connections, and each other one after its request. */
   close(): void {
+    this.#isClosed = true
     this.retain(new Set())
   }
 
@@ -156,6 +159,7 @@
 
   /** Keeps a usable connection; returns for how long it may carry non-idempotent requests. */
   #keep(key: string, connection: ServerConnection): number {
+    if (this.#isClosed) connection.destroy()
     if (!connection.isUsable) return 0
     this.#addIdle(key, connection)
     return this.#limits.limits(connection.statedIdleTimeoutMs, this.#clock()).nonIdempotentMs
