--- a/src/entry/keptConnections.ts
+++ b/src/entry/keptConnections.ts
@@ -8,11 +8,19 @@
  * it until slots have been released.
  */
 
+import { CAUTION_MS } from './reuseLimits.js'
+import type { ConnectionUse } from './serverExchange.js'
+
 /**
  * Cost of a new connection, relative to the usual duration of a request: it decides between servers
  * that are nearly alike. With 0.5, requests run at servers that are too slow for them.
  */
 const NEW_CONNECTION_WEIGHT = 0.2
+/**
+ * Requests up to which a server counts as one with a connection. Nobody has connections to a server
+ * that has just joined, so that it would get no work while the others have room.
+ */
+const FIRST_REQUESTS = 8
 /** Connections of one instance to one server that are remembered; it rarely has more. */
 const MAX_CONNECTIONS = 12
 
@@ -23,9 +31,30 @@
    * The servers of an instance are in the order of the latest release.
    */
   readonly #untilMs = new Map<string, Map<Server, number[]>>()
+  /** Requests until which servers that have joined count as connected. */
+  readonly #firstRequestsLeft = new Map<Server, number>()
+  #lossUntilMs = Number.NEGATIVE_INFINITY
 
-  /** Records that an instance keeps a connection. */
-  add(instance: string, server: Server, untilMs: number): void {
+  /** Records what became of the connection of a request that has ended. */
+  recordUse(
+    instance: string,
+    server: Server,
+    { keptForMs = 0, isLost = false }: ConnectionUse,
+    nowMs: number,
+  ): void {
+    if (isLost) this.#lossUntilMs = nowMs + CAUTION_MS
+    if (keptForMs > 0) this.#add(instance, server, nowMs + keptForMs)
+  }
+
+  /**
+   * Whether an instance lost a connection a short time ago. Instances are told so with each grant,
+   * so that not each of them has to lose one before it distrusts the others.
+   */
+  mayBeLost(nowMs: number): boolean {
+    return nowMs < this.#lossUntilMs
+  }
+
+  #add(instance: string, server: Server, untilMs: number): void {
     const servers = this.#untilMs.get(instance) ?? new Map<Server, number[]>()
     this.#untilMs.set(instance, servers)
     const times = servers.get(server) ?? []
@@ -37,6 +66,9 @@
 
   /** Records that an instance uses the connection that it used last, or opens one. */
   take(instance: string, server: Server): void {
+    const firstRequestsLeft = this.#firstRequestsLeft.get(server) ?? 0
+    if (firstRequestsLeft > 1) this.#firstRequestsLeft.set(server, firstRequestsLeft - 1)
+    else this.#firstRequestsLeft.delete(server)
     const servers = this.#untilMs.get(instance)
     const times = servers?.get(server)
     times?.pop()
@@ -50,7 +82,9 @@
    */
   savingMs(instance: string, server: Server, usualMs: number, nowMs: number): number {
     const untilMs = this.#untilMs.get(instance)?.get(server)?.at(-1) ?? 0
-    return untilMs > nowMs ? usualMs * NEW_CONNECTION_WEIGHT : 0
+    return this.#firstRequestsLeft.has(server) || untilMs > nowMs
+      ? usualMs * NEW_CONNECTION_WEIGHT
+      : 0
   }
 
   /**
@@ -66,8 +100,14 @@
     }
   }
 
+  /** Records a server that joins others to which instances have connections. */
+  addServer(server: Server): void {
+    this.#firstRequestsLeft.set(server, FIRST_REQUESTS)
+  }
+
   /** Forgets the connections to a server that has ended or restarted. */
   removeServer(server: Server): void {
+    this.#firstRequestsLeft.delete(server)
     for (const servers of this.#untilMs.values()) servers.delete(server)
   }
 
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -31,6 +31,7 @@
 import type { CoordinatedServer, RunningRequest } from './serverState.js'
 import { ServerIndex } from './serverIndex.js'
 import { ServerState } from './serverState.js'
+import type { ConnectionUse } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
 import type { RegionDemand } from './slotLending.js'
 import { chooseLentSlots } from './slotLending.js'
@@ -199,7 +200,7 @@
     report: LoadReport | null,
     nowMs: number,
     stated?: ServerStatement,
-    keptForMs = 0,
+    connection: ConnectionUse = {},
   ): void {
     this.#expireBorrowedSlots(nowMs)
     this.#unconfirmedSlots.remove(key)
@@ -208,7 +209,7 @@
     if (state !== undefined) {
       this.#servers.refresh(state)
       this.#capacity.recordAnswer(state.server.id, stated, use, running, nowMs)
-      if (keptForMs > 0) this.#keptConnections.add(instanceOf(key), state, nowMs + keptForMs)
+      this.#keptConnections.recordUse(instanceOf(key), state, connection, nowMs)
       const { retryAfterMs, avoidForMs } = stated ?? {}
       const turnedAwayForMs = avoidForMs ?? retryAfterMs
       if (turnedAwayForMs !== undefined) state.turnAway(instanceOf(key), nowMs + turnedAwayForMs)
@@ -559,7 +560,9 @@
       if (this.#servers.find(id) !== undefined) continue
       this.#capacity.limitOf(id)?.restart(nowMs)
       const { holders } = this.#servers
-      this.#servers.add(new ServerState(server, this.#objectCache, holders, nowMs))
+      const state = new ServerState(server, this.#objectCache, holders, nowMs)
+      this.#servers.add(state)
+      if (this.#assumedDemand.hasTraffic) this.#keptConnections.addServer(state)
     }
     this.#capacity.refresh()
   }
@@ -629,7 +632,7 @@
     this.#servers.setRequest(waiter.key, state)
     this.#keptConnections.take(instanceOf(waiter.key), state)
     this.#remoteShare.recordRequest(region !== this.#region, nowMs)
-    waiter.onGranted(id)
+    waiter.onGranted(id, this.#keptConnections.mayBeLost(nowMs))
   }
 
   /** Returns the server with the earliest expected completion, which may be a full one. */
