--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -329,7 +329,7 @@
     const rawHeaders = answer.headers.flatMap(([name, value]) => [name, value])
     if (findHeader(answer.headers, 'date') !== undefined) response.sendDate = false
     if (isDelimitedByClose) response.useChunkedEncodingByDefault = false
-    else if (!STATUSES_WITHOUT_BODY.has(answer.status)) {
+    else if (!STATUSES_WITHOUT_BODY.has(answer.status) && response.req.method !== 'HEAD') {
       rawHeaders.push('Content-Length', String(answer.body.length))
     }
     if (isClosing) {
--- a/src/entry/responseReader.ts
+++ b/src/entry/responseReader.ts
@@ -51,6 +51,10 @@
 
 type OriginOf = (headers: readonly HeaderPair[], status: number) => AnswerOrigin
 
+/** Results of the parser's callback for a head. */
+const READ_BODY = 0
+const SKIP_BODY = 1
+
 /** Parser for one request; answers to other requests before it are skipped. */
 export class ResponseReader {
   readonly #parser = createResponseParser()
@@ -70,12 +74,16 @@
   #hasEnded = false
   #problem: string | undefined
 
-  /** @param reservation memory for the body; released by the caller */
-  constructor(originOf: OriginOf, reservation: ByteReservation) {
+  /**
+   * @param reservation memory for the body; released by the caller
+   * @param isHead whether the request was for the head only, so that no body follows
+   */
+  constructor(originOf: OriginOf, reservation: ByteReservation, isHead = false) {
     this.#originOf = originOf
     this.#body = new GrowableBuffer(reservation)
-    this.#parser[HTTPParser.kOnHeadersComplete] = (info: ParserInfo): void => {
+    this.#parser[HTTPParser.kOnHeadersComplete] = (info: ParserInfo): number => {
       this.#handleHead(info)
+      return isHead && this.#origin === AnswerOrigin.Own ? SKIP_BODY : READ_BODY
     }
     this.#parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number): void => {
       if (this.#origin !== AnswerOrigin.Own || this.#hasProblem()) return
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -127,6 +127,7 @@
     const reader = new ResponseReader(
       (headers, status) => this.#originOf(request, headers, status, isReused),
       reservation,
+      request.method === 'HEAD',
     )
     this.#reader = reader
     const finish = (kind: OutcomeKind, detail: string): void => {
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -7,7 +7,6 @@
  * region request slots from one coordinator, which fills each server up to its slots.
  */
 import { combineHashes, hashText } from '../common/hashing.js'
-import type { DispatchOption } from '../placement/dispatchOrder.js'
 import { DispatchOrder } from '../placement/dispatchOrder.js'
 import { placementCostMs } from '../placement/objectPlacement.js'
 import type { QueueState, RequestNeed } from './admission.js'
@@ -577,7 +576,7 @@
       if (!this.#queue.has(waiter.key)) continue
       const state = this.#findSlot(waiter, nowMs)
       if (state === undefined) continue
-      if (this.#dispatchOrder.isDeferred(this.#dispatchOption(waiter, state, nowMs))) {
+      if (this.#isDeferred(waiter, state, nowMs)) {
         deferred.push(waiter)
         continue
       }
@@ -595,19 +594,17 @@
     }
   }
 
-  #dispatchOption(
-    { request, targetAtMs }: Waiter,
-    state: ServerState,
-    nowMs: number,
-  ): DispatchOption {
+  /** A server with a limit is short of requests rather than of slot time, so the order holds. */
+  #isDeferred({ request, targetAtMs }: Waiter, state: ServerState, nowMs: number): boolean {
+    if (state.limit !== undefined) return false
     const { route, object } = request
     const isHit = object === '' || state.hasCached(object)
     const usualMs = this.#estimates.expectedMs(route, state.server.region, isHit && object !== '')
-    return {
+    return this.#dispatchOrder.isDeferred({
       isHit,
       durationMs: usualMs * state.slowdownAt(nowMs),
       targetInMs: targetAtMs - nowMs,
-    }
+    })
   }
 
   /** Returns the server for a request if it has a free slot; else the request awaits it. */
@@ -642,7 +639,7 @@
     const hash = object === '' ? 0 : hashText(object)
     const mustRunRemotely =
       !isLocalAllowed ||
-      (object === ''
+      (object === '' || this.#capacity.limitedServers > 0
         ? this.#remoteShare.mustRunRemotely(nowMs)
         : this.#remoteShare.mustRunObjectRemotely(hash / 2 ** 32, nowMs))
     const mayRunRemotely = mustRunRemotely || this.#remoteShare.mayRunRemotely(nowMs)
@@ -726,11 +723,11 @@
       waitMs +
       usualMs * slowdown * slotTimeWeight +
       usualMs * (LOAD_WEIGHT * load + OBJECT_AFFINITY_WEIGHT * preference) +
-      (zone === waiter.zone ? 0 : CROSS_ZONE_COST_MS) -
-      this.#keptConnections.savingMs(instance, state, durations.cachedMs, nowMs)
+      (zone === waiter.zone ? 0 : CROSS_ZONE_COST_MS)
     // A server with a limit is short of requests rather than of slot time.
     if (state.limit !== undefined) return costMs
-    return placementCostMs(costMs, {
+    const savingMs = this.#keptConnections.savingMs(instance, state, durations.cachedMs, nowMs)
+    return placementCostMs(costMs - savingMs, {
       isHit,
       gainMs: durations.uncachedMs - durations.cachedMs,
       fill: state.objectFill,
