refactor(scheduling): order, admission and displacement behind SchedulingPolicy

requestQueue and admission move from src/entry to src/scheduling; the decisions of today become TargetFirstPolicy. The coordinator keeps slots and servers, and asks the policy.

SlotRequestDetails gets two optional fields, callerLeftMs and isRepeatable, which nothing sets yet.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 
 /** Domain modules: the decision logic, which must not depend on programs or HTTP. */
 const DOMAIN_FILES = [
-  'src/{configuration,membership,lookup,operations,slots,shift,drain,gateway,control,entry}/*.ts',
+  'src/{configuration,membership,lookup,operations,slots,shift,drain,gateway,control,entry,scheduling}/*.ts',
 ]
 const ADAPTER_FILES = [
   'src/**/*Server.ts',
--- a/src/entry/__tests__/decisions.spec.ts
+++ b/src/entry/__tests__/decisions.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { AdmissionKind, admit, retryAfterMs } from '../admission.js'
+import { AdmissionKind, admit, retryAfterMs } from '../../scheduling/admission.js'
 import { CallerTimeouts } from '../callerTimeouts.js'
 import { Shutdown } from '../shutdown.js'
 import { ObjectCacheEstimate } from '../objectCacheEstimate.js'
--- a/src/entry/__tests__/serviceCoordinator.spec.ts
+++ b/src/entry/__tests__/serviceCoordinator.spec.ts
@@ -3,7 +3,7 @@
 import { SlotOutcome } from '../peerMessages.js'
 import type { CoordinatedServer } from '../serverState.js'
 import { ServiceCoordinator } from '../serviceCoordinator.js'
-import type { Waiter } from '../requestQueue.js'
+import type { Waiter } from '../../scheduling/waiter.js'
 import type { LoadOptions } from '../../../testing/loadSimulation.js'
 import { simulateLoad } from '../../../testing/loadSimulation.js'
 
--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -1,4 +1,5 @@
 /** Runs the service coordinators of this instance, for slot requests of peers and of its own. */
+import type { Waiter } from '../scheduling/waiter.js'
 import type { BackendServerRegistry, RegisteredBackendServer } from './backendServerRegistry.js'
 import type { InstanceRecord } from './instanceRecord.js'
 import type { InstanceTable } from './instanceTable.js'
@@ -23,7 +24,6 @@
 import type { LocalCoordinators, PeerSender } from './slotClient.js'
 import type { RegionDemand } from './slotLending.js'
 import { slotsToLend } from './slotLending.js'
-import type { Waiter } from './requestQueue.js'
 import type { LinkLoss } from './unconfirmedSlots.js'
 
 /** Interval at which demand and lent slots are sent to other regions, in milliseconds. */
--- a/src/entry/peerMessageFormat.ts
+++ b/src/entry/peerMessageFormat.ts
@@ -83,6 +83,8 @@
         isReturn: isBoolean,
         excludedServers: isList(isText),
         regions: isList(isText),
+        callerLeftMs: isNumber,
+        isRepeatable: isOptional(isBoolean),
       }),
     }),
   ],
--- a/src/entry/peerMessages.ts
+++ b/src/entry/peerMessages.ts
@@ -89,6 +89,13 @@
   readonly excludedServers: readonly string[]
   /** Regions that may run the request; empty for all. */
   readonly regions: readonly string[]
+  /**
+   * Time for which the caller waits in total, in milliseconds; longer than the deadline where the
+   * route limits a single attempt. `undefined`: until the deadline.
+   */
+  readonly callerLeftMs?: number | undefined
+  /** Whether an attempt that was cut may be repeated; `undefined`: unknown, taken as no. */
+  readonly isRepeatable?: boolean | undefined
 }
 
 export interface SlotRequestMessage {
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -7,8 +7,13 @@
  * region request slots from one coordinator, which fills each server up to its slots.
  */
 import { combineHashes, hashText } from '../common/hashing.js'
-import type { QueueState, RequestNeed } from './admission.js'
-import { AdmissionKind, LATE_WAIT_FRACTION, admit, retryAfterMs } from './admission.js'
+import type {
+  SchedulingContext,
+  SchedulingPolicy,
+  SchedulingPolicyFactory,
+} from '../scheduling/schedulingPolicy.js'
+import { TargetFirstPolicy } from '../scheduling/targetFirstPolicy.js'
+import type { Waiter } from '../scheduling/waiter.js'
 import { DEFAULT_DURATION_MS, DurationEstimates } from './durationEstimates.js'
 import type { LoadReport } from './loadReport.js'
 import { DecayingRate, MovingMean } from './movingMean.js'
@@ -30,8 +35,6 @@
 import type { ServerStatement } from './serverStatement.js'
 import type { RegionDemand } from './slotLending.js'
 import { chooseLentSlots } from './slotLending.js'
-import type { Waiter } from './requestQueue.js'
-import { RequestQueue } from './requestQueue.js'
 import type { LinkLoss } from './unconfirmedSlots.js'
 import { UnconfirmedSlots, reportedUntilMs, unconfirmedUntilMs } from './unconfirmedSlots.js'
 
@@ -82,12 +85,12 @@
 export class ServiceCoordinator {
   readonly #service: string
   readonly #region: string
-  readonly #random: () => number
   /** Also holds removed servers while requests still run there. */
   readonly #servers: ServerIndex
   readonly #estimates = new DurationEstimates()
   readonly #objectCache = new ObjectCacheEstimate()
-  readonly #queue = new RequestQueue()
+  readonly #schedulingContext: SchedulingContext
+  #policy: SchedulingPolicy
   readonly #arrivals: DecayingRate
   /** Arrivals without retries, which would count the demand of a refused caller twice. */
   readonly #firstArrivals: DecayingRate
@@ -115,7 +118,15 @@
     this.#region = region
     this.#servers = new ServerIndex(region)
     this.#capacity = new LimitedCapacity(this.#servers)
-    this.#random = random
+    this.#schedulingContext = {
+      serviceMsOf: (route) => this.#serviceMs(route),
+      loadAt: (nowMs) => ({
+        completionsPerSecond: this.#completionsPerSecond(),
+        arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
+      }),
+      random,
+    }
+    this.#policy = new TargetFirstPolicy(this.#schedulingContext)
     this.#arrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#firstArrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#remoteShare = new RemoteShare(nowMs)
@@ -137,6 +148,13 @@
     this.#dispatch(nowMs)
   }
 
+  /** Replaces the policy; requests that the previous one has queued stay queued. */
+  setPolicy(createPolicy: SchedulingPolicyFactory): void {
+    const policy = createPolicy(this.#schedulingContext)
+    for (const waiter of this.#policy.all()) policy.adopt(waiter)
+    this.#policy = policy
+  }
+
   /** Grants a slot, refuses it (both call back synchronously), or queues the request. */
   requestSlot(waiter: Waiter, nowMs: number): void {
     const { request } = waiter
@@ -146,37 +164,21 @@
       this.#arrivals.add(1, nowMs)
       if (!request.isReturn) this.#firstArrivals.add(1, nowMs)
     }
-    const isQueueEmpty = this.#queue.length === 0
+    this.#policy.recordArrival(waiter, nowMs)
+    const isQueueEmpty = this.#policy.length === 0
     const state = isQueueEmpty ? this.#findSlot(waiter, nowMs) : undefined
     if (state !== undefined) {
       this.#grant(waiter, state, nowMs)
       return
     }
-    if (!this.#hasServerFor(waiter, nowMs)) {
-      this.#stopAwaiting(waiter.key)
-      const need = this.#needOf(waiter, nowMs)
-      const turnedAwayForMs = this.#turnedAwayForMs(waiter, nowMs)
-      const reason =
-        turnedAwayForMs === undefined
-          ? 'no backend server'
-          : `turned away by all backend servers for ${Math.round(turnedAwayForMs)} ms`
-      const retryInMs = retryAfterMs(turnedAwayForMs ?? need.deadlineInMs, need, this.#random())
-      waiter.onRefused(reason, retryInMs)
-      return
-    }
-    const need = this.#needOf(waiter, nowMs)
-    const queue = this.#queueState(waiter, nowMs)
-    const admission = admit(queue, need)
-    if (admission.kind === AdmissionKind.Refused) {
+    const refusal = this.#hasServerFor(waiter, nowMs)
+      ? this.#policy.offer(waiter, nowMs)
+      : this.#policy.refuseWithoutServer(waiter, this.#turnedAwayForMs(waiter, nowMs), nowMs)
+    if (refusal !== undefined) {
       this.#stopAwaiting(waiter.key)
-      const retryInMs = retryAfterMs(admission.waitMs, need, this.#random())
-      waiter.onRefused(
-        `no slot in useful time: ${describeQueue(queue, admission.waitMs)}`,
-        retryInMs,
-      )
+      waiter.onRefused(refusal.reason, refusal.retryAfterMs)
       return
     }
-    this.#queue.add(waiter)
     this.#dispatch(nowMs)
   }
 
@@ -248,7 +250,7 @@
   }
 
   #removeWaiter(key: string): void {
-    this.#queue.remove(key)
+    this.#policy.remove(key)
     this.#stopAwaiting(key)
   }
 
@@ -322,7 +324,7 @@
   }
 
   #removeWaitersOf(instance: string): void {
-    for (const { key } of this.#queue.all()) {
+    for (const { key } of this.#policy.all()) {
       if (key.startsWith(`${instance}/`)) this.#removeWaiter(key)
     }
   }
@@ -461,7 +463,7 @@
 
   /** Whether any request is queued. */
   get hasWaiters(): boolean {
-    return this.#queue.length > 0
+    return this.#policy.length > 0
   }
 
   /**
@@ -483,7 +485,7 @@
     const target = targetRemoteShare(neededSlots, slots, borrowedSlots)
     this.#remoteShare.moveTowards(target, nowMs, this.#assumedDemand.hasTraffic)
     this.#dispatch(nowMs)
-    this.#refuseOverdue(nowMs)
+    this.#refuseDisplaced(nowMs)
   }
 
   /** Sets the target latency of a route, from which its duration is estimated until observed. */
@@ -503,7 +505,7 @@
       service: this.#service,
       slots,
       running,
-      waiting: this.#queue.length,
+      waiting: this.#policy.length,
       arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
       remoteShare: this.#remoteShare.share,
       limitedServers: this.#capacity.limitedServers,
@@ -552,15 +554,14 @@
   }
 
   #dispatch(nowMs: number): void {
-    if (this.#queue.length === 0 || !this.#servers.hasFree(nowMs)) return
-    const serviceMsOf = (route: string): number => this.#serviceMs(route)
-    for (const waiter of this.#queue.first(MAX_DISPATCH_CANDIDATES, serviceMsOf, nowMs)) {
+    if (this.#policy.length === 0 || !this.#servers.hasFree(nowMs)) return
+    for (const waiter of this.#policy.next(MAX_DISPATCH_CANDIDATES, nowMs)) {
       if (!this.#servers.hasFree(nowMs)) return
       // A grant may call back into this coordinator and withdraw other waiters.
-      if (!this.#queue.has(waiter.key)) continue
+      if (!this.#policy.has(waiter.key)) continue
       const state = this.#findSlot(waiter, nowMs)
       if (state === undefined) continue
-      this.#queue.remove(waiter.key)
+      this.#policy.remove(waiter.key)
       this.#grant(waiter, state, nowMs)
     }
   }
@@ -671,7 +672,7 @@
    * millisecond in a slot delays all other queued requests.
    */
   #slotTimeWeight({ key }: Waiter): number {
-    const others = this.#queue.length - Number(this.#queue.has(key))
+    const others = this.#policy.length - Number(this.#policy.has(key))
     return 1 + others / Math.max(1, this.#capacity.usableSlots(this.#meanHoldTimeMs()))
   }
 
@@ -699,29 +700,10 @@
     return times.length === 0 ? undefined : Math.min(...times) - nowMs
   }
 
-  #needOf(waiter: Waiter, nowMs: number): RequestNeed {
-    return {
-      serviceMs: this.#serviceMs(waiter.request.route),
-      targetInMs: waiter.targetAtMs - nowMs,
-      deadlineInMs: waiter.deadlineAtMs - nowMs,
-      isReturn: waiter.request.isReturn,
-    }
-  }
-
   #serviceMs(route: string): number {
     return this.#estimates.expectedMs(route, this.#region, true)
   }
 
-  #queueState(waiter: Waiter, nowMs: number): QueueState {
-    const ahead = this.#queue.countAhead(waiter.request, (route) => this.#serviceMs(route), nowMs)
-    return {
-      aheadInTime: ahead.inTime,
-      aheadLate: ahead.late,
-      completionsPerSecond: this.#completionsPerSecond(),
-      arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
-    }
-  }
-
   #completionsPerSecond(): number {
     const holdTimeMs = this.#meanHoldTimeMs()
     return (this.#capacity.usableSlots(holdTimeMs) * 1000) / holdTimeMs
@@ -745,21 +727,11 @@
     return (this.#firstArrivals.perSecond(nowMs) * this.#meanHoldTimeMs()) / 1000
   }
 
-  /**
-   * Refuses queued requests that can no longer meet their deadline, and late ones that
-   * have used up the wait that a late request may take.
-   */
-  #refuseOverdue(nowMs: number): void {
-    for (const waiter of this.#queue.all()) {
-      const need = this.#needOf(waiter, nowMs)
-      const isLate = need.targetInMs < need.serviceMs
-      const waitedMs = nowMs - waiter.arrivedAtMs
-      const hasWaitedTooLong =
-        isLate && waitedMs > (waitedMs + need.deadlineInMs) * LATE_WAIT_FRACTION
-      if (!hasWaitedTooLong && need.deadlineInMs > need.serviceMs) continue
-      this.#removeWaiter(waiter.key)
-      const retryInMs = hasWaitedTooLong ? retryAfterMs(need.serviceMs, need, this.#random()) : 0
-      waiter.onRefused('no slot before the deadline', retryInMs)
+  /** Refuses the queued requests that can't be served in useful time any more. */
+  #refuseDisplaced(nowMs: number): void {
+    for (const { waiter, reason, retryAfterMs } of this.#policy.takeDisplaced(nowMs)) {
+      this.#stopAwaiting(waiter.key)
+      waiter.onRefused(reason, retryAfterMs)
     }
   }
 }
@@ -768,12 +740,3 @@
 function instanceOf(key: string): string {
   return key.slice(0, key.lastIndexOf('/'))
 }
-
-/** Formats the inputs of a refusal for the log. */
-function describeQueue(queue: QueueState, waitMs: number): string {
-  const { aheadInTime, aheadLate, completionsPerSecond, arrivalsPerSecond } = queue
-  return (
-    `${aheadInTime}+${aheadLate} ahead, ${Math.round(completionsPerSecond)}/s of ` +
-    `${Math.round(arrivalsPerSecond)}/s, wait ${Math.round(waitMs)} ms`
-  )
-}
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -1,5 +1,6 @@
 /** Client of the service coordinators; acquires and releases slots for this instance. */
 import type { Clock } from '../common/clock.js'
+import type { Waiter } from '../scheduling/waiter.js'
 import type { InstanceTable } from './instanceTable.js'
 import { coordinatorOrder } from './instanceTable.js'
 import type { LoadReport } from './loadReport.js'
@@ -13,7 +14,6 @@
 } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
 import type { ServerStatement } from './serverStatement.js'
-import type { Waiter } from './requestQueue.js'
 
 /** The coordinators that run in this process. */
 export interface LocalCoordinators {
--- a/src/entry/__tests__/requestQueue.spec.ts
+++ b/src/scheduling/__tests__/requestQueue.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import type { Waiter } from '../requestQueue.js'
 import { RequestQueue } from '../requestQueue.js'
+import type { Waiter } from '../waiter.js'
 
 const SERVICE_MS: Readonly<Record<string, number>> = { fast: 50, slow: 400 }
 
--- a/testing/simulatedServers.ts
+++ b/testing/simulatedServers.ts
@@ -1,16 +1,29 @@
 /** Simulated backend servers: durations depend on the objects that a server has cached. */
 
+/** Usual durations of a kind of request. */
+export interface SimulatedWork {
+  readonly cachedMs: number
+  readonly uncachedMs: number
+}
+
 /** Servers of one service. */
-export interface ServerModel {
+export interface ServerModel extends SimulatedWork {
   /** Object cache size of a server. */
   readonly cacheSize: number
-  readonly cachedMs: number
-  readonly uncachedMs: number
 }
 
 const STRAGGLER_FRACTION = 0.03
 const STRAGGLER_FACTOR = 7
 
+/** Duration of one request relative to the usual one; a few take many times longer. */
+export function drawDurationFactor(
+  random: () => number,
+  stragglerFraction = STRAGGLER_FRACTION,
+): number {
+  const isStraggler = random() < stragglerFraction
+  return isStraggler ? STRAGGLER_FACTOR : 0.85 + 0.3 * random()
+}
+
 /** Caches and running requests of all servers, by server id. */
 export class SimulatedServers {
   readonly #model: ServerModel
@@ -37,7 +50,12 @@
   }
 
   /** Starts a request; returns its duration in milliseconds. */
-  start(serverId: string, object: string): number {
+  start(
+    serverId: string,
+    object: string,
+    work: SimulatedWork = this.#model,
+    factor = drawDurationFactor(this.#random),
+  ): number {
     const cache = this.#caches.get(serverId) ?? new Set()
     this.#caches.set(serverId, cache)
     const isCached = cache.delete(object)
@@ -48,9 +66,7 @@
     const count = (this.#running.get(serverId) ?? 0) + 1
     this.#running.set(serverId, count)
     this.#peakConcurrency = Math.max(this.#peakConcurrency, count)
-    const isStraggler = this.#random() < STRAGGLER_FRACTION
-    const factor = isStraggler ? STRAGGLER_FACTOR : 0.85 + 0.3 * this.#random()
-    return (isCached ? this.#model.cachedMs : this.#model.uncachedMs) * factor
+    return (isCached ? work.cachedMs : work.uncachedMs) * factor
   }
 
   end(serverId: string): void {
