--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -12,7 +12,9 @@
   SchedulingPolicy,
   SchedulingPolicyFactory,
 } from '../scheduling/schedulingPolicy.js'
+import { WorkEnd } from '../scheduling/schedulingPolicy.js'
 import { TargetFirstPolicy } from '../scheduling/targetFirstPolicy.js'
+import type { ServerOption } from '../scheduling/serverCost.js'
 import type { Waiter } from '../scheduling/waiter.js'
 import { DEFAULT_DURATION_MS, DurationEstimates } from './durationEstimates.js'
 import type { LoadReport } from './loadReport.js'
@@ -29,7 +31,7 @@
 } from './remoteShare.js'
 import { LimitedCapacity } from './limitedCapacity.js'
 import type { LimitStatement } from './serverLimits.js'
-import type { CoordinatedServer, RunningRequest } from './serverState.js'
+import type { CoordinatedServer, PaceExpectation, RunningRequest } from './serverState.js'
 import { ServerIndex } from './serverIndex.js'
 import { ServerState } from './serverState.js'
 import type { ServerStatement } from './serverStatement.js'
@@ -44,12 +46,6 @@
 const HOLD_TIME_WEIGHT = 0.03
 /** Time to live of slots lent by other regions, in ms; four renewals fit into it. */
 const BORROWED_SLOTS_TTL_MS = 2000
-/** Cost of a server in another zone, in milliseconds: the round-trip time between zones. */
-const CROSS_ZONE_COST_MS = 4
-/** Weight of the load of a server, relative to the usual duration; spreads work over servers. */
-const LOAD_WEIGHT = 0.1
-/** Weight of the hash-based preference of an object for a server; instances agree on the hash. */
-const OBJECT_AFFINITY_WEIGHT = 0.4
 
 /** Queued requests considered when a slot becomes free; bounds the work for a long queue. */
 const MAX_DISPATCH_CANDIDATES = 32
@@ -81,6 +77,20 @@
   readonly uncachedMs: number
 }
 
+const WORK_END_BY_OUTCOME: Readonly<Record<SlotOutcome, WorkEnd>> = {
+  [SlotOutcome.Completed]: WorkEnd.Completed,
+  [SlotOutcome.Failed]: WorkEnd.Failed,
+  [SlotOutcome.Broken]: WorkEnd.Failed,
+  [SlotOutcome.NotRun]: WorkEnd.Unknown,
+  [SlotOutcome.Abandoned]: WorkEnd.Unknown,
+}
+
+/** A server chosen for a request, and its expected time until completion. */
+interface ServerChoice {
+  readonly state: ServerState
+  readonly costMs: number
+}
+
 /** Owns the slots, the queue and the duration estimates of one service. */
 export class ServiceCoordinator {
   readonly #service: string
@@ -89,8 +99,11 @@
   readonly #servers: ServerIndex
   readonly #estimates = new DurationEstimates()
   readonly #objectCache = new ObjectCacheEstimate()
+  readonly #paceExpectation: PaceExpectation = { overdueFraction: 0 }
   readonly #schedulingContext: SchedulingContext
   #policy: SchedulingPolicy
+  /** Whether the latest selection found a server at which the request would not end in time. */
+  #isInfeasible = false
   readonly #arrivals: DecayingRate
   /** Arrivals without retries, which would count the demand of a refused caller twice. */
   readonly #firstArrivals: DecayingRate
@@ -123,6 +136,7 @@
       loadAt: (nowMs) => ({
         completionsPerSecond: this.#completionsPerSecond(),
         arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
+        usableSlots: this.#capacity.usableSlots(this.#meanHoldTimeMs()),
       }),
       random,
     }
@@ -199,7 +213,10 @@
     this.#expireBorrowedSlots(nowMs)
     this.#unconfirmedSlots.remove(key)
     const state = this.#servers.takeRequest(key)
-    const running = state?.endRequest(key, use, durationMs, report, nowMs)
+    const isCut = this.#policy.recordEnd(key, WORK_END_BY_OUTCOME[use], durationMs, nowMs)
+    // Work that was cut says how slow the server is; it is no failure of the server.
+    const effect = isCut ? SlotOutcome.Completed : use
+    const running = state?.endRequest(key, effect, durationMs, report, nowMs)
     if (state !== undefined) {
       this.#servers.refresh(state)
       this.#capacity.recordAnswer(state.server.id, stated, use, running, nowMs)
@@ -342,6 +359,7 @@
     const state = this.#servers.takeRequest(key)
     if (state === undefined) return
     state.running.delete(key)
+    this.#policy.recordEnd(key, WorkEnd.Unknown, 0, 0)
     this.#servers.refresh(state)
   }
 
@@ -474,6 +492,7 @@
     this.#expireBorrowedSlots(nowMs)
     for (const key of this.#unconfirmedSlots.takeExpired(nowMs)) this.#freeSlot(key)
     this.#capacity.expire(nowMs)
+    this.#paceExpectation.overdueFraction = this.#policy.overdueFraction
     const holdTimeMs = this.#meanHoldTimeMs()
     const borrowedSlots = [...this.#servers.all()]
       .filter(({ server }) => server.region !== this.#region)
@@ -548,7 +567,9 @@
       if (this.#servers.find(id) !== undefined) continue
       this.#capacity.limitOf(id)?.restart(nowMs)
       const { holders } = this.#servers
-      this.#servers.add(new ServerState(server, this.#objectCache, holders, nowMs))
+      this.#servers.add(
+        new ServerState(server, this.#objectCache, holders, nowMs, this.#paceExpectation),
+      )
     }
     this.#capacity.refresh()
   }
@@ -560,16 +581,30 @@
       // A grant may call back into this coordinator and withdraw other waiters.
       if (!this.#policy.has(waiter.key)) continue
       const state = this.#findSlot(waiter, nowMs)
-      if (state === undefined) continue
+      if (state === undefined) {
+        if (this.#isInfeasible) this.#refuseInfeasible(waiter, nowMs)
+        continue
+      }
       this.#policy.remove(waiter.key)
       this.#grant(waiter, state, nowMs)
     }
   }
 
+  /** Refuses a queued request that no server can end in time; one that came back may wait for it. */
+  #refuseInfeasible(waiter: Waiter, nowMs: number): void {
+    if (waiter.request.isReturn || this.#awaitedServers.has(waiter.key)) return
+    this.#removeWaiter(waiter.key)
+    const { reason, retryAfterMs } = this.#policy.refuseInfeasible(waiter, nowMs)
+    waiter.onRefused(reason, retryAfterMs)
+  }
+
   /** Returns the server for a request if it has a free slot; else the request awaits it. */
   #findSlot(waiter: Waiter, nowMs: number): ServerState | undefined {
     this.#stopAwaiting(waiter.key)
-    const state = this.#selectServer(waiter, nowMs)
+    this.#isInfeasible = false
+    let state = this.#selectServer(waiter, nowMs)
+    // The servers that are compared at first are a part of a large service's.
+    if (state === undefined && this.#isInfeasible) state = this.#selectServer(waiter, nowMs, true)
     if (state === undefined || state.freeSlots(nowMs) > 0) return state
     this.#startAwaiting(waiter.key, state.server.id)
     return undefined
@@ -586,43 +621,53 @@
       nowMs,
     )
     this.#servers.setRequest(waiter.key, state)
+    this.#policy.recordStart(waiter, expectedMs * state.paceAt(nowMs), nowMs)
     this.#remoteShare.recordRequest(region !== this.#region, nowMs)
     waiter.onGranted(id)
   }
 
   /** Returns the server with the earliest expected completion, which may be a full one. */
-  #selectServer(waiter: Waiter, nowMs: number): ServerState | undefined {
+  #selectServer(waiter: Waiter, nowMs: number, isComplete = false): ServerState | undefined {
     const isLocalAllowed = this.#isAllowed(waiter, this.#region)
     const mustRunRemotely = !isLocalAllowed || this.#remoteShare.mustRunRemotely(nowMs)
     const mayRunRemotely = mustRunRemotely || this.#remoteShare.mayRunRemotely(nowMs)
     const { object } = waiter.request
     const hash = object === '' ? 0 : hashText(object)
-    const remote = mayRunRemotely ? this.#cheapestServer(waiter, false, hash, nowMs) : undefined
+    const select = (isLocal: boolean): ServerChoice | undefined => {
+      const servers = isComplete
+        ? this.#servers.all()
+        : this.#servers.candidates(object, hash, isLocal, nowMs)
+      return this.#cheapestServer(waiter, servers, isLocal, hash, nowMs)
+    }
+    const remote = mayRunRemotely ? select(false) : undefined
     if (mustRunRemotely && remote !== undefined) return remote.state
-    const local = isLocalAllowed ? this.#cheapestServer(waiter, true, hash, nowMs) : undefined
+    const local = isLocalAllowed ? select(true) : undefined
     if (local === undefined || remote === undefined) return (local ?? remote)?.state
     return remote.costMs < local.costMs ? remote.state : local.state
   }
 
   #cheapestServer(
     waiter: Waiter,
+    servers: Iterable<ServerState>,
     isLocal: boolean,
     objectHash: number,
     nowMs: number,
-  ): { readonly state: ServerState; readonly costMs: number } | undefined {
+  ): ServerChoice | undefined {
     let best: ServerState | undefined
     let bestMs = Number.POSITIVE_INFINITY
-    const { object, route } = waiter.request
+    const { route } = waiter.request
     const slotTimeWeight = this.#slotTimeWeight(waiter)
     const instance = instanceOf(waiter.key)
     let durations: UsualDurations | undefined
-    for (const state of this.#servers.candidates(object, objectHash, isLocal, nowMs)) {
+    for (const state of servers) {
       const { id, region, slots } = state.server
       if ((region === this.#region) !== isLocal || slots <= 0 || state.isSuspended(nowMs)) continue
       if (state.turnedAwayUntilMs(instance, nowMs) > 0) continue
       if (waiter.request.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
       if (durations?.region !== region) durations = this.#usualDurations(route, region)
-      const costMs = this.#costMs(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
+      const option = this.#optionOf(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
+      const costMs = this.#policy.costMs(waiter, option, nowMs)
+      if (costMs === Number.POSITIVE_INFINITY) this.#isInfeasible = true
       if (costMs < bestMs) {
         best = state
         bestMs = costMs
@@ -639,40 +684,35 @@
     }
   }
 
-  /**
-   * Expected time until completion on the server, plus small terms that spread the work.
-   * A full server that has the object cached is often worth the short wait for a slot.
-   */
-  #costMs(
+  #optionOf(
     waiter: Waiter,
     objectHash: number,
     slotTimeWeight: number,
     state: ServerState,
     durations: UsualDurations,
     nowMs: number,
-  ): number {
+  ): ServerOption {
     const { object } = waiter.request
     const { id, zone, slots } = state.server
     const waiterCount = this.#waiterCounts.get(id) ?? 0
-    const usualMs = state.hasCached(object) ? durations.cachedMs : durations.uncachedMs
-    const slowdown = state.slowdownAt(nowMs)
-    const load = state.running.size / Math.max(1, slots)
-    const preference = object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32
-    const waitMs = state.waitMs(waiterCount + 1, this.#meanHoldTimeMs(), nowMs)
-    return (
-      waitMs +
-      usualMs * slowdown * slotTimeWeight +
-      usualMs * (LOAD_WEIGHT * load + OBJECT_AFFINITY_WEIGHT * preference) +
-      (zone === waiter.zone ? 0 : CROSS_ZONE_COST_MS)
-    )
+    return {
+      usualMs: state.hasCached(object) ? durations.cachedMs : durations.uncachedMs,
+      slowdown: state.slowdownAt(nowMs),
+      pace: state.paceAt(nowMs),
+      waitMs: state.waitMs(waiterCount + 1, this.#meanHoldTimeMs(), nowMs),
+      load: state.running.size / Math.max(1, slots),
+      preference: object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32,
+      isInOtherZone: zone !== waiter.zone,
+      slotTimeWeight,
+    }
   }
 
   /**
    * Weight of slot time relative to the duration of the request itself: each extra
-   * millisecond in a slot delays all other queued requests.
+   * millisecond in a slot delays other queued requests.
    */
-  #slotTimeWeight({ key }: Waiter): number {
-    const others = this.#policy.length - Number(this.#policy.has(key))
+  #slotTimeWeight(waiter: Waiter): number {
+    const others = this.#policy.countDelayedBy(waiter)
     return 1 + others / Math.max(1, this.#capacity.usableSlots(this.#meanHoldTimeMs()))
   }
 
--- a/testing/schedulingLoads.ts
+++ b/testing/schedulingLoads.ts
@@ -71,24 +71,23 @@
 }
 
 /**
- * Work that may run once only, with a tenth of stragglers of seven times the usual duration and a
- * third of servers that are two and a half times slower for some seconds: much of it ends at its
- * timeout.
+ * Work that may run once only, with stragglers of seven times the usual duration and a quarter of
+ * servers that are two and a half times slower for fifteen seconds: such runs end at their timeout.
  */
 const LONG_TAIL: KindLoadOptions = {
   ...BASE,
-  stragglerFraction: 0.1,
+  stragglerFraction: 0.05,
   kinds: [
     kind(
       'notice',
       1,
       1500,
       { targetMs: 2000, deadlineMs: 15_000, timeoutMs: 3000, isRepeatable: false },
-      () => (0.75 * SLOTS) / 1.5,
+      () => (0.6 * SLOTS) / 1.5,
     ),
-    kind('read', 1, READ_MS, READ, () => READ_RATE * 0.5),
+    kind('read', 2, READ_MS, READ, () => READ_RATE * 0.7),
   ],
-  paceOf: (server, second) => ((server + Math.floor(second / 4)) % 3 === 0 ? 2.5 : 1),
+  paceOf: (server, second) => ((server + Math.floor(second / 15)) % 4 === 0 ? 2.5 : 1),
 }
 
 /** Load of one and a half times the room all the time. */
