--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -61,6 +61,8 @@
 export interface PaceExpectation {
   /** Fraction of the running requests that are usually overdue at a server with the usual pace. */
   overdueFraction: number
+  /** Time constant in which a slowdown that no run confirms fades, in milliseconds. */
+  slowdownFadeMs: number
 }
 
 /** State of one server. */
@@ -76,6 +78,10 @@
   readonly #coldBucket: TokenBucket
   #slowdown = 1
   #failureFraction = 0
+  /** Time of the latest completion. */
+  #observedAtMs: number
+  /** Time since which nothing runs at the server. */
+  #idleSinceMs: number
   #report: LoadReport | undefined
   #reportAtMs = Number.NEGATIVE_INFINITY
   #suspendedUntilMs = Number.NEGATIVE_INFINITY
@@ -96,8 +102,10 @@
     objectCache: ObjectCacheEstimate,
     holders: ObjectHolders,
     nowMs: number,
-    expectation: PaceExpectation = { overdueFraction: 0 },
+    expectation: PaceExpectation = { overdueFraction: 0, slowdownFadeMs: Infinity },
   ) {
+    this.#observedAtMs = nowMs
+    this.#idleSinceMs = nowMs
     this.#expectation = expectation
     this.#server = server
     this.#holders = holders
@@ -216,6 +224,11 @@
     return slowdown * (this.isCold(nowMs) ? COLD_SLOWDOWN : 1)
   }
 
+  /** Time since which nothing runs at the server, in milliseconds; 0 if something does. */
+  idleMs(nowMs: number): number {
+    return this.running.size === 0 ? Math.max(0, nowMs - this.#idleSinceMs) : 0
+  }
+
   startRequest(key: string, request: RunningRequest, nowMs: number): void {
     this.running.set(key, request)
     this.#recordObject(request.object)
@@ -234,6 +247,7 @@
     const running = this.running.get(key)
     this.#cachedSlowdownAtMs = Number.NaN
     this.running.delete(key)
+    if (this.running.size === 0) this.#idleSinceMs = nowMs
     if (report !== null) {
       this.#report = report
       this.#reportAtMs = nowMs
@@ -255,13 +269,17 @@
     this.#suspendedUntilMs = Math.max(this.#suspendedUntilMs, untilMs)
   }
 
-  observeCompletion(running: RunningRequest | undefined, durationMs: number): void {
+  observeCompletion(running: RunningRequest | undefined, durationMs: number, nowMs: number): void {
     this.observeFailure(0)
     if (running === undefined) return
     const ratio = durationMs / Math.max(1, running.expectedMs)
     const bounded = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, ratio))
     // Geometric mean: a single straggler has little effect, a lasting slowdown is followed.
-    this.#slowdown *= Math.pow(bounded / this.#slowdown, SLOWDOWN_WEIGHT)
+    const fadedFraction =
+      1 - Math.exp((this.#observedAtMs - nowMs) / this.#expectation.slowdownFadeMs)
+    this.#observedAtMs = nowMs
+    const weight = Math.max(SLOWDOWN_WEIGHT, fadedFraction)
+    this.#slowdown *= Math.pow(bounded / this.#slowdown, weight)
   }
 
   /** @param failed 1 for a failure, 0 for a success */
@@ -304,8 +322,8 @@
 ) => void
 
 const OUTCOME_RECORDERS: Readonly<Record<SlotOutcome, OutcomeRecorder>> = {
-  [SlotOutcome.Completed]: (state, running, durationMs) => {
-    state.observeCompletion(running, durationMs)
+  [SlotOutcome.Completed]: (state, running, durationMs, nowMs) => {
+    state.observeCompletion(running, durationMs, nowMs)
   },
   [SlotOutcome.Failed]: (state) => {
     state.observeFailure(1)
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -99,7 +99,10 @@
   readonly #servers: ServerIndex
   readonly #estimates = new DurationEstimates()
   readonly #objectCache = new ObjectCacheEstimate()
-  readonly #paceExpectation: PaceExpectation = { overdueFraction: 0 }
+  readonly #paceExpectation: PaceExpectation = {
+    overdueFraction: 0,
+    slowdownFadeMs: Number.POSITIVE_INFINITY,
+  }
   readonly #schedulingContext: SchedulingContext
   #policy: SchedulingPolicy
   /** Whether the latest selection found a server at which the request would not end in time. */
@@ -179,8 +182,9 @@
       if (!request.isReturn) this.#firstArrivals.add(1, nowMs)
     }
     this.#policy.recordArrival(waiter, nowMs)
-    const isQueueEmpty = this.#policy.length === 0
-    const state = isQueueEmpty ? this.#findSlot(waiter, nowMs) : undefined
+    const mayStart =
+      this.#policy.length === 0 || (this.#policy.usesDeclinedSlots && this.#servers.hasFree(nowMs))
+    const state = mayStart ? this.#findSlot(waiter, nowMs) : undefined
     if (state !== undefined) {
       this.#grant(waiter, state, nowMs)
       return
@@ -492,7 +496,8 @@
     this.#expireBorrowedSlots(nowMs)
     for (const key of this.#unconfirmedSlots.takeExpired(nowMs)) this.#freeSlot(key)
     this.#capacity.expire(nowMs)
-    this.#paceExpectation.overdueFraction = this.#policy.overdueFraction
+    const { overdueFraction, slowdownFadeMs } = this.#policy
+    Object.assign(this.#paceExpectation, { overdueFraction, slowdownFadeMs })
     const holdTimeMs = this.#meanHoldTimeMs()
     const borrowedSlots = [...this.#servers.all()]
       .filter(({ server }) => server.region !== this.#region)
@@ -582,7 +587,7 @@
       if (!this.#policy.has(waiter.key)) continue
       const state = this.#findSlot(waiter, nowMs)
       if (state === undefined) {
-        if (this.#isInfeasible) this.#refuseInfeasible(waiter, nowMs)
+        this.#refuseIfInfeasible(waiter, nowMs)
         continue
       }
       this.#policy.remove(waiter.key)
@@ -590,9 +595,14 @@
     }
   }
 
+  #hasInfeasible(): boolean {
+    return this.#isInfeasible
+  }
+
   /** Refuses a queued request that no server can end in time; one that came back may wait for it. */
-  #refuseInfeasible(waiter: Waiter, nowMs: number): void {
-    if (waiter.request.isReturn || this.#awaitedServers.has(waiter.key)) return
+  #refuseIfInfeasible(waiter: Waiter, nowMs: number): void {
+    if (!this.#isInfeasible || waiter.request.isReturn || this.#awaitedServers.has(waiter.key))
+      return
     this.#removeWaiter(waiter.key)
     const { reason, retryAfterMs } = this.#policy.refuseInfeasible(waiter, nowMs)
     waiter.onRefused(reason, retryAfterMs)
@@ -602,9 +612,10 @@
   #findSlot(waiter: Waiter, nowMs: number): ServerState | undefined {
     this.#stopAwaiting(waiter.key)
     this.#isInfeasible = false
-    let state = this.#selectServer(waiter, nowMs)
+    const compared = this.#selectServer(waiter, nowMs)
     // The servers that are compared at first are a part of a large service's.
-    if (state === undefined && this.#isInfeasible) state = this.#selectServer(waiter, nowMs, true)
+    const state =
+      compared ?? (this.#hasInfeasible() ? this.#selectServer(waiter, nowMs, true) : undefined)
     if (state === undefined || state.freeSlots(nowMs) > 0) return state
     this.#startAwaiting(waiter.key, state.server.id)
     return undefined
@@ -699,6 +710,7 @@
       usualMs: state.hasCached(object) ? durations.cachedMs : durations.uncachedMs,
       slowdown: state.slowdownAt(nowMs),
       pace: state.paceAt(nowMs),
+      idleMs: state.idleMs(nowMs),
       waitMs: state.waitMs(waiterCount + 1, this.#meanHoldTimeMs(), nowMs),
       load: state.running.size / Math.max(1, slots),
       preference: object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32,
--- a/src/scheduling/costAwarePolicy.ts
+++ b/src/scheduling/costAwarePolicy.ts
@@ -31,6 +31,10 @@
 const SPREAD_TTL_MS = 2000
 /** A failure this close to the deadline is taken for a cut; an answer takes the way between regions. */
 const CUT_MARGIN_MS = 150
+/** Time constant in which a slowdown fades; servers that are slow for a time are so for seconds. */
+const SLOWDOWN_FADE_MS = 1500
+/** As {@link SLOWDOWN_FADE_MS}, for work that may run once only, which needs a server known as good. */
+const CAREFUL_FADE_MS = 4 * SLOWDOWN_FADE_MS
 /** Weight of a new sample in the mean slot time of a route. */
 const HOLD_TIME_WEIGHT = 0.03
 /** Safety factor on the expected wait of a request that is admitted in time. */
@@ -86,6 +90,8 @@
 const MOMENT_TTL_MS = 20
 
 export class CostAwarePolicy implements SchedulingPolicy {
+  readonly usesDeclinedSlots = true
+  readonly slowdownFadeMs = SLOWDOWN_FADE_MS
   readonly #context: SchedulingContext
   readonly #queue = new RequestQueue()
   readonly #classes = new ClassLoads()
@@ -237,9 +243,11 @@
   }
 
   costMs(waiter: Waiter, option: ServerOption, nowMs: number): number {
-    const { waitMs, usualMs, slowdown, pace, slotTimeWeight } = option
+    const { waitMs, usualMs, slotTimeWeight, idleMs } = option
     const { route, isRepeatable } = waiter.request
-    const expectedMs = usualMs * pace
+    const fade = Math.exp(-idleMs / (isRepeatable === true ? SLOWDOWN_FADE_MS : CAREFUL_FADE_MS))
+    const slowdown = 1 + (option.slowdown - 1) * fade
+    const expectedMs = usualMs * (1 + (option.pace - 1) * fade)
     const leftMs = waiter.deadlineAtMs - nowMs - waitMs
     if (!this.#mayEnd(route, expectedMs, leftMs, nowMs)) return Number.POSITIVE_INFINITY
     const cutChance = 1 - this.#spreadOf(route).chanceWithin(leftMs / Math.max(1, expectedMs))
--- a/src/scheduling/schedulingPolicy.ts
+++ b/src/scheduling/schedulingPolicy.ts
@@ -47,6 +47,10 @@
 export interface SchedulingPolicy {
   /** Fraction of the running requests that usually run for over twice the expected duration. */
   readonly overdueFraction: number
+  /** Time constant in which a server's slowdown fades while no run confirms it, in milliseconds. */
+  readonly slowdownFadeMs: number
+  /** Whether a request that arrives may start in a slot that the queued ones have declined. */
+  readonly usesDeclinedSlots: boolean
   /** Number of queued requests. */
   readonly length: number
   has(key: string): boolean
--- a/src/scheduling/serverCost.ts
+++ b/src/scheduling/serverCost.ts
@@ -15,6 +15,8 @@
   readonly slowdown: number
   /** As `slowdown`, without failures. */
   readonly pace: number
+  /** Time since which nothing runs at the server, in milliseconds. */
+  readonly idleMs: number
   /** Expected wait until the server has a free slot. */
   readonly waitMs: number
   /** Fraction of the slots in use. */
--- a/src/scheduling/targetFirstPolicy.ts
+++ b/src/scheduling/targetFirstPolicy.ts
@@ -18,6 +18,8 @@
 export class TargetFirstPolicy implements SchedulingPolicy {
   /** A second overdue request counts as a sign of a slow server. */
   readonly overdueFraction = 0
+  readonly usesDeclinedSlots = false
+  readonly slowdownFadeMs = Number.POSITIVE_INFINITY
   readonly #context: SchedulingContext
   readonly #queue = new RequestQueue()
 
