--- a/src/scheduling/classLoads.ts
+++ b/src/scheduling/classLoads.ts
@@ -13,7 +13,9 @@
 const SERVICE_WINDOW_MS = 8000
 /** Requests per second below which a share is too uncertain to compare. */
 const MIN_RATE_PER_SECOND = 0.5
-/** A class may be served this much more often than a more urgent one. */
+/** Usual rate below which a class is forgotten; routes and customers come and go. */
+const FORGOTTEN_RATE_PER_SECOND = 1e-6
+/** A class may be served this much more often than a more urgent or an equal one. */
 export const SHARE_TOLERANCE = 0.03
 /** A class is served at least this fraction as often as all requests. */
 export const SHARE_FLOOR = 0.3
@@ -38,6 +40,8 @@
   Even = 'even',
   /** Served more often than a more urgent class. */
   Above = 'above',
+  /** Served more often than another class of its priority. */
+  AboveEqual = 'aboveEqual',
   /** Served less often than the floor. */
   Below = 'below',
 }
@@ -75,6 +79,13 @@
     return { current, usual }
   }
 
+  /** Forgets classes without requests. */
+  expire(nowMs: number): void {
+    for (const [key, { usual }] of this.#classes) {
+      if (usual.perSecond(nowMs) < FORGOTTEN_RATE_PER_SECOND) this.#classes.delete(key)
+    }
+  }
+
   /** State of every class's share, by {@link classOf}. */
   shareStates(nowMs: number): ReadonlyMap<string, ShareState> {
     const shares = [...this.#classes]
@@ -85,24 +96,26 @@
         served: served.perSecond(nowMs),
       }))
       .filter(({ offered }) => offered >= MIN_RATE_PER_SECOND)
+      .map((each) => ({ ...each, share: Math.min(1, each.served / each.offered) }))
       .sort((left, right) => left.priority - right.priority)
     const offered = shares.reduce((sum, each) => sum + each.offered, 0)
     const served = shares.reduce((sum, each) => sum + each.served, 0)
     const floor = (SHARE_FLOOR * served) / Math.max(offered, 1e-9)
     const states = new Map<string, ShareState>()
-    let leastUrgent = Number.POSITIVE_INFINITY
-    let leastOfPriority = Number.POSITIVE_INFINITY
-    let priority = Number.NaN
-    for (const each of shares) {
-      if (each.priority !== priority) {
-        leastUrgent = Math.min(leastUrgent, leastOfPriority)
-        leastOfPriority = Number.POSITIVE_INFINITY
-        priority = each.priority
-      }
-      const share = Math.min(1, each.served / each.offered)
-      leastOfPriority = Math.min(leastOfPriority, share)
-      if (share < floor) states.set(each.key, ShareState.Below)
-      else if (share > leastUrgent + SHARE_TOLERANCE) states.set(each.key, ShareState.Above)
+    const leastByPriority = new Map<number, number>()
+    for (const { priority, share } of shares) {
+      leastByPriority.set(priority, Math.min(share, leastByPriority.get(priority) ?? 1))
+    }
+    let leastOfUrgent = Number.POSITIVE_INFINITY
+    let leastOfEqual = Number.POSITIVE_INFINITY
+    let previous = Number.NaN
+    for (const { key, priority, share } of shares) {
+      if (priority !== previous) leastOfUrgent = Math.min(leastOfUrgent, leastOfEqual)
+      previous = priority
+      leastOfEqual = leastByPriority.get(priority) ?? 1
+      if (share < floor) states.set(key, ShareState.Below)
+      else if (share > leastOfUrgent + SHARE_TOLERANCE) states.set(key, ShareState.Above)
+      else if (share > leastOfEqual + SHARE_TOLERANCE) states.set(key, ShareState.AboveEqual)
     }
     return states
   }
--- a/src/scheduling/costAwarePolicy.ts
+++ b/src/scheduling/costAwarePolicy.ts
@@ -38,7 +38,7 @@
 /** Weight of a new sample in the mean slot time of a route. */
 const HOLD_TIME_WEIGHT = 0.03
 /** Safety factor on the expected wait of a request that is admitted in time. */
-const WAIT_SAFETY_FACTOR = 1.4
+const WAIT_SAFETY_FACTOR = 1.6
 /** Fraction of the predicted wait that must exceed the useful one before a request is let go. */
 const DISPLACEMENT_CONFIDENCE = 0.8
 /** Interval between two looks for requests to let go. */
@@ -214,6 +214,7 @@
     if (nowMs - this.#displacedAtMs < DISPLACEMENT_INTERVAL_MS) return []
     this.#displacedAtMs = nowMs
     this.#ledger.expire(nowMs)
+    this.#classes.expire(nowMs)
     if (this.#queue.length === 0) return []
     const { slots } = this.#momentAt(nowMs)
     let aheadMs = 0
@@ -298,22 +299,26 @@
     const { request } = waiter
     const { slots } = this.#momentAt(nowMs)
     const holdMs = this.#holdMsOf(request.route)
+    const share = this.#shareStateOf(request, nowMs)
+    const isAbove = share === ShareState.Above || share === ShareState.AboveEqual
     let inTimeMs = 0
     let lateMs = 0
-    for (const part of this.#queue.counts(this.#context.serviceMsOf, nowMs)) {
-      if (part.priority > request.priority) continue
-      const workMs = part.count * this.#holdMsOf(part.route)
-      if (part.isLate) lateMs += workMs
-      else inTimeMs += workMs
+    for (const group of this.#queue.counts(this.#context.serviceMsOf, nowMs)) {
+      if (group.priority > request.priority) continue
+      if (!isAbove && this.#shareStateOf(group, nowMs) === ShareState.Above) continue
+      const groupHoldMs = this.#holdMsOf(group.route)
+      inTimeMs += group.inTime * groupHoldMs
+      lateMs += group.late * groupHoldMs
     }
-    const urgent = this.#utilizationBelow(request.priority, nowMs)
-    const waitMs = stretchedWaitMs(inTimeMs + holdMs, urgent, slots)
+    const equal = this.#utilizationUpTo(request.priority, nowMs)
+    // Others of the same priority go first until their share has caught up.
+    const overtaking = isAbove ? equal : this.#utilizationBelow(request.priority, nowMs)
+    const waitMs = stretchedWaitMs(inTimeMs + holdMs, overtaking, slots)
     const bookedMs = this.#ledger.bookedMs(nowMs, nowMs + waitMs) / slots
     const targetInMs = waiter.targetAtMs - nowMs
     if ((waitMs + bookedMs) * WAIT_SAFETY_FACTOR + serviceMs <= targetInMs) return true
-    if (this.#shareStateOf(request, nowMs) === ShareState.Above) return false
-    const equal = this.#utilizationUpTo(request.priority, nowMs)
-    const isRoomLeft = equal.current < 1 || this.#shareStateOf(request, nowMs) === ShareState.Below
+    if (isAbove) return false
+    const isRoomLeft = equal.current < 1 || share === ShareState.Below
     if (!isRoomLeft) return false
     const lateWaitMs = stretchedWaitMs(inTimeMs + lateMs + holdMs, equal, slots) + bookedMs
     return lateWaitMs <= this.#usefulWaitMs(waiter, nowMs)
--- a/src/scheduling/requestQueue.ts
+++ b/src/scheduling/requestQueue.ts
@@ -25,6 +25,14 @@
   readonly isLate: boolean
 }
 
+/** Numbers of the waiters of one group. */
+export interface GroupCount {
+  readonly route: string
+  readonly priority: number
+  readonly late: number
+  readonly inTime: number
+}
+
 /** Place in the order of service; the first number that differs decides, and the lower goes first. */
 export type ServiceRank = readonly number[]
 
@@ -130,15 +138,11 @@
     return count
   }
 
-  /** Parts of the queue with their numbers of waiters. */
-  counts(serviceMsOf: ServiceTimeOf, nowMs: number): (QueuePart & { readonly count: number })[] {
-    return [...this.#groups.values()].flatMap(({ route, priority, isReturn, waiters }) => {
-      const lateCount = firstIndexFrom(waiters, nowMs + serviceMsOf(route))
-      const common = { route, priority, isReturn }
-      return [
-        { ...common, isLate: false, count: waiters.length - lateCount },
-        { ...common, isLate: true, count: lateCount },
-      ]
+  /** Counts of the waiters by group. */
+  counts(serviceMsOf: ServiceTimeOf, nowMs: number): GroupCount[] {
+    return [...this.#groups.values()].map(({ route, priority, waiters }) => {
+      const late = firstIndexFrom(waiters, nowMs + serviceMsOf(route))
+      return { route, priority, late, inTime: waiters.length - late }
     })
   }
 
--- a/testing/schedulingLoads.ts
+++ b/testing/schedulingLoads.ts
@@ -104,6 +104,15 @@
   })),
 }
 
+/** Kinds of one priority whose work differs four times, at 1.3 times the room. */
+const KINDS_OF_ONE_RANK: KindLoadOptions = {
+  ...BASE,
+  kinds: [
+    kind('short', 1, READ_MS, READ, () => READ_RATE * 2.2),
+    kind('long', 1, 1000, { ...LOOKUP, targetMs: 2000 }, () => (0.65 * SLOTS) / MEAN_FACTOR),
+  ],
+}
+
 export const SCHEDULING_LOADS = {
   'burst on one kind': BURST_ON_ONE_KIND,
   waves: WAVES,
@@ -111,4 +120,5 @@
   'tail of seven times': LONG_TAIL,
   'lasting overload': LASTING_OVERLOAD,
   'hot objects': HOT_OBJECTS,
+  'kinds of one rank': KINDS_OF_ONE_RANK,
 }
