--- a/src/scheduling/costAwarePolicy.ts
+++ b/src/scheduling/costAwarePolicy.ts
@@ -142,7 +142,8 @@
   offer(waiter: Waiter, nowMs: number): Refusal | undefined {
     const { request, key } = waiter
     const serviceMs = this.#context.serviceMsOf(request.route)
-    if (!this.#mayEnd(request.route, serviceMs, waiter.deadlineAtMs - nowMs, nowMs)) {
+    const leftMs = waiter.deadlineAtMs - nowMs
+    if (!this.#isLikely(this.#chanceToEnd(request.route, serviceMs, leftMs), leftMs, nowMs)) {
       return this.refuseInfeasible(waiter, nowMs)
     }
     if (this.#promised.has(key) || this.#isAdmitted(waiter, serviceMs, nowMs)) {
@@ -246,12 +247,14 @@
   costMs(waiter: Waiter, option: ServerOption, nowMs: number): number {
     const { waitMs, usualMs, slotTimeWeight, idleMs } = option
     const { route, isRepeatable } = waiter.request
-    const fade = Math.exp(-idleMs / (isRepeatable === true ? SLOWDOWN_FADE_MS : CAREFUL_FADE_MS))
+    const fadeMs = isRepeatable === true ? SLOWDOWN_FADE_MS : CAREFUL_FADE_MS
+    const fade = idleMs <= 0 ? 1 : Math.exp(-idleMs / fadeMs)
     const slowdown = 1 + (option.slowdown - 1) * fade
     const expectedMs = usualMs * (1 + (option.pace - 1) * fade)
     const leftMs = waiter.deadlineAtMs - nowMs - waitMs
-    if (!this.#mayEnd(route, expectedMs, leftMs, nowMs)) return Number.POSITIVE_INFINITY
-    const cutChance = 1 - this.#spreadOf(route).chanceWithin(leftMs / Math.max(1, expectedMs))
+    const chance = this.#chanceToEnd(route, expectedMs, leftMs)
+    if (!this.#isLikely(chance, leftMs, nowMs)) return Number.POSITIVE_INFINITY
+    const cutChance = 1 - chance
     // Work that is cut has to be done again; what may run once only is lost with all its time.
     const cutMs = isRepeatable === true ? expectedMs : Math.max(expectedMs, leftMs)
     // A slow server's slots delay only those that run there, so its slowdown counts once.
@@ -286,10 +289,13 @@
     return isCut
   }
 
-  /** Whether a request would most likely end in the time left. */
-  #mayEnd(route: string, expectedMs: number, leftMs: number, nowMs: number): boolean {
+  #chanceToEnd(route: string, expectedMs: number, leftMs: number): number {
+    return this.#spreadOf(route).chanceWithin(leftMs / Math.max(1, expectedMs))
+  }
+
+  /** Whether a request with this chance to end in the time left may be started. */
+  #isLikely(chance: number, leftMs: number, nowMs: number): boolean {
     if (leftMs <= 0) return false
-    const chance = this.#spreadOf(route).chanceWithin(leftMs / Math.max(1, expectedMs))
     if (chance >= MIN_CHANCE) return true
     // Without runs, nothing would show that servers have become faster again.
     return nowMs - Math.max(this.#endedAtMs, this.#probedAtMs) > SPREAD_TTL_MS
--- a/src/scheduling/durationSpread.ts
+++ b/src/scheduling/durationSpread.ts
@@ -6,8 +6,10 @@
 
 /** Ratio of the first bin's upper bound to the expected duration. */
 const FIRST_BOUND = 0.25
-/** Factor between the bounds of bins; a finer step exceeds what some hundred runs show. */
-const BOUND_FACTOR = 2 ** 0.25
+/** A finer step exceeds what some hundred runs show. */
+const BINS_PER_DOUBLING = 4
+/** Factor between the bounds of bins. */
+const BOUND_FACTOR = 2 ** (1 / BINS_PER_DOUBLING)
 const BIN_COUNT = 24
 /** Weight of a new run; the estimate reflects about the last 150 runs. */
 const RUN_WEIGHT = 1 / 150
@@ -26,15 +28,19 @@
 /** Distribution of the ratio of actual to expected durations, of the latest runs of one route. */
 export class DurationSpread {
   readonly #fractions = new Float64Array(BIN_COUNT)
+  /** Sums of the fractions up to each bin; looked up for each server that is compared. */
+  readonly #sums = new Float64Array(BIN_COUNT)
 
   constructor() {
     for (const [ratio, fraction] of ASSUMED_RATIOS) this.#add(binOf(ratio), fraction)
+    this.#updateSums()
   }
 
   /** Records a run that ended by itself. */
   recordCompleted(ratio: number): void {
     this.#fade()
     this.#add(binOf(ratio), RUN_WEIGHT)
+    this.#updateSums()
   }
 
   /** Records a run that was cut; it would have taken longer, as other runs of that length do. */
@@ -43,25 +49,22 @@
     const first = binOf(ratio)
     let longer = 0
     for (let bin = first; bin < BIN_COUNT; bin += 1) longer += this.#fractions[bin] ?? 0
-    if (longer <= 0) {
-      this.#add(BIN_COUNT - 1, RUN_WEIGHT)
-      return
-    }
-    for (let bin = first; bin < BIN_COUNT; bin += 1) {
+    if (longer <= 0) this.#add(BIN_COUNT - 1, RUN_WEIGHT)
+    for (let bin = first; longer > 0 && bin < BIN_COUNT; bin += 1) {
       this.#add(bin, (RUN_WEIGHT * (this.#fractions[bin] ?? 0)) / longer)
     }
+    this.#updateSums()
   }
 
   /** Chance that a run takes at most `ratio` times the expected duration. */
   chanceWithin(ratio: number): number {
     if (ratio <= 0) return 0
-    const position = Math.log(ratio / FIRST_BOUND) / Math.log(BOUND_FACTOR) + 1
+    const position = Math.log2(ratio / FIRST_BOUND) * BINS_PER_DOUBLING + 1
     const bin = Math.floor(position)
-    let chance = 0
-    for (let each = 0; each < Math.min(bin, BIN_COUNT); each += 1)
-      chance += this.#fractions[each] ?? 0
-    if (bin >= 0 && bin < BIN_COUNT) chance += (this.#fractions[bin] ?? 0) * (position - bin)
-    return Math.min(1, chance)
+    if (bin >= BIN_COUNT) return 1
+    if (bin < 0) return 0
+    const before = bin === 0 ? 0 : (this.#sums[bin - 1] ?? 0)
+    return before + (this.#fractions[bin] ?? 0) * (position - bin)
   }
 
   /** Ratio that the given fraction of the runs does not exceed. */
@@ -91,6 +94,14 @@
     return beyond / total
   }
 
+  #updateSums(): void {
+    let sum = 0
+    for (let bin = 0; bin < BIN_COUNT; bin += 1) {
+      sum += this.#fractions[bin] ?? 0
+      this.#sums[bin] = sum
+    }
+  }
+
   #fade(): void {
     for (let bin = 0; bin < BIN_COUNT; bin += 1) {
       this.#fractions[bin] = (this.#fractions[bin] ?? 0) * (1 - RUN_WEIGHT)
@@ -105,6 +116,6 @@
 /** Bin `b` holds the ratios up to its bound, above that of the bin before. */
 function binOf(ratio: number): number {
   if (ratio <= FIRST_BOUND) return 0
-  const position = Math.log(ratio / FIRST_BOUND) / Math.log(BOUND_FACTOR)
+  const position = Math.log2(ratio / FIRST_BOUND) * BINS_PER_DOUBLING
   return Math.min(BIN_COUNT - 1, Math.ceil(position))
 }
