--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -8,6 +8,7 @@
  */
 import { combineHashes, hashText } from '../common/hashing.js'
 import type {
+  Refusal,
   SchedulingContext,
   SchedulingPolicy,
   SchedulingPolicyFactory,
@@ -189,9 +190,7 @@
       this.#grant(waiter, state, nowMs)
       return
     }
-    const refusal = this.#hasServerFor(waiter, nowMs)
-      ? this.#policy.offer(waiter, nowMs)
-      : this.#policy.refuseWithoutServer(waiter, this.#turnedAwayForMs(waiter, nowMs), nowMs)
+    const refusal = this.#refusalOf(waiter, mayStart && this.#isRefusedAsInfeasible(waiter), nowMs)
     if (refusal !== undefined) {
       this.#stopAwaiting(waiter.key)
       waiter.onRefused(refusal.reason, refusal.retryAfterMs)
@@ -599,10 +598,25 @@
     return this.#isInfeasible
   }
 
-  /** Refuses a queued request that no server can end in time; one that came back may wait for it. */
+  /** Queues a request that gets no slot now, or tells why not. */
+  #refusalOf(waiter: Waiter, isInfeasible: boolean, nowMs: number): Refusal | undefined {
+    if (!this.#hasServerFor(waiter, nowMs)) {
+      const turnedAwayForMs = this.#turnedAwayForMs(waiter, nowMs)
+      return this.#policy.refuseWithoutServer(waiter, turnedAwayForMs, nowMs)
+    }
+    if (isInfeasible) return this.#policy.refuseInfeasible(waiter, nowMs)
+    return this.#policy.offer(waiter, nowMs)
+  }
+
+  /** Whether the latest selection found no server for a request that would end in time. */
+  #isRefusedAsInfeasible({ key, request }: Waiter): boolean {
+    // A caller that came back may wait for a server to become faster.
+    return this.#isInfeasible && !request.isReturn && !this.#awaitedServers.has(key)
+  }
+
+  /** Refuses a queued request that no server can end in time. */
   #refuseIfInfeasible(waiter: Waiter, nowMs: number): void {
-    if (!this.#isInfeasible || waiter.request.isReturn || this.#awaitedServers.has(waiter.key))
-      return
+    if (!this.#isRefusedAsInfeasible(waiter)) return
     this.#removeWaiter(waiter.key)
     const { reason, retryAfterMs } = this.#policy.refuseInfeasible(waiter, nowMs)
     waiter.onRefused(reason, retryAfterMs)
--- a/src/scheduling/classLoads.ts
+++ b/src/scheduling/classLoads.ts
@@ -18,7 +18,9 @@
 /** A class may be served this much more often than a more urgent or an equal one. */
 export const SHARE_TOLERANCE = 0.03
 /** A class is served at least this fraction as often as all requests. */
-export const SHARE_FLOOR = 0.3
+export const SHARE_FLOOR = 0.25
+/** Fraction below which a class is preferred; the share follows with a delay. */
+const PREFERRED_BELOW = 0.32
 
 interface ClassLoad {
   readonly route: string
@@ -100,7 +102,7 @@
       .sort((left, right) => left.priority - right.priority)
     const offered = shares.reduce((sum, each) => sum + each.offered, 0)
     const served = shares.reduce((sum, each) => sum + each.served, 0)
-    const floor = (SHARE_FLOOR * served) / Math.max(offered, 1e-9)
+    const floor = (PREFERRED_BELOW * served) / Math.max(offered, 1e-9)
     const states = new Map<string, ShareState>()
     const leastByPriority = new Map<number, number>()
     for (const { priority, share } of shares) {
--- a/src/scheduling/costAwarePolicy.ts
+++ b/src/scheduling/costAwarePolicy.ts
@@ -51,7 +51,7 @@
  * Share of the starts that goes to promised returns and to classes below the floor before more
  * urgent requests.
  */
-const OWED_FRACTION = 0.12
+const OWED_FRACTION = 0.15
 /** Bound of the starts saved up for owed requests; a burst of them must not hold up urgent ones. */
 const MAX_OWED_STARTS = 3
 /** Time in which a burst is expected to fade, for the room of spans in the future. */
@@ -255,8 +255,8 @@
     const chance = this.#chanceToEnd(route, expectedMs, leftMs)
     if (!this.#isLikely(chance, leftMs, nowMs)) return Number.POSITIVE_INFINITY
     const cutChance = 1 - chance
-    // Work that is cut has to be done again; what may run once only is lost with all its time.
-    const cutMs = isRepeatable === true ? expectedMs : Math.max(expectedMs, leftMs)
+    // Work that is cut holds its slot until then; what may run once only is lost besides.
+    const cutMs = leftMs * (isRepeatable === true ? 1 : 2)
     // A slow server's slots delay only those that run there, so its slowdown counts once.
     const workMs = usualMs * (slowdown + slotTimeWeight - 1)
     return waitMs + workMs + cutChance * cutMs + spreadingCostMs(option) + wayCostMs(option)
@@ -309,10 +309,12 @@
     const isAbove = share === ShareState.Above || share === ShareState.AboveEqual
     let inTimeMs = 0
     let lateMs = 0
+    let ownMs = 0
     for (const group of this.#queue.counts(this.#context.serviceMsOf, nowMs)) {
       if (group.priority > request.priority) continue
       if (!isAbove && this.#shareStateOf(group, nowMs) === ShareState.Above) continue
       const groupHoldMs = this.#holdMsOf(group.route)
+      if (classOf(group) === classOf(request)) ownMs += (group.inTime + group.late) * groupHoldMs
       inTimeMs += group.inTime * groupHoldMs
       lateMs += group.late * groupHoldMs
     }
@@ -324,8 +326,11 @@
     const targetInMs = waiter.targetAtMs - nowMs
     if ((waitMs + bookedMs) * WAIT_SAFETY_FACTOR + serviceMs <= targetInMs) return true
     if (isAbove) return false
-    const isRoomLeft = equal.current < 1 || share === ShareState.Below
-    if (!isRoomLeft) return false
+    if (share === ShareState.Below) {
+      const owedWaitMs = (ownMs + holdMs) / (slots * OWED_FRACTION)
+      return owedWaitMs <= this.#usefulWaitMs(waiter, nowMs)
+    }
+    if (equal.current >= 1) return false
     const lateWaitMs = stretchedWaitMs(inTimeMs + lateMs + holdMs, equal, slots) + bookedMs
     return lateWaitMs <= this.#usefulWaitMs(waiter, nowMs)
   }
