--- a/src/scheduling/costAwarePolicy.ts
+++ b/src/scheduling/costAwarePolicy.ts
@@ -255,8 +255,8 @@
     const chance = this.#chanceToEnd(route, expectedMs, leftMs)
     if (!this.#isLikely(chance, leftMs, nowMs)) return Number.POSITIVE_INFINITY
     const cutChance = 1 - chance
-    // Work that is cut holds its slot until then; what may run once only is lost besides.
-    const cutMs = leftMs * (isRepeatable === true ? 1 : 2)
+    // Work that is cut has to be done again; what may run once only is lost, and its slot time too.
+    const cutMs = isRepeatable === true ? expectedMs : 2 * leftMs
     // A slow server's slots delay only those that run there, so its slowdown counts once.
     const workMs = usualMs * (slowdown + slotTimeWeight - 1)
     return waitMs + workMs + cutChance * cutMs + spreadingCostMs(option) + wayCostMs(option)
