--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -6,7 +6,6 @@
  * they can be neither reordered nor refused in time. Instead, all instances of a
  * region request slots from one coordinator, which fills each server up to its slots.
  */
-import { combineHashes, hashText } from '../common/hashing.js'
 import type {
   Refusal,
   SchedulingContext,
@@ -15,7 +14,6 @@
 } from '../scheduling/schedulingPolicy.js'
 import { WorkEnd } from '../scheduling/schedulingPolicy.js'
 import { TargetFirstPolicy } from '../scheduling/targetFirstPolicy.js'
-import type { ServerOption } from '../scheduling/serverCost.js'
 import type { Waiter } from '../scheduling/waiter.js'
 import { DEFAULT_DURATION_MS, DurationEstimates } from './durationEstimates.js'
 import type { LoadReport } from './loadReport.js'
@@ -34,6 +32,7 @@
 import type { LimitStatement } from './serverLimits.js'
 import type { CoordinatedServer, PaceExpectation, RunningRequest } from './serverState.js'
 import { ServerIndex } from './serverIndex.js'
+import { ServerSelection, instanceOf, isAllowed } from './serverSelection.js'
 import { ServerState } from './serverState.js'
 import type { ServerStatement } from './serverStatement.js'
 import type { RegionDemand } from './slotLending.js'
@@ -71,13 +70,6 @@
   readonly completionsPerSecond: number
 }
 
-/** Expected durations of a route in one region. */
-interface UsualDurations {
-  readonly region: string
-  readonly cachedMs: number
-  readonly uncachedMs: number
-}
-
 const WORK_END_BY_OUTCOME: Readonly<Record<SlotOutcome, WorkEnd>> = {
   [SlotOutcome.Completed]: WorkEnd.Completed,
   [SlotOutcome.Failed]: WorkEnd.Failed,
@@ -86,12 +78,6 @@
   [SlotOutcome.Abandoned]: WorkEnd.Unknown,
 }
 
-/** A server chosen for a request, and its expected time until completion. */
-interface ServerChoice {
-  readonly state: ServerState
-  readonly costMs: number
-}
-
 /** Owns the slots, the queue and the duration estimates of one service. */
 export class ServiceCoordinator {
   readonly #service: string
@@ -106,8 +92,7 @@
   }
   readonly #schedulingContext: SchedulingContext
   #policy: SchedulingPolicy
-  /** Whether the latest selection found a server at which the request would not end in time. */
-  #isInfeasible = false
+  readonly #selection: ServerSelection
   readonly #arrivals: DecayingRate
   /** Arrivals without retries, which would count the demand of a refused caller twice. */
   readonly #firstArrivals: DecayingRate
@@ -148,6 +133,16 @@
     this.#arrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#firstArrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#remoteShare = new RemoteShare(nowMs)
+    this.#selection = new ServerSelection({
+      region,
+      servers: this.#servers,
+      estimates: this.#estimates,
+      remoteShare: this.#remoteShare,
+      policy: () => this.#policy,
+      waiterCountOf: (serverId) => this.#waiterCounts.get(serverId) ?? 0,
+      meanHoldTimeMs: () => this.#meanHoldTimeMs(),
+      usableSlots: () => this.#capacity.usableSlots(this.#meanHoldTimeMs()),
+    })
   }
 
   /**
@@ -594,10 +589,6 @@
     }
   }
 
-  #hasInfeasible(): boolean {
-    return this.#isInfeasible
-  }
-
   /** Queues a request that gets no slot now, or tells why not. */
   #refusalOf(waiter: Waiter, isInfeasible: boolean, nowMs: number): Refusal | undefined {
     if (!this.#hasServerFor(waiter, nowMs)) {
@@ -611,7 +602,7 @@
   /** Whether the latest selection found no server for a request that would end in time. */
   #isRefusedAsInfeasible({ key, request }: Waiter): boolean {
     // A caller that came back may wait for a server to become faster.
-    return this.#isInfeasible && !request.isReturn && !this.#awaitedServers.has(key)
+    return this.#selection.isInfeasible && !request.isReturn && !this.#awaitedServers.has(key)
   }
 
   /** Refuses a queued request that no server can end in time. */
@@ -625,11 +616,7 @@
   /** Returns the server for a request if it has a free slot; else the request awaits it. */
   #findSlot(waiter: Waiter, nowMs: number): ServerState | undefined {
     this.#stopAwaiting(waiter.key)
-    this.#isInfeasible = false
-    const compared = this.#selectServer(waiter, nowMs)
-    // The servers that are compared at first are a part of a large service's.
-    const state =
-      compared ?? (this.#hasInfeasible() ? this.#selectServer(waiter, nowMs, true) : undefined)
+    const state = this.#selection.select(waiter, nowMs)
     if (state === undefined || state.freeSlots(nowMs) > 0) return state
     this.#startAwaiting(waiter.key, state.server.id)
     return undefined
@@ -651,107 +638,11 @@
     waiter.onGranted(id)
   }
 
-  /** Returns the server with the earliest expected completion, which may be a full one. */
-  #selectServer(waiter: Waiter, nowMs: number, isComplete = false): ServerState | undefined {
-    const isLocalAllowed = this.#isAllowed(waiter, this.#region)
-    const mustRunRemotely = !isLocalAllowed || this.#remoteShare.mustRunRemotely(nowMs)
-    const mayRunRemotely = mustRunRemotely || this.#remoteShare.mayRunRemotely(nowMs)
-    const { object } = waiter.request
-    const hash = object === '' ? 0 : hashText(object)
-    const select = (isLocal: boolean): ServerChoice | undefined => {
-      const servers = isComplete
-        ? this.#servers.all()
-        : this.#servers.candidates(object, hash, isLocal, nowMs)
-      return this.#cheapestServer(waiter, servers, isLocal, hash, nowMs)
-    }
-    const remote = mayRunRemotely ? select(false) : undefined
-    if (mustRunRemotely && remote !== undefined) return remote.state
-    const local = isLocalAllowed ? select(true) : undefined
-    if (local === undefined || remote === undefined) return (local ?? remote)?.state
-    return remote.costMs < local.costMs ? remote.state : local.state
-  }
-
-  #cheapestServer(
-    waiter: Waiter,
-    servers: Iterable<ServerState>,
-    isLocal: boolean,
-    objectHash: number,
-    nowMs: number,
-  ): ServerChoice | undefined {
-    let best: ServerState | undefined
-    let bestMs = Number.POSITIVE_INFINITY
-    const { route } = waiter.request
-    const slotTimeWeight = this.#slotTimeWeight(waiter)
-    const instance = instanceOf(waiter.key)
-    let durations: UsualDurations | undefined
-    for (const state of servers) {
-      const { id, region, slots } = state.server
-      if ((region === this.#region) !== isLocal || slots <= 0 || state.isSuspended(nowMs)) continue
-      if (state.turnedAwayUntilMs(instance, nowMs) > 0) continue
-      if (waiter.request.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
-      if (durations?.region !== region) durations = this.#usualDurations(route, region)
-      const option = this.#optionOf(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
-      const costMs = this.#policy.costMs(waiter, option, nowMs)
-      if (costMs === Number.POSITIVE_INFINITY) this.#isInfeasible = true
-      if (costMs < bestMs) {
-        best = state
-        bestMs = costMs
-      }
-    }
-    return best === undefined ? undefined : { state: best, costMs: bestMs }
-  }
-
-  #usualDurations(route: string, region: string): UsualDurations {
-    return {
-      region,
-      cachedMs: this.#estimates.expectedMs(route, region, true),
-      uncachedMs: this.#estimates.expectedMs(route, region, false),
-    }
-  }
-
-  #optionOf(
-    waiter: Waiter,
-    objectHash: number,
-    slotTimeWeight: number,
-    state: ServerState,
-    durations: UsualDurations,
-    nowMs: number,
-  ): ServerOption {
-    const { object } = waiter.request
-    const { id, zone, slots } = state.server
-    const waiterCount = this.#waiterCounts.get(id) ?? 0
-    return {
-      usualMs: state.hasCached(object) ? durations.cachedMs : durations.uncachedMs,
-      slowdown: state.slowdownAt(nowMs),
-      pace: state.paceAt(nowMs),
-      idleMs: state.idleMs(nowMs),
-      waitMs: state.waitMs(waiterCount + 1, this.#meanHoldTimeMs(), nowMs),
-      load: state.running.size / Math.max(1, slots),
-      preference: object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32,
-      isInOtherZone: zone !== waiter.zone,
-      slotTimeWeight,
-    }
-  }
-
-  /**
-   * Weight of slot time relative to the duration of the request itself: each extra
-   * millisecond in a slot delays other queued requests.
-   */
-  #slotTimeWeight(waiter: Waiter): number {
-    const others = this.#policy.countDelayedBy(waiter)
-    return 1 + others / Math.max(1, this.#capacity.usableSlots(this.#meanHoldTimeMs()))
-  }
-
-  #isAllowed(waiter: Waiter, region: string): boolean {
-    const { regions } = waiter.request
-    return regions.length === 0 || regions.includes(region)
-  }
-
   #hasServerFor(waiter: Waiter, nowMs: number): boolean {
     const instance = instanceOf(waiter.key)
     for (const state of this.#servers.all()) {
       const { slots, region } = state.server
-      const isUsable = slots > 0 && this.#isAllowed(waiter, region)
+      const isUsable = slots > 0 && isAllowed(waiter, region)
       if (isUsable && state.turnedAwayUntilMs(instance, nowMs) === 0) return true
     }
     return false
@@ -801,8 +692,3 @@
     }
   }
 }
-
-/** Instance that sent a request, from the key of the request. */
-function instanceOf(key: string): string {
-  return key.slice(0, key.lastIndexOf('/'))
-}
