--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -1,4 +1,6 @@
 /** Runs the service coordinators of this instance, for slot requests of peers and of its own. */
+import type { DeploymentFacts } from '../scheduling/policySelection.js'
+import { PolicyKind, policyFactory, schedulingPolicyFor } from '../scheduling/policySelection.js'
 import type { Waiter } from '../scheduling/waiter.js'
 import type { BackendServerRegistry, RegisteredBackendServer } from './backendServerRegistry.js'
 import type { InstanceRecord } from './instanceRecord.js'
@@ -44,6 +46,8 @@
   readonly serviceNames: () => Iterable<string>
   /** Target latency of a route, in milliseconds. */
   readonly targetLatencyMs: (route: string) => number | undefined
+  /** What scheduling depends on; the same object until the configuration changes. */
+  readonly deploymentFacts?: () => DeploymentFacts | undefined
 }
 
 /**
@@ -63,6 +67,9 @@
   readonly limitBorrowers: Set<string>
   usedAtMs: number
   generation: number
+  /** Facts from which the policy was chosen. */
+  facts: DeploymentFacts | undefined
+  policyKind: PolicyKind
 }
 
 /** Requests per second assumed for cold servers of a service that is not configured. */
@@ -304,14 +311,27 @@
       createdAtMs: nowMs,
       usedAtMs: nowMs,
       generation: -1,
+      facts: undefined,
+      policyKind: PolicyKind.TargetFirst,
     }
     this.#services.set(service, created)
     this.#refresh(service, created, nowMs)
     return created
   }
 
-  /** Passes changes of the usable servers on to the coordinator. */
+  #choosePolicy(service: string, coordinated: CoordinatedService): void {
+    const facts = this.#dependencies.deploymentFacts?.()
+    if (facts === undefined || facts === coordinated.facts) return
+    coordinated.facts = facts
+    const kind = schedulingPolicyFor(service, facts)
+    if (kind === coordinated.policyKind) return
+    coordinated.policyKind = kind
+    coordinated.coordinator.setPolicy(policyFactory(kind))
+  }
+
+  /** Passes changes of the configuration and of the usable servers on to the coordinator. */
   #refresh(service: string, coordinated: CoordinatedService, nowMs: number): void {
+    this.#choosePolicy(service, coordinated)
     const { registry, table } = this.#dependencies
     if (coordinated.generation === registry.generation) return
     coordinated.generation = registry.generation
--- a/src/entry/serverState.ts
+++ b/src/entry/serverState.ts
@@ -52,9 +52,19 @@
 const MAX_SLOWDOWN = 8
 /** Cost of a failure in durations of the request: the failed attempt and its repetition. */
 const FAILURE_COST_FACTOR = 4
+/** Requests overdue at once from which a server is taken for slow, unless more are usual. */
+const MIN_OVERDUE_COUNT = 2
 /** Slowdown of a cold server. */
 const COLD_SLOWDOWN = 2
 
+/** What is known of the durations of a service's work, shared by the states of its servers. */
+export interface PaceExpectation {
+  /** Fraction of the running requests that are usually overdue at a server with the usual pace. */
+  overdueFraction: number
+  /** Time constant in which a slowdown that no run confirms fades, in milliseconds. */
+  slowdownFadeMs: number
+}
+
 /** State of one server. */
 export class ServerState {
   #server: CoordinatedServer
@@ -63,10 +73,15 @@
   readonly #lastUseByObject = new Map<string, number>()
   #objectRequests = 0
   readonly #objectCache: ObjectCacheEstimate
+  readonly #expectation: PaceExpectation
   readonly #holders: ObjectHolders
   readonly #coldBucket: TokenBucket
   #slowdown = 1
   #failureFraction = 0
+  /** Time of the latest completion. */
+  #observedAtMs: number
+  /** Time since which nothing runs at the server. */
+  #idleSinceMs: number
   #report: LoadReport | undefined
   #reportAtMs = Number.NEGATIVE_INFINITY
   #suspendedUntilMs = Number.NEGATIVE_INFINITY
@@ -76,6 +91,7 @@
   limit: ServerLimit | undefined
   #cachedSlowdownAtMs = Number.NaN
   #cachedSlowdown = 1
+  #cachedPace = 1
   /** Hash of the identifier, for the affinity of objects to servers. */
   readonly hash: number
   /** Number of the latest selection of candidates that contains the server. */
@@ -86,7 +102,11 @@
     objectCache: ObjectCacheEstimate,
     holders: ObjectHolders,
     nowMs: number,
+    expectation: PaceExpectation = { overdueFraction: 0, slowdownFadeMs: Infinity },
   ) {
+    this.#observedAtMs = nowMs
+    this.#idleSinceMs = nowMs
+    this.#expectation = expectation
     this.#server = server
     this.#holders = holders
     this.hash = hashText(server.id)
@@ -178,24 +198,35 @@
 
   /** Expected duration of work relative to the usual one, which is 1; cached per point in time. */
   slowdownAt(nowMs: number): number {
-    if (nowMs !== this.#cachedSlowdownAtMs) {
-      this.#cachedSlowdown = this.#computeSlowdown(nowMs)
-      this.#cachedSlowdownAtMs = nowMs
-    }
+    this.#updateSlowdown(nowMs)
     return this.#cachedSlowdown
   }
 
-  #computeSlowdown(nowMs: number): number {
+  /** As {@link slowdownAt}, without the cost of failures. */
+  paceAt(nowMs: number): number {
+    this.#updateSlowdown(nowMs)
+    return this.#cachedPace
+  }
+
+  #updateSlowdown(nowMs: number): void {
+    if (nowMs === this.#cachedSlowdownAtMs) return
+    this.#cachedPace = this.#computePace(nowMs)
+    this.#cachedSlowdown = this.#cachedPace * (1 + FAILURE_COST_FACTOR * this.#failureFraction)
+    this.#cachedSlowdownAtMs = nowMs
+  }
+
+  #computePace(nowMs: number): number {
     const reportWeight = Math.max(0, 1 - (nowMs - this.#reportAtMs) / REPORT_TTL_MS)
     const reported = this.#report?.pace ?? this.#slowdown
     const observed = Math.max(this.#slowdown, this.#overdueSlowdown(nowMs))
     const slowdown =
       reportWeight * Math.max(reported, observed * 0.5) + (1 - reportWeight) * observed
-    return (
-      slowdown *
-      (this.isCold(nowMs) ? COLD_SLOWDOWN : 1) *
-      (1 + FAILURE_COST_FACTOR * this.#failureFraction)
-    )
+    return slowdown * (this.isCold(nowMs) ? COLD_SLOWDOWN : 1)
+  }
+
+  /** Time since which nothing runs at the server, in milliseconds; 0 if something does. */
+  idleMs(nowMs: number): number {
+    return this.running.size === 0 ? Math.max(0, nowMs - this.#idleSinceMs) : 0
   }
 
   startRequest(key: string, request: RunningRequest, nowMs: number): void {
@@ -216,6 +247,7 @@
     const running = this.running.get(key)
     this.#cachedSlowdownAtMs = Number.NaN
     this.running.delete(key)
+    if (this.running.size === 0) this.#idleSinceMs = nowMs
     if (report !== null) {
       this.#report = report
       this.#reportAtMs = nowMs
@@ -237,13 +269,17 @@
     this.#suspendedUntilMs = Math.max(this.#suspendedUntilMs, untilMs)
   }
 
-  observeCompletion(running: RunningRequest | undefined, durationMs: number): void {
+  observeCompletion(running: RunningRequest | undefined, durationMs: number, nowMs: number): void {
     this.observeFailure(0)
     if (running === undefined) return
     const ratio = durationMs / Math.max(1, running.expectedMs)
     const bounded = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, ratio))
     // Geometric mean: a single straggler has little effect, a lasting slowdown is followed.
-    this.#slowdown *= Math.pow(bounded / this.#slowdown, SLOWDOWN_WEIGHT)
+    const fadedFraction =
+      1 - Math.exp((this.#observedAtMs - nowMs) / this.#expectation.slowdownFadeMs)
+    this.#observedAtMs = nowMs
+    const weight = Math.max(SLOWDOWN_WEIGHT, fadedFraction)
+    this.#slowdown *= Math.pow(bounded / this.#slowdown, weight)
   }
 
   /** @param failed 1 for a failure, 0 for a success */
@@ -259,7 +295,9 @@
       if (ratio > 2) overdueCount += 1
     }
     // A single overdue request is a normal straggler; several at once indicate a slow server.
-    return overdueCount >= 2 ? 1 + overdueCount : 0
+    const usualCount = this.running.size * this.#expectation.overdueFraction
+    const limit = Math.max(MIN_OVERDUE_COUNT, usualCount + 2 * Math.sqrt(usualCount))
+    return overdueCount >= limit ? 1 + overdueCount : 0
   }
 
   #recordObject(object: string): void {
@@ -284,8 +322,8 @@
 ) => void
 
 const OUTCOME_RECORDERS: Readonly<Record<SlotOutcome, OutcomeRecorder>> = {
-  [SlotOutcome.Completed]: (state, running, durationMs) => {
-    state.observeCompletion(running, durationMs)
+  [SlotOutcome.Completed]: (state, running, durationMs, nowMs) => {
+    state.observeCompletion(running, durationMs, nowMs)
   },
   [SlotOutcome.Failed]: (state) => {
     state.observeFailure(1)
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -6,12 +6,13 @@
  * they can be neither reordered nor refused in time. Instead, all instances of a
  * region request slots from one coordinator, which fills each server up to its slots.
  */
-import { combineHashes, hashText } from '../common/hashing.js'
 import type {
+  Refusal,
   SchedulingContext,
   SchedulingPolicy,
   SchedulingPolicyFactory,
 } from '../scheduling/schedulingPolicy.js'
+import { WorkEnd } from '../scheduling/schedulingPolicy.js'
 import { TargetFirstPolicy } from '../scheduling/targetFirstPolicy.js'
 import type { Waiter } from '../scheduling/waiter.js'
 import { DEFAULT_DURATION_MS, DurationEstimates } from './durationEstimates.js'
@@ -29,8 +30,9 @@
 } from './remoteShare.js'
 import { LimitedCapacity } from './limitedCapacity.js'
 import type { LimitStatement } from './serverLimits.js'
-import type { CoordinatedServer, RunningRequest } from './serverState.js'
+import type { CoordinatedServer, PaceExpectation, RunningRequest } from './serverState.js'
 import { ServerIndex } from './serverIndex.js'
+import { ServerSelection, instanceOf, isAllowed } from './serverSelection.js'
 import { ServerState } from './serverState.js'
 import type { ServerStatement } from './serverStatement.js'
 import type { RegionDemand } from './slotLending.js'
@@ -44,12 +46,6 @@
 const HOLD_TIME_WEIGHT = 0.03
 /** Time to live of slots lent by other regions, in ms; four renewals fit into it. */
 const BORROWED_SLOTS_TTL_MS = 2000
-/** Cost of a server in another zone, in milliseconds: the round-trip time between zones. */
-const CROSS_ZONE_COST_MS = 4
-/** Weight of the load of a server, relative to the usual duration; spreads work over servers. */
-const LOAD_WEIGHT = 0.1
-/** Weight of the hash-based preference of an object for a server; instances agree on the hash. */
-const OBJECT_AFFINITY_WEIGHT = 0.4
 
 /** Queued requests considered when a slot becomes free; bounds the work for a long queue. */
 const MAX_DISPATCH_CANDIDATES = 32
@@ -74,11 +70,12 @@
   readonly completionsPerSecond: number
 }
 
-/** Expected durations of a route in one region. */
-interface UsualDurations {
-  readonly region: string
-  readonly cachedMs: number
-  readonly uncachedMs: number
+const WORK_END_BY_OUTCOME: Readonly<Record<SlotOutcome, WorkEnd>> = {
+  [SlotOutcome.Completed]: WorkEnd.Completed,
+  [SlotOutcome.Failed]: WorkEnd.Failed,
+  [SlotOutcome.Broken]: WorkEnd.Failed,
+  [SlotOutcome.NotRun]: WorkEnd.Unknown,
+  [SlotOutcome.Abandoned]: WorkEnd.Unknown,
 }
 
 /** Owns the slots, the queue and the duration estimates of one service. */
@@ -89,8 +86,13 @@
   readonly #servers: ServerIndex
   readonly #estimates = new DurationEstimates()
   readonly #objectCache = new ObjectCacheEstimate()
+  readonly #paceExpectation: PaceExpectation = {
+    overdueFraction: 0,
+    slowdownFadeMs: Number.POSITIVE_INFINITY,
+  }
   readonly #schedulingContext: SchedulingContext
   #policy: SchedulingPolicy
+  readonly #selection: ServerSelection
   readonly #arrivals: DecayingRate
   /** Arrivals without retries, which would count the demand of a refused caller twice. */
   readonly #firstArrivals: DecayingRate
@@ -123,6 +125,7 @@
       loadAt: (nowMs) => ({
         completionsPerSecond: this.#completionsPerSecond(),
         arrivalsPerSecond: this.#arrivals.perSecond(nowMs),
+        usableSlots: this.#capacity.usableSlots(this.#meanHoldTimeMs()),
       }),
       random,
     }
@@ -130,6 +133,16 @@
     this.#arrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#firstArrivals = new DecayingRate(ARRIVAL_WINDOW_MS, nowMs)
     this.#remoteShare = new RemoteShare(nowMs)
+    this.#selection = new ServerSelection({
+      region,
+      servers: this.#servers,
+      estimates: this.#estimates,
+      remoteShare: this.#remoteShare,
+      policy: () => this.#policy,
+      waiterCountOf: (serverId) => this.#waiterCounts.get(serverId) ?? 0,
+      meanHoldTimeMs: () => this.#meanHoldTimeMs(),
+      usableSlots: () => this.#capacity.usableSlots(this.#meanHoldTimeMs()),
+    })
   }
 
   /**
@@ -165,15 +178,14 @@
       if (!request.isReturn) this.#firstArrivals.add(1, nowMs)
     }
     this.#policy.recordArrival(waiter, nowMs)
-    const isQueueEmpty = this.#policy.length === 0
-    const state = isQueueEmpty ? this.#findSlot(waiter, nowMs) : undefined
+    const mayStart =
+      this.#policy.length === 0 || (this.#policy.usesDeclinedSlots && this.#servers.hasFree(nowMs))
+    const state = mayStart ? this.#findSlot(waiter, nowMs) : undefined
     if (state !== undefined) {
       this.#grant(waiter, state, nowMs)
       return
     }
-    const refusal = this.#hasServerFor(waiter, nowMs)
-      ? this.#policy.offer(waiter, nowMs)
-      : this.#policy.refuseWithoutServer(waiter, this.#turnedAwayForMs(waiter, nowMs), nowMs)
+    const refusal = this.#refusalOf(waiter, mayStart && this.#isRefusedAsInfeasible(waiter), nowMs)
     if (refusal !== undefined) {
       this.#stopAwaiting(waiter.key)
       waiter.onRefused(refusal.reason, refusal.retryAfterMs)
@@ -199,7 +211,10 @@
     this.#expireBorrowedSlots(nowMs)
     this.#unconfirmedSlots.remove(key)
     const state = this.#servers.takeRequest(key)
-    const running = state?.endRequest(key, use, durationMs, report, nowMs)
+    const isCut = this.#policy.recordEnd(key, WORK_END_BY_OUTCOME[use], durationMs, nowMs)
+    // Work that was cut says how slow the server is; it is no failure of the server.
+    const effect = isCut ? SlotOutcome.Completed : use
+    const running = state?.endRequest(key, effect, durationMs, report, nowMs)
     if (state !== undefined) {
       this.#servers.refresh(state)
       this.#capacity.recordAnswer(state.server.id, stated, use, running, nowMs)
@@ -342,6 +357,7 @@
     const state = this.#servers.takeRequest(key)
     if (state === undefined) return
     state.running.delete(key)
+    this.#policy.recordEnd(key, WorkEnd.Unknown, 0, 0)
     this.#servers.refresh(state)
   }
 
@@ -474,6 +490,8 @@
     this.#expireBorrowedSlots(nowMs)
     for (const key of this.#unconfirmedSlots.takeExpired(nowMs)) this.#freeSlot(key)
     this.#capacity.expire(nowMs)
+    const { overdueFraction, slowdownFadeMs } = this.#policy
+    Object.assign(this.#paceExpectation, { overdueFraction, slowdownFadeMs })
     const holdTimeMs = this.#meanHoldTimeMs()
     const borrowedSlots = [...this.#servers.all()]
       .filter(({ server }) => server.region !== this.#region)
@@ -548,7 +566,9 @@
       if (this.#servers.find(id) !== undefined) continue
       this.#capacity.limitOf(id)?.restart(nowMs)
       const { holders } = this.#servers
-      this.#servers.add(new ServerState(server, this.#objectCache, holders, nowMs))
+      this.#servers.add(
+        new ServerState(server, this.#objectCache, holders, nowMs, this.#paceExpectation),
+      )
     }
     this.#capacity.refresh()
   }
@@ -560,16 +580,43 @@
       // A grant may call back into this coordinator and withdraw other waiters.
       if (!this.#policy.has(waiter.key)) continue
       const state = this.#findSlot(waiter, nowMs)
-      if (state === undefined) continue
+      if (state === undefined) {
+        this.#refuseIfInfeasible(waiter, nowMs)
+        continue
+      }
       this.#policy.remove(waiter.key)
       this.#grant(waiter, state, nowMs)
     }
   }
 
+  /** Queues a request that gets no slot now, or tells why not. */
+  #refusalOf(waiter: Waiter, isInfeasible: boolean, nowMs: number): Refusal | undefined {
+    if (!this.#hasServerFor(waiter, nowMs)) {
+      const turnedAwayForMs = this.#turnedAwayForMs(waiter, nowMs)
+      return this.#policy.refuseWithoutServer(waiter, turnedAwayForMs, nowMs)
+    }
+    if (isInfeasible) return this.#policy.refuseInfeasible(waiter, nowMs)
+    return this.#policy.offer(waiter, nowMs)
+  }
+
+  /** Whether the latest selection found no server for a request that would end in time. */
+  #isRefusedAsInfeasible({ key, request }: Waiter): boolean {
+    // A caller that came back may wait for a server to become faster.
+    return this.#selection.isInfeasible && !request.isReturn && !this.#awaitedServers.has(key)
+  }
+
+  /** Refuses a queued request that no server can end in time. */
+  #refuseIfInfeasible(waiter: Waiter, nowMs: number): void {
+    if (!this.#isRefusedAsInfeasible(waiter)) return
+    this.#removeWaiter(waiter.key)
+    const { reason, retryAfterMs } = this.#policy.refuseInfeasible(waiter, nowMs)
+    waiter.onRefused(reason, retryAfterMs)
+  }
+
   /** Returns the server for a request if it has a free slot; else the request awaits it. */
   #findSlot(waiter: Waiter, nowMs: number): ServerState | undefined {
     this.#stopAwaiting(waiter.key)
-    const state = this.#selectServer(waiter, nowMs)
+    const state = this.#selection.select(waiter, nowMs)
     if (state === undefined || state.freeSlots(nowMs) > 0) return state
     this.#startAwaiting(waiter.key, state.server.id)
     return undefined
@@ -586,106 +633,16 @@
       nowMs,
     )
     this.#servers.setRequest(waiter.key, state)
+    this.#policy.recordStart(waiter, expectedMs * state.paceAt(nowMs), nowMs)
     this.#remoteShare.recordRequest(region !== this.#region, nowMs)
     waiter.onGranted(id)
   }
 
-  /** Returns the server with the earliest expected completion, which may be a full one. */
-  #selectServer(waiter: Waiter, nowMs: number): ServerState | undefined {
-    const isLocalAllowed = this.#isAllowed(waiter, this.#region)
-    const mustRunRemotely = !isLocalAllowed || this.#remoteShare.mustRunRemotely(nowMs)
-    const mayRunRemotely = mustRunRemotely || this.#remoteShare.mayRunRemotely(nowMs)
-    const { object } = waiter.request
-    const hash = object === '' ? 0 : hashText(object)
-    const remote = mayRunRemotely ? this.#cheapestServer(waiter, false, hash, nowMs) : undefined
-    if (mustRunRemotely && remote !== undefined) return remote.state
-    const local = isLocalAllowed ? this.#cheapestServer(waiter, true, hash, nowMs) : undefined
-    if (local === undefined || remote === undefined) return (local ?? remote)?.state
-    return remote.costMs < local.costMs ? remote.state : local.state
-  }
-
-  #cheapestServer(
-    waiter: Waiter,
-    isLocal: boolean,
-    objectHash: number,
-    nowMs: number,
-  ): { readonly state: ServerState; readonly costMs: number } | undefined {
-    let best: ServerState | undefined
-    let bestMs = Number.POSITIVE_INFINITY
-    const { object, route } = waiter.request
-    const slotTimeWeight = this.#slotTimeWeight(waiter)
-    const instance = instanceOf(waiter.key)
-    let durations: UsualDurations | undefined
-    for (const state of this.#servers.candidates(object, objectHash, isLocal, nowMs)) {
-      const { id, region, slots } = state.server
-      if ((region === this.#region) !== isLocal || slots <= 0 || state.isSuspended(nowMs)) continue
-      if (state.turnedAwayUntilMs(instance, nowMs) > 0) continue
-      if (waiter.request.excludedServers.includes(id) || !this.#isAllowed(waiter, region)) continue
-      if (durations?.region !== region) durations = this.#usualDurations(route, region)
-      const costMs = this.#costMs(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
-      if (costMs < bestMs) {
-        best = state
-        bestMs = costMs
-      }
-    }
-    return best === undefined ? undefined : { state: best, costMs: bestMs }
-  }
-
-  #usualDurations(route: string, region: string): UsualDurations {
-    return {
-      region,
-      cachedMs: this.#estimates.expectedMs(route, region, true),
-      uncachedMs: this.#estimates.expectedMs(route, region, false),
-    }
-  }
-
-  /**
-   * Expected time until completion on the server, plus small terms that spread the work.
-   * A full server that has the object cached is often worth the short wait for a slot.
-   */
-  #costMs(
-    waiter: Waiter,
-    objectHash: number,
-    slotTimeWeight: number,
-    state: ServerState,
-    durations: UsualDurations,
-    nowMs: number,
-  ): number {
-    const { object } = waiter.request
-    const { id, zone, slots } = state.server
-    const waiterCount = this.#waiterCounts.get(id) ?? 0
-    const usualMs = state.hasCached(object) ? durations.cachedMs : durations.uncachedMs
-    const slowdown = state.slowdownAt(nowMs)
-    const load = state.running.size / Math.max(1, slots)
-    const preference = object === '' ? 0 : combineHashes(objectHash, state.hash) / 2 ** 32
-    const waitMs = state.waitMs(waiterCount + 1, this.#meanHoldTimeMs(), nowMs)
-    return (
-      waitMs +
-      usualMs * slowdown * slotTimeWeight +
-      usualMs * (LOAD_WEIGHT * load + OBJECT_AFFINITY_WEIGHT * preference) +
-      (zone === waiter.zone ? 0 : CROSS_ZONE_COST_MS)
-    )
-  }
-
-  /**
-   * Weight of slot time relative to the duration of the request itself: each extra
-   * millisecond in a slot delays all other queued requests.
-   */
-  #slotTimeWeight({ key }: Waiter): number {
-    const others = this.#policy.length - Number(this.#policy.has(key))
-    return 1 + others / Math.max(1, this.#capacity.usableSlots(this.#meanHoldTimeMs()))
-  }
-
-  #isAllowed(waiter: Waiter, region: string): boolean {
-    const { regions } = waiter.request
-    return regions.length === 0 || regions.includes(region)
-  }
-
   #hasServerFor(waiter: Waiter, nowMs: number): boolean {
     const instance = instanceOf(waiter.key)
     for (const state of this.#servers.all()) {
       const { slots, region } = state.server
-      const isUsable = slots > 0 && this.#isAllowed(waiter, region)
+      const isUsable = slots > 0 && isAllowed(waiter, region)
       if (isUsable && state.turnedAwayUntilMs(instance, nowMs) === 0) return true
     }
     return false
@@ -735,8 +692,3 @@
     }
   }
 }
-
-/** Instance that sent a request, from the key of the request. */
-function instanceOf(key: string): string {
-  return key.slice(0, key.lastIndexOf('/'))
-}
--- a/src/scheduling/requestQueue.ts
+++ b/src/scheduling/requestQueue.ts
@@ -17,6 +17,25 @@
   readonly end: number
 }
 
+/** Waiters of one group that are either all in time or all late, in the order of their targets. */
+export interface QueuePart {
+  readonly route: string
+  readonly priority: number
+  readonly isReturn: boolean
+  readonly isLate: boolean
+}
+
+/** Numbers of the waiters of one group. */
+export interface GroupCount {
+  readonly route: string
+  readonly priority: number
+  readonly late: number
+  readonly inTime: number
+}
+
+/** Place in the order of service; the first number that differs decides, and the lower goes first. */
+export type ServiceRank = readonly number[]
+
 /** Expected duration of a route's requests, in milliseconds. */
 type ServiceTimeOf = (route: string) => number
 
@@ -73,6 +92,60 @@
     return [...first, ...merge(late, count - first.length)]
   }
 
+  /** First waiters by their ranks, which must not decrease within a part. */
+  firstBy(
+    count: number,
+    rankOf: (waiter: Waiter, part: QueuePart) => ServiceRank,
+    serviceMsOf: ServiceTimeOf,
+    nowMs: number,
+  ): Waiter[] {
+    const heads: RankedHead[] = []
+    const addPart = (group: WaiterGroup, isLate: boolean, next: number, end: number): void => {
+      const first = group.waiters[next]
+      if (first === undefined || next >= end) return
+      const { route, priority, isReturn } = group
+      const part = { route, priority, isReturn, isLate }
+      heads.push({ group, next, end, part, rank: rankOf(first, part) })
+    }
+    for (const group of this.#groups.values()) {
+      const firstInTime = firstIndexFrom(group.waiters, nowMs + serviceMsOf(group.route))
+      addPart(group, false, firstInTime, group.waiters.length)
+      addPart(group, true, 0, firstInTime)
+    }
+    const merged: Waiter[] = []
+    while (merged.length < count) {
+      let best: RankedHead | undefined
+      for (const head of heads) {
+        if (head.next < head.end && (best === undefined || isRankedBefore(head.rank, best.rank)))
+          best = head
+      }
+      const waiter = best?.group.waiters[best.next]
+      if (best === undefined || waiter === undefined) break
+      merged.push(waiter)
+      best.next += 1
+      const following = best.group.waiters[best.next]
+      if (best.next < best.end && following !== undefined) best.rank = rankOf(following, best.part)
+    }
+    return merged
+  }
+
+  /** Number of waiters with this priority or a more urgent one. */
+  countUpTo(priority: number): number {
+    let count = 0
+    for (const group of this.#groups.values()) {
+      if (group.priority <= priority) count += group.waiters.length
+    }
+    return count
+  }
+
+  /** Counts of the waiters by group. */
+  counts(serviceMsOf: ServiceTimeOf, nowMs: number): GroupCount[] {
+    return [...this.#groups.values()].map(({ route, priority, waiters }) => {
+      const late = firstIndexFrom(waiters, nowMs + serviceMsOf(route))
+      return { route, priority, late, inTime: waiters.length - late }
+    })
+  }
+
   /** Counts the waiters that are served before a request with this priority. */
   countAhead(
     request: SlotRequestDetails,
@@ -100,6 +173,19 @@
   }
 }
 
+interface RankedHead extends GroupRange {
+  readonly part: QueuePart
+  rank: ServiceRank
+}
+
+function isRankedBefore(left: ServiceRank, right: ServiceRank): boolean {
+  for (let index = 0; index < left.length; index += 1) {
+    const difference = (left[index] ?? 0) - (right[index] ?? 0)
+    if (difference !== 0) return difference < 0
+  }
+  return false
+}
+
 function groupKey({ request: { route, priority, isReturn } }: Waiter): string {
   return `${priority}/${isReturn}/${route}`
 }
--- a/src/scheduling/schedulingPolicy.ts
+++ b/src/scheduling/schedulingPolicy.ts
@@ -2,6 +2,7 @@
  * Decisions of a service coordinator while there is too little room: which request gets a free
  * slot, which one is queued, which queued one is let go, and which one is not started at all.
  */
+import type { ServerOption } from './serverCost.js'
 import type { Waiter } from './waiter.js'
 
 /** Throughput and load of a service in one region, measured in requests per second. */
@@ -9,6 +10,8 @@
   /** Requests that the usable slots complete. */
   readonly completionsPerSecond: number
   readonly arrivalsPerSecond: number
+  /** Slots that can be in use on average. */
+  readonly usableSlots: number
 }
 
 /** What the coordinator knows of the work of a service. */
@@ -31,23 +34,23 @@
   readonly waiter: Waiter
 }
 
-/** A server that a request may start at. */
-export interface StartOption {
-  /** Expected duration of the request at the server. */
-  readonly expectedMs: number
-  /** Expected wait until the server has a free slot. */
-  readonly waitMs: number
-}
-
 /** How the work of a started request ended. */
-export interface WorkEnd {
-  readonly durationMs: number
-  /** Whether the server completed the work; else it was cut or its outcome is unknown. */
-  readonly isCompleted: boolean
+export enum WorkEnd {
+  Completed = 'completed',
+  /** The server answered with a failure, or its answer broke off. */
+  Failed = 'failed',
+  /** Not run, withdrawn, or unknown. */
+  Unknown = 'unknown',
 }
 
 /** Holds the queue of one service and decides about it. */
 export interface SchedulingPolicy {
+  /** Fraction of the running requests that usually run for over twice the expected duration. */
+  readonly overdueFraction: number
+  /** Time constant in which a server's slowdown fades while no run confirms it, in milliseconds. */
+  readonly slowdownFadeMs: number
+  /** Whether a request that arrives may start in a slot that the queued ones have declined. */
+  readonly usesDeclinedSlots: boolean
   /** Number of queued requests. */
   readonly length: number
   has(key: string): boolean
@@ -61,6 +64,8 @@
   remove(key: string): Waiter | undefined
   /** First requests in the order of service. */
   next(count: number, nowMs: number): readonly Waiter[]
+  /** Number of other queued requests that a longer use of a slot by this one would delay. */
+  countDelayedBy(waiter: Waiter): number
   /** Removes the queued requests that can't be served in useful time any more. */
   takeDisplaced(nowMs: number): readonly Displacement[]
   /**
@@ -71,13 +76,14 @@
   /** Refuses a request that no server can end in time. */
   refuseInfeasible(waiter: Waiter, nowMs: number): Refusal
   /**
-   * Cost of starting the request at a server, in milliseconds, in addition to the expected time
-   * until its completion; infinite if it must not be started there.
+   * Cost of running the request at a server, in milliseconds: the expected time until completion
+   * and what it costs others; infinite if it must not be started there.
    */
-  startCostMs(waiter: Waiter, option: StartOption, nowMs: number): number
+  costMs(waiter: Waiter, option: ServerOption, nowMs: number): number
   /** @param expectedMs expected duration at the server that was chosen */
   recordStart(waiter: Waiter, expectedMs: number, nowMs: number): void
-  recordEnd(key: string, end: WorkEnd, nowMs: number): void
+  /** @returns whether the work failed because its time was up, as work with a long tail does */
+  recordEnd(key: string, end: WorkEnd, durationMs: number, nowMs: number): boolean
 }
 
 /** Creates a policy for one coordinator. */
--- a/src/scheduling/targetFirstPolicy.ts
+++ b/src/scheduling/targetFirstPolicy.ts
@@ -11,9 +11,15 @@
   SchedulingContext,
   SchedulingPolicy,
 } from './schedulingPolicy.js'
+import type { ServerOption } from './serverCost.js'
+import { spreadingCostMs, wayCostMs } from './serverCost.js'
 import type { Waiter } from './waiter.js'
 
 export class TargetFirstPolicy implements SchedulingPolicy {
+  /** A second overdue request counts as a sign of a slow server. */
+  readonly overdueFraction = 0
+  readonly usesDeclinedSlots = false
+  readonly slowdownFadeMs = Number.POSITIVE_INFINITY
   readonly #context: SchedulingContext
   readonly #queue = new RequestQueue()
 
@@ -63,6 +69,10 @@
     return this.#queue.first(count, this.#context.serviceMsOf, nowMs)
   }
 
+  countDelayedBy({ key }: Waiter): number {
+    return this.#queue.length - Number(this.#queue.has(key))
+  }
+
   /**
    * Removes queued requests that can no longer meet their deadline, and late ones that have used
    * up the wait that a late request may take.
@@ -98,16 +108,21 @@
     return this.refuseWithoutServer(waiter, undefined, nowMs)
   }
 
-  startCostMs(): number {
-    return 0
+  costMs(_waiter: Waiter, option: ServerOption): number {
+    const { waitMs, usualMs, slowdown, slotTimeWeight } = option
+    // A full server that has the object cached is often worth the short wait for a slot.
+    return (
+      waitMs + usualMs * slowdown * slotTimeWeight + spreadingCostMs(option) + wayCostMs(option)
+    )
   }
 
   recordStart(): void {
     // Starts don't influence the order.
   }
 
-  recordEnd(): void {
-    // Durations are estimated by the coordinator.
+  recordEnd(): boolean {
+    // Any failure counts against the server.
+    return false
   }
 
   #needOf(waiter: Waiter, nowMs: number): RequestNeed {
@@ -121,7 +136,13 @@
 
   #queueState(waiter: Waiter, nowMs: number): QueueState {
     const ahead = this.#queue.countAhead(waiter.request, this.#context.serviceMsOf, nowMs)
-    return { aheadInTime: ahead.inTime, aheadLate: ahead.late, ...this.#context.loadAt(nowMs) }
+    const { completionsPerSecond, arrivalsPerSecond } = this.#context.loadAt(nowMs)
+    return {
+      aheadInTime: ahead.inTime,
+      aheadLate: ahead.late,
+      completionsPerSecond,
+      arrivalsPerSecond,
+    }
   }
 
   #retryAfterMs(waitMs: number, need: RequestNeed): number {
--- a/testing/kindSimulation.ts
+++ b/testing/kindSimulation.ts
@@ -54,6 +54,8 @@
   readonly object: string
   /** Duration relative to the usual one. */
   readonly factor: number
+  /** As `factor`, for a second run. */
+  readonly factorOfRepetition: number
 }
 
 /** Outcomes of the requests of one kind. */
@@ -249,7 +251,8 @@
     }
     const result = this.#resultOf(arrival)
     const pace = this.#options.paceOf?.(index, second) ?? 1
-    const factor = arrival.factor * pace
+    const drawn = attempt.number === 1 ? arrival.factor : arrival.factorOfRepetition
+    const factor = drawn * pace
     const workMs = this.#servers.start(serverId, arrival.object, arrival.kind.work, factor)
     const leftMs = attempt.deadlineAtMs - nowMs
     const isCut = workMs > leftMs
@@ -367,7 +370,8 @@
     if (rate <= 0 || atMs >= endMs) continue
     const object = kind.objects === 0 ? '' : `${kind.route}-${Math.floor(random() * kind.objects)}`
     const factor = drawDurationFactor(random, stragglerFraction)
-    arrivals.push({ kind, arrivedAtMs: atMs, object, factor })
+    const factorOfRepetition = drawDurationFactor(random, stragglerFraction)
+    arrivals.push({ kind, arrivedAtMs: atMs, object, factor, factorOfRepetition })
   }
   return arrivals
 }
--- a/testing/schedulingLoads.ts
+++ b/testing/schedulingLoads.ts
@@ -71,24 +71,23 @@
 }
 
 /**
- * Work that may run once only, with a tenth of stragglers of seven times the usual duration and a
- * third of servers that are two and a half times slower for some seconds: much of it ends at its
- * timeout.
+ * Work that may run once only, with stragglers of seven times the usual duration and a quarter of
+ * servers that are two and a half times slower for fifteen seconds: such runs end at their timeout.
  */
 const LONG_TAIL: KindLoadOptions = {
   ...BASE,
-  stragglerFraction: 0.1,
+  stragglerFraction: 0.05,
   kinds: [
     kind(
       'notice',
       1,
       1500,
       { targetMs: 2000, deadlineMs: 15_000, timeoutMs: 3000, isRepeatable: false },
-      () => (0.75 * SLOTS) / 1.5,
+      () => (0.6 * SLOTS) / 1.5,
     ),
-    kind('read', 1, READ_MS, READ, () => READ_RATE * 0.5),
+    kind('read', 2, READ_MS, READ, () => READ_RATE * 0.7),
   ],
-  paceOf: (server, second) => ((server + Math.floor(second / 4)) % 3 === 0 ? 2.5 : 1),
+  paceOf: (server, second) => ((server + Math.floor(second / 15)) % 4 === 0 ? 2.5 : 1),
 }
 
 /** Load of one and a half times the room all the time. */
@@ -105,6 +104,15 @@
   })),
 }
 
+/** Kinds of one priority whose work differs four times, at 1.3 times the room. */
+const KINDS_OF_ONE_RANK: KindLoadOptions = {
+  ...BASE,
+  kinds: [
+    kind('short', 1, READ_MS, READ, () => READ_RATE * 2.2),
+    kind('long', 1, 1000, { ...LOOKUP, targetMs: 2000 }, () => (0.65 * SLOTS) / MEAN_FACTOR),
+  ],
+}
+
 export const SCHEDULING_LOADS = {
   'burst on one kind': BURST_ON_ONE_KIND,
   waves: WAVES,
@@ -112,4 +120,5 @@
   'tail of seven times': LONG_TAIL,
   'lasting overload': LASTING_OVERLOAD,
   'hot objects': HOT_OBJECTS,
+  'kinds of one rank': KINDS_OF_ONE_RANK,
 }
