--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -9,6 +9,7 @@
 import { CallerServer } from './callerServer.js'
 import { ANSWER_MEMORY_BYTES, ConnectionPool } from './connectionPool.js'
 import { Coordination } from './coordination.js'
+import { CurrentDeploymentFacts } from './deploymentFacts.js'
 import type { EntryPlatform, EntrySettings } from './entryPlatform.js'
 import { Shutdown } from './shutdown.js'
 import { selectEntryAddresses } from './entryDirectory.js'
@@ -79,6 +80,7 @@
   readonly #table: InstanceTable
   readonly #registry = new BackendServerRegistry()
   readonly #routing = new RoutingView()
+  readonly #deploymentFacts = new CurrentDeploymentFacts()
   readonly #contact: StoreContact
   readonly #mirror: StoreMirror
   readonly #catchUp = new StoreCatchUp()
@@ -179,6 +181,10 @@
       serviceSettings: (name) => this.#routing.current?.services.get(name),
       serviceNames: () => this.#routing.current?.services.keys() ?? [],
       targetLatencyMs: (route) => this.#routing.targetLatencyMs(route),
+      deploymentFacts: () => {
+        const { current } = this.#routing
+        return this.#deploymentFacts.of(current, current?.tenants !== undefined)
+      },
     })
     this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
     this.#quotas = new TenantQuotas(
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -320,6 +320,8 @@
           isReturn: state.isReturn,
           excludedServers: state.excludedServers,
           regions: state.regions,
+          callerLeftMs: callerLeftMs(request, this.#dependencies.clock()),
+          isRepeatable: route.repeatability === Repeatability.Idempotent,
         },
         {
           onGranted: (grant) => {
@@ -496,3 +498,13 @@
     return failureAnswer(kind, retryAfterMs)
   }
 }
+
+/** Time that the caller still waits, in milliseconds; `undefined` if it states none. */
+function callerLeftMs(
+  { callerTimeoutMs, arrivedAtMs }: CallerRequest,
+  nowMs: number,
+): number | undefined {
+  return callerTimeoutMs === undefined
+    ? undefined
+    : Math.round(callerTimeoutMs - (nowMs - arrivedAtMs))
+}
--- a/src/scheduling/classLoads.ts
+++ b/src/scheduling/classLoads.ts
@@ -12,7 +12,7 @@
 /** Time constant of the shares served; several times a usual wait. */
 const SERVICE_WINDOW_MS = 8000
 /** Requests per second below which a share is too uncertain to compare. */
-const MIN_RATE_PER_SECOND = 0.5
+const MIN_RATE_PER_SECOND = 3
 /** Usual rate below which a class is forgotten; routes and customers come and go. */
 const FORGOTTEN_RATE_PER_SECOND = 1e-6
 /** A class may be served this much more often than a more urgent or an equal one. */
--- a/src/scheduling/costAwarePolicy.ts
+++ b/src/scheduling/costAwarePolicy.ts
@@ -320,7 +320,8 @@
     }
     const equal = this.#utilizationUpTo(request.priority, nowMs)
     // Others of the same priority go first until their share has caught up.
-    const overtaking = isAbove ? equal : this.#utilizationBelow(request.priority, nowMs)
+    const overtaking =
+      share === ShareState.AboveEqual ? equal : this.#utilizationBelow(request.priority, nowMs)
     const waitMs = stretchedWaitMs(inTimeMs + holdMs, overtaking, slots)
     const bookedMs = this.#ledger.bookedMs(nowMs, nowMs + waitMs) / slots
     const targetInMs = waiter.targetAtMs - nowMs
