--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -322,11 +322,11 @@
     return created
   }
 
-  #choosePolicy(service: string, coordinated: CoordinatedService): void {
+  #choosePolicy(coordinated: CoordinatedService): void {
     const facts = this.#dependencies.deploymentFacts?.()
     if (facts === undefined || facts === coordinated.facts) return
     coordinated.facts = facts
-    const kind = schedulingPolicyFor(service, facts)
+    const kind = schedulingPolicyFor(facts)
     if (kind === coordinated.policyKind) return
     coordinated.policyKind = kind
     coordinated.coordinator.setPolicy(policyFactory(kind))
@@ -334,7 +334,7 @@
 
   /** Passes changes of the configuration and of the usable servers on to the coordinator. */
   #refresh(service: string, coordinated: CoordinatedService, nowMs: number): void {
-    this.#choosePolicy(service, coordinated)
+    this.#choosePolicy(coordinated)
     const { registry, table } = this.#dependencies
     if (coordinated.generation === registry.generation) return
     coordinated.generation = registry.generation
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -181,10 +181,7 @@
       serviceSettings: (name) => this.#routing.current?.services.get(name),
       serviceNames: () => this.#routing.current?.services.keys() ?? [],
       targetLatencyMs: (route) => this.#routing.targetLatencyMs(route),
-      deploymentFacts: () => {
-        const { current } = this.#routing
-        return this.#deploymentFacts.of(current, current?.tenants !== undefined)
-      },
+      deploymentFacts: () => this.#deploymentFacts.of(this.#routing.current),
     })
     this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
     this.#quotas = new TenantQuotas(
