--- a/testing/soak/__tests__/unframedAnswers.spec.ts
+++ b/testing/soak/__tests__/unframedAnswers.spec.ts
@@ -88,6 +88,8 @@
     for (const answer of await Promise.all(answers)) {
       expect(answer).to.deep.equal({ looksComplete: true, bodyBytes: LARGE_BYTES })
     }
+    // The next test would otherwise meet the process that is still ending, without its listener.
+    while (entry.process.isRunning) await sleep(20)
   })
 
   // Guards against an answer that is framed as complete, though its server crashed on the way: the
