refactor(entry): state that is derived, work done twice, and a constant of one deployment

Cause: read as a newcomer would. The facts by which a policy is chosen were an object and a cache for one boolean; each comparison of servers looked twice whether the object is cached, and twice for its holders; every slot request carried two fields that only deployments with tenants use; the tokens beyond the burst were a constant that is right for a slack of 20. Change: a boolean; one Comparison a request; the fields with tenants only; half of the settings' quota_slack (0 without).

--- a/src/entry/coordination.ts
+++ b/src/entry/coordination.ts
@@ -1,5 +1,4 @@
 /** Runs the service coordinators of this instance, for slot requests of peers and of its own. */
-import type { DeploymentFacts } from '../scheduling/policySelection.js'
 import { PolicyKind, policyFactory, schedulingPolicyFor } from '../scheduling/policySelection.js'
 import type { Waiter } from '../scheduling/waiter.js'
 import type { BackendServerRegistry, RegisteredBackendServer } from './backendServerRegistry.js'
@@ -47,8 +46,8 @@
   readonly serviceNames: () => Iterable<string>
   /** Target latency of a route, in milliseconds. */
   readonly targetLatencyMs: (route: string) => number | undefined
-  /** What scheduling depends on; the same object until the configuration changes. */
-  readonly deploymentFacts?: () => DeploymentFacts | undefined
+  /** Whether the configuration has tenants; none if it is left out. */
+  readonly hasTenants?: () => boolean
 }
 
 /**
@@ -68,8 +67,6 @@
   readonly limitBorrowers: Set<string>
   usedAtMs: number
   generation: number
-  /** Facts from which the policy was chosen. */
-  facts: DeploymentFacts | undefined
   policyKind: PolicyKind
 }
 
@@ -314,7 +311,6 @@
       createdAtMs: nowMs,
       usedAtMs: nowMs,
       generation: -1,
-      facts: undefined,
       policyKind: PolicyKind.TargetFirst,
     }
     this.#services.set(service, created)
@@ -323,10 +319,7 @@
   }
 
   #choosePolicy(coordinated: CoordinatedService): void {
-    const facts = this.#dependencies.deploymentFacts?.()
-    if (facts === undefined || facts === coordinated.facts) return
-    coordinated.facts = facts
-    const kind = schedulingPolicyFor(facts)
+    const kind = schedulingPolicyFor(this.#dependencies.hasTenants?.() === true)
     if (kind === coordinated.policyKind) return
     coordinated.policyKind = kind
     coordinated.coordinator.setPolicy(policyFactory(kind))
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -9,7 +9,6 @@
 import { CallerServer } from './callerServer.js'
 import { ANSWER_MEMORY_BYTES, ConnectionPool } from './connectionPool.js'
 import { Coordination } from './coordination.js'
-import { CurrentDeploymentFacts } from './deploymentFacts.js'
 import type { EntryPlatform, EntrySettings } from './entryPlatform.js'
 import { Shutdown } from './shutdown.js'
 import { selectEntryAddresses } from './entryDirectory.js'
@@ -80,7 +79,6 @@
   readonly #table: InstanceTable
   readonly #registry = new BackendServerRegistry()
   readonly #routing = new RoutingView()
-  readonly #deploymentFacts = new CurrentDeploymentFacts()
   readonly #contact: StoreContact
   readonly #mirror: StoreMirror
   readonly #catchUp = new StoreCatchUp()
@@ -181,13 +179,14 @@
       serviceSettings: (name) => this.#routing.current?.services.get(name),
       serviceNames: () => this.#routing.current?.services.keys() ?? [],
       targetLatencyMs: (route) => this.#routing.targetLatencyMs(route),
-      deploymentFacts: () => this.#deploymentFacts.of(this.#routing.current),
+      hasTenants: () => this.#routing.current?.tenants !== undefined,
     })
     this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
     this.#quotas = new TenantQuotas(
       {
         selfName: settings.record.name,
         region: settings.record.region,
+        slack: settings.quotaSlack,
         regions: () => [...new Set(settings.regionOfZone.values())],
         keeperOf: (region, nowMs, excluded) => this.#quotaKeeperOf(region, nowMs, excluded),
         instanceCount: () => this.#table.countForQuotas(),
--- a/src/entry/entryPlatform.ts
+++ b/src/entry/entryPlatform.ts
@@ -22,6 +22,8 @@
   /** Peer addresses (`host:port`) of some instances; may be outdated. */
   readonly seeds: readonly string[]
   readonly retryBounds: RetryBounds
+  /** Requests beyond a tenant's quota that operators accept in a window; 0 if they state none. */
+  readonly quotaSlack: number
   /** Time within which an accepted configuration must take effect, in milliseconds. */
   readonly applyMs: number
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -20,7 +20,7 @@
 import { OutcomeKind } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
 import type { SharedRetryBudget } from './sharedRetryBudget.js'
-import type { SlotClient, SlotGrant } from './slotClient.js'
+import type { LocalSlotRequest, SlotClient, SlotGrant } from './slotClient.js'
 import { CallerKind, CredentialKind, authenticate } from '../tenants/authentication.js'
 import { keyFingerprint } from '../tenants/keyFingerprint.js'
 import type { Tenant } from '../tenants/tenant.js'
@@ -320,8 +320,7 @@
           isReturn: state.isReturn,
           excludedServers: state.excludedServers,
           regions: state.regions,
-          callerLeftMs: callerLeftMs(request, this.#dependencies.clock()),
-          isRepeatable: route.repeatability === Repeatability.Idempotent,
+          ...this.#costDetails(state),
         },
         {
           onGranted: (grant) => {
@@ -335,6 +334,19 @@
     })
   }
 
+  /** Details that only the policy for tenants weighs; other deployments don't send them. */
+  #costDetails({
+    request,
+    route,
+  }: RequestState): Pick<LocalSlotRequest, 'callerLeftMs' | 'isRepeatable'> {
+    const { clock, routing } = this.#dependencies
+    if (routing.current?.tenants === undefined) return {}
+    return {
+      callerLeftMs: callerLeftMs(request, clock()),
+      isRepeatable: route.repeatability === Repeatability.Idempotent,
+    }
+  }
+
   async #send(
     state: RequestState,
     grant: SlotGrant,
--- a/src/entry/serverSelection.ts
+++ b/src/entry/serverSelection.ts
@@ -23,6 +23,18 @@
   readonly costMs: number
 }
 
+/** What all servers are compared by for one request. */
+interface Comparison {
+  readonly waiter: Waiter
+  readonly objectHash: number
+  /** Whether a server has the object that takes as many requests as it has slots for. */
+  readonly isHeld: boolean
+  readonly slotTimeWeight: number
+  /** Entry instance that sent the request. */
+  readonly instance: string
+  readonly nowMs: number
+}
+
 export interface ServerSelectionDependencies {
   readonly region: string
   readonly servers: ServerIndex
@@ -68,13 +80,21 @@
     const isLocalAllowed = isAllowed(waiter, this.#dependencies.region)
     const { object } = waiter.request
     const hash = object === '' ? 0 : hashText(object)
+    const comparison: Comparison = {
+      waiter,
+      objectHash: hash,
+      isHeld: this.#isHeld(object, nowMs),
+      slotTimeWeight: this.#slotTimeWeight(waiter),
+      instance: instanceOf(waiter.key),
+      nowMs,
+    }
     const mustRunRemotely = !isLocalAllowed || this.#mustRunRemotely(object, hash, nowMs)
     const mayRunRemotely = mustRunRemotely || this.#dependencies.remoteShare.mayRunRemotely(nowMs)
     const select = (isLocal: boolean): ServerChoice | undefined => {
       const servers = isComplete
         ? this.#dependencies.servers.all()
-        : this.#candidates(waiter, hash, isLocal, nowMs)
-      return this.#cheapestServer(waiter, servers, isLocal, hash, nowMs)
+        : this.#candidates(comparison, isLocal)
+      return this.#cheapestServer(comparison, servers, isLocal)
     }
     const remote = mayRunRemotely ? select(false) : undefined
     if (mustRunRemotely && remote !== undefined) return remote.state
@@ -84,13 +104,11 @@
   }
 
   #candidates(
-    waiter: Waiter,
-    objectHash: number,
+    { waiter, objectHash, instance, nowMs }: Comparison,
     isLocal: boolean,
-    nowMs: number,
   ): Iterable<ServerState> {
     const { servers, keptConnections } = this.#dependencies
-    const connected = keptConnections.serversOf(instanceOf(waiter.key), nowMs)
+    const connected = keptConnections.serversOf(instance, nowMs)
     return servers.candidates(waiter.request.object, objectHash, isLocal, nowMs, connected)
   }
 
@@ -103,43 +121,24 @@
   }
 
   #cheapestServer(
-    waiter: Waiter,
+    comparison: Comparison,
     servers: Iterable<ServerState>,
     isLocal: boolean,
-    objectHash: number,
-    nowMs: number,
   ): ServerChoice | undefined {
+    const { waiter, instance, nowMs } = comparison
     let best: ServerState | undefined
     let bestMs = Number.POSITIVE_INFINITY
-    const { route, object } = waiter.request
-    const policy = this.#dependencies.policy()
-    const isHeld = this.#isHeld(object, nowMs)
-    const slotTimeWeight = this.#slotTimeWeight(waiter)
-    const instance = instanceOf(waiter.key)
     let durations: UsualDurations | undefined
     for (const state of servers) {
       const { id, region, slots } = state.server
-      if (
-        (region === this.#dependencies.region) !== isLocal ||
-        slots <= 0 ||
-        state.isSuspended(nowMs)
-      )
-        continue
+      const isInScope = (region === this.#dependencies.region) === isLocal
+      if (!isInScope || slots <= 0 || state.isSuspended(nowMs)) continue
       if (state.turnedAwayUntilMs(instance, nowMs) > 0) continue
       if (waiter.request.excludedServers.includes(id) || !isAllowed(waiter, region)) continue
-      if (durations?.region !== region) durations = this.#usualDurations(route, region)
-      const option = this.#optionOf(waiter, objectHash, slotTimeWeight, state, durations, nowMs)
-      const workCostMs = policy.costMs(waiter, option, nowMs)
-      if (workCostMs === Number.POSITIVE_INFINITY) this.#isInfeasible = true
-      const costMs = this.#placementCostMs(
-        workCostMs,
-        waiter,
-        option,
-        durations,
-        isHeld,
-        state,
-        nowMs,
-      )
+      if (durations?.region !== region)
+        durations = this.#usualDurations(waiter.request.route, region)
+      const costMs = this.#costMs(comparison, state, durations)
+      if (costMs === Number.POSITIVE_INFINITY) this.#isInfeasible = true
       if (costMs < bestMs) {
         best = state
         bestMs = costMs
@@ -148,24 +147,18 @@
     return best === undefined ? undefined : { state: best, costMs: bestMs }
   }
 
-  /** Adds to the cost of a server what follows from the object and the connections of a request. */
-  #placementCostMs(
-    costMs: number,
-    waiter: Waiter,
-    option: ServerOption,
-    durations: UsualDurations,
-    isHeld: boolean,
-    state: ServerState,
-    nowMs: number,
-  ): number {
+  /** Cost by the policy, and what follows from the object and the connections of the request. */
+  #costMs(comparison: Comparison, state: ServerState, durations: UsualDurations): number {
+    const { waiter, instance, isHeld, nowMs } = comparison
+    const { policy, keptConnections } = this.#dependencies
+    const option = this.#optionOf(comparison, state, durations)
+    const workCostMs = policy().costMs(waiter, option, nowMs)
     // A server with a limit is short of requests rather than of slot time.
-    if (state.limit !== undefined) return costMs
-    const { object } = waiter.request
+    if (state.limit !== undefined) return workCostMs
     const { cachedMs, uncachedMs } = durations
-    const instance = instanceOf(waiter.key)
-    const savingMs = this.#dependencies.keptConnections.savingMs(instance, state, cachedMs, nowMs)
-    return placementCostMs(costMs - savingMs, {
-      isHit: object === '' || state.hasCached(object),
+    const savingMs = keptConnections.savingMs(instance, state, cachedMs, nowMs)
+    return placementCostMs(workCostMs - savingMs, {
+      isHit: waiter.request.object === '' || option.isCached,
       gainMs: uncachedMs - cachedMs,
       fill: state.objectFill,
       isHeld,
@@ -192,18 +185,17 @@
   }
 
   #optionOf(
-    waiter: Waiter,
-    objectHash: number,
-    slotTimeWeight: number,
+    { waiter, objectHash, slotTimeWeight, nowMs }: Comparison,
     state: ServerState,
     durations: UsualDurations,
-    nowMs: number,
   ): ServerOption {
     const { object } = waiter.request
     const { id, zone, slots } = state.server
     const waiterCount = this.#dependencies.waiterCountOf(id)
+    const isCached = state.hasCached(object)
     return {
-      usualMs: state.hasCached(object) ? durations.cachedMs : durations.uncachedMs,
+      isCached,
+      usualMs: isCached ? durations.cachedMs : durations.uncachedMs,
       slowdown: state.slowdownAt(nowMs),
       pace: state.paceAt(nowMs),
       idleMs: state.idleMs(nowMs),
--- a/src/quotas/__tests__/quotaNetwork.ts
+++ b/src/quotas/__tests__/quotaNetwork.ts
@@ -283,6 +283,7 @@
     return new TenantQuotas(
       {
         selfName: instance.name,
+        slack: SLACK,
         region: instance.region,
         regions: () => this.#regions,
         keeperOf: (region, _nowMs, excluded) => this.#keeperSeenBy(instance, region, excluded),
--- a/src/quotas/__tests__/tenantQuotas.spec.ts
+++ b/src/quotas/__tests__/tenantQuotas.spec.ts
@@ -27,6 +27,7 @@
     this.quotas = new TenantQuotas(
       {
         selfName: 'self',
+        slack: 20,
         region: 'here',
         regions: () => ['here', 'there'],
         keeperOf: (region, _nowMs, excluded) =>
--- a/src/quotas/regionalTokens.ts
+++ b/src/quotas/regionalTokens.ts
@@ -4,10 +4,11 @@
 import { PartClock, SAMPLE_RETENTION_MS } from './partClock.js'
 
 /**
- * Tokens held in addition to the burst, over all regions. With the burst of a small tenant divided
- * over regions, none of them would hold a whole token for most of the time.
+ * Part of the operators' slack that is held in addition to the burst, over all regions. With the burst
+ * of a small tenant divided over regions, none of them would hold a whole token for most of the time.
+ * The rest covers views of the number of instances that differ.
  */
-const ADDITIONAL_TOKENS = 10
+const HELD_SLACK_FRACTION = 0.5
 /** Share of time from which a keeper may always hold one whole token. */
 const WHOLE_TOKEN_SHARE = 1 / 15
 /** Time of accrual that is held if the burst is smaller, so that tokens can be moved, in seconds. */
@@ -66,21 +67,15 @@
   readonly isCertain: boolean
 }
 
-/** Most tokens that a keeper with a share of the time holds; over all keepers about the burst. */
-function stockLimit({ requestsPerSecond, burst }: TenantQuota, share: number): number {
-  const stock = Math.min(
-    Math.max(burst, requestsPerSecond * MIN_STOCK_S),
-    requestsPerSecond * MAX_STOCK_S,
-  )
-  return Math.max((stock + ADDITIONAL_TOKENS) * share, share >= WHOLE_TOKEN_SHARE ? 1 : 0)
-}
-
 /** Turns parts of time into tokens, each tenant's when it is next asked for. */
 export class RegionalTokens {
   readonly #clock: PartClock
+  readonly #additionalTokens: number
   readonly #states = new Map<string, TokenState>()
 
-  constructor(nowMs: number) {
+  /** @param slack requests beyond a limit that operators accept in a window, over all instances */
+  constructor(slack: number, nowMs: number) {
+    this.#additionalTokens = slack * HELD_SLACK_FRACTION
     this.#clock = new PartClock(nowMs)
   }
 
@@ -142,7 +137,7 @@
   /** Adds tokens that were granted here or by another keeper of the region and not used. */
   giveBack(tenant: string, quota: TenantQuota, count: number, nowMs: number): void {
     const state = this.#refreshed(tenant, quota, nowMs)
-    const limit = Math.max(state.tokens, stockLimit(quota, this.share(nowMs)))
+    const limit = Math.max(state.tokens, this.#stockLimit(quota, this.share(nowMs)))
     state.tokens = Math.min(limit, state.tokens + count)
   }
 
@@ -151,7 +146,7 @@
     const state = this.#refreshed(tenant, quota, nowMs)
     const limit = Math.max(
       state.tokens,
-      stockLimit(quota, this.share(nowMs)),
+      this.#stockLimit(quota, this.share(nowMs)),
       quota.requestsPerSecond * RECEIVED_STOCK_S,
     )
     state.tokens = Math.min(limit, state.tokens + tokens)
@@ -171,7 +166,7 @@
     const state = this.#refreshed(tenant, quota, nowMs)
     this.#updateRates(state, nowMs)
     const { tokens, demand, granted, askedAtMs, refusedAtMs } = state
-    const limit = stockLimit(quota, this.share(nowMs))
+    const limit = this.#stockLimit(quota, this.share(nowMs))
     return { tenant, tokens, limit, demand, granted, askedAtMs, refusedAtMs }
   }
 
@@ -188,7 +183,7 @@
   removeIdle(nowMs: number): void {
     for (const [tenant, state] of this.#states) {
       if (nowMs - state.askedAtMs < IDLE_MS) continue
-      const limit = stockLimit(state.quota, this.share(nowMs))
+      const limit = this.#stockLimit(state.quota, this.share(nowMs))
       this.#refresh(state, state.quota, nowMs)
       if (state.tokens >= limit) this.#states.delete(tenant)
     }
@@ -201,6 +196,16 @@
     return Math.min(requestsPerSecond, Math.max(accrued, state.granted))
   }
 
+  /** Most tokens that a keeper with a share of the time holds; over all keepers about the burst. */
+  #stockLimit({ requestsPerSecond, burst }: TenantQuota, share: number): number {
+    const stock = Math.min(
+      Math.max(burst, requestsPerSecond * MIN_STOCK_S),
+      requestsPerSecond * MAX_STOCK_S,
+    )
+    const wholeToken = share >= WHOLE_TOKEN_SHARE ? 1 : 0
+    return Math.max((stock + this.#additionalTokens) * share, wholeToken)
+  }
+
   #updateRates(state: TokenState, nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - state.ratesAtMs)
     state.ratesAtMs = nowMs
@@ -227,7 +232,7 @@
     const state: TokenState = {
       quota,
       // The share of the first sample of all is 0.
-      tokens: oldest === undefined ? 0 : stockLimit(quota, oldest.share),
+      tokens: oldest === undefined ? 0 : this.#stockLimit(quota, oldest.share),
       totalMs: oldest?.totalMs ?? 0,
       sample: first + 1,
       receivedUntilMs: Number.NEGATIVE_INFINITY,
@@ -254,7 +259,7 @@
 
   #accrue(state: TokenState, { totalMs, share, atMs }: PartSample): void {
     const { requestsPerSecond } = state.quota
-    const limit = stockLimit(state.quota, share)
+    const limit = this.#stockLimit(state.quota, share)
     const accrued = (requestsPerSecond * (totalMs - state.totalMs)) / 1000
     state.totalMs = totalMs
     const receivedLimit =
--- a/src/quotas/tenantQuotas.ts
+++ b/src/quotas/tenantQuotas.ts
@@ -39,6 +39,8 @@
 export interface QuotaDependencies {
   readonly selfName: string
   readonly region: string
+  /** Requests beyond a limit that operators accept in a window, over all instances. */
+  readonly slack: number
   /** All regions with instances. */
   readonly regions: () => readonly string[]
   /**
@@ -101,7 +103,7 @@
   constructor(dependencies: QuotaDependencies, nowMs: number) {
     this.#dependencies = dependencies
     this.#part = new QuotaPart(nowMs)
-    this.#tokens = new RegionalTokens(nowMs)
+    this.#tokens = new RegionalTokens(dependencies.slack, nowMs)
     this.#observedAtMs = nowMs
     this.#housekeepingAtMs = nowMs
     const { selfName, region, keeperOf, send } = dependencies
--- a/src/scheduling/__tests__/costAwarePolicy.spec.ts
+++ b/src/scheduling/__tests__/costAwarePolicy.spec.ts
@@ -86,6 +86,7 @@
 /** Cost at a server with a free slot. */
 function costAt(policy: CostAwarePolicy, waiter: Waiter, pace: number, nowMs: number): number {
   const option = {
+    isCached: false,
     usualMs: SERVICE_MS,
     slowdown: pace,
     pace,
--- a/src/scheduling/__tests__/schedulingReplays.spec.ts
+++ b/src/scheduling/__tests__/schedulingReplays.spec.ts
@@ -5,7 +5,6 @@
 import type { RegionSimulationOptions } from '../../../testing/regionSimulation.js'
 import { simulateRegions } from '../../../testing/regionSimulation.js'
 import { SCHEDULING_LOADS } from '../../../testing/schedulingLoads.js'
-import type { DeploymentFacts } from '../policySelection.js'
 import { PolicyKind, policyFactory, schedulingPolicyFor } from '../policySelection.js'
 
 type LoadName = keyof typeof SCHEDULING_LOADS
@@ -96,9 +95,8 @@
       deadlineMs: 1600,
       seconds: 25,
     }
-    const facts: DeploymentFacts = { hasTenants: true }
     const before = simulateRegions(options).regions
-    const after = simulateRegions({ ...options, deploymentFacts: facts }).regions
+    const after = simulateRegions({ ...options, hasTenants: true }).regions
     for (const [region, { inTime, late, requests }] of after) {
       const earlier = before.get(region)
       const worthBefore = ((earlier?.inTime ?? 0) + 0.4 * (earlier?.late ?? 0)) / requests
@@ -110,7 +108,7 @@
 describe('schedulingPolicyFor', () => {
   // Guards against other decisions in deployments whose configuration does not call for them.
   it('keeps the order by target unless tenants are configured', () => {
-    expect(schedulingPolicyFor({ hasTenants: false })).to.equal(PolicyKind.TargetFirst)
-    expect(schedulingPolicyFor({ hasTenants: true })).to.equal(PolicyKind.CostAware)
+    expect(schedulingPolicyFor(false)).to.equal(PolicyKind.TargetFirst)
+    expect(schedulingPolicyFor(true)).to.equal(PolicyKind.CostAware)
   })
 })
--- a/src/scheduling/policySelection.ts
+++ b/src/scheduling/policySelection.ts
@@ -11,21 +11,16 @@
   CostAware = 'costAware',
 }
 
-/** What the choice depends on; replaced as a whole when the configuration changes. */
-export interface DeploymentFacts {
-  readonly hasTenants: boolean
-}
-
 const FACTORIES: Readonly<Record<PolicyKind, SchedulingPolicyFactory>> = {
   [PolicyKind.TargetFirst]: (context) => new TargetFirstPolicy(context),
   [PolicyKind.CostAware]: (context) => new CostAwarePolicy(context),
 }
 
 /**
- * Policy for all services. Tenants compete for the same slots, with priorities of their own. Where
+ * Policy of all services of a deployment. Tenants compete for the same slots, with priorities of their own. Where
  * routes are all that differs, the placement of objects leaves too little shortage for it to matter.
  */
-export function schedulingPolicyFor({ hasTenants }: DeploymentFacts): PolicyKind {
+export function schedulingPolicyFor(hasTenants: boolean): PolicyKind {
   return hasTenants ? PolicyKind.CostAware : PolicyKind.TargetFirst
 }
 
--- a/src/scheduling/serverCost.ts
+++ b/src/scheduling/serverCost.ts
@@ -9,6 +9,8 @@
 
 /** A server that a request may run at. */
 export interface ServerOption {
+  /** Whether the server is expected to have the request's object. */
+  readonly isCached: boolean
   /** Usual duration of the request's work, by whether the server has its object cached. */
   readonly usualMs: number
   /** Expected duration at the server relative to the usual one, with the cost of failures. */
--- a/testing/regionSimulation.ts
+++ b/testing/regionSimulation.ts
@@ -10,7 +10,6 @@
 import { InstanceTable, LinkState } from '../src/entry/instanceTable.js'
 import type { PeerMessage } from '../src/entry/peerMessages.js'
 import { PeerMessageKind, SlotOutcome } from '../src/entry/peerMessages.js'
-import type { DeploymentFacts } from '../src/scheduling/policySelection.js'
 import { EventQueue } from './eventQueue.js'
 import type { ServerModel } from './simulatedServers.js'
 import { SimulatedServers } from './simulatedServers.js'
@@ -37,7 +36,7 @@
   /** Requests per second that a server states as its limit at a time; `undefined` for none. */
   readonly limitAt?: (serverId: string, second: number) => number | undefined
   /** Calls for a scheduling policy; the requests tell their callers' patience only then. */
-  readonly deploymentFacts?: DeploymentFacts
+  readonly hasTenants?: boolean
   /** Times before the traffic, in ms, at which an operator sends one request in each region. */
   readonly probesBeforeMs?: readonly number[]
 }
@@ -201,7 +200,7 @@
       serviceSettings: () => undefined,
       serviceNames: () => [SERVICE],
       targetLatencyMs: () => this.#options.targetMs,
-      deploymentFacts: () => this.#options.deploymentFacts,
+      hasTenants: () => this.#options.hasTenants === true,
     })
   }
 
@@ -250,9 +249,9 @@
           isReturn: waitedMs > 0,
           excludedServers: [],
           regions: [],
-          ...(this.#options.deploymentFacts === undefined
-            ? {}
-            : { callerLeftMs: deadlineInMs, isRepeatable: true }),
+          ...(this.#options.hasTenants === true
+            ? { callerLeftMs: deadlineInMs, isRepeatable: true }
+            : {}),
         },
         onGranted: (serverId) => {
           this.#runAt(state, request, key, serverId)
