refactor: rooms for callers, connections and the choice of servers; one wait for decisions

Cause: new parts stood in src/entry/, and the wait for a token repeated the wait for a slot (timer, caller that leaves, cleanup). Change: src/callers/ (bounds and input of connections), src/connections/ (kept connections, idle limits), the comparison of servers in src/placement/; waitForDecision serves both waits. No decision changes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 
 /** Domain modules: the decision logic, which must not depend on programs or HTTP. */
 const DOMAIN_FILES = [
-  'src/{configuration,configurationCheck,membership,lookup,operations,slots,shift,drain,gateway,control,entry,placement,quotas,scheduling,tenants}/*.ts',
+  'src/{configuration,callers,configurationCheck,connections,membership,lookup,operations,slots,shift,drain,gateway,control,entry,placement,quotas,scheduling,tenants}/*.ts',
 ]
 const ADAPTER_FILES = [
   'src/**/*Server.ts',
@@ -11,7 +11,8 @@
   'src/**/http*.ts',
   'src/**/*Daemon.ts',
   'src/**/*Settings.ts',
-  'src/entry/{callerBody,callerConnection,connectionInput,connectionLimits,connectionPool,lingeringConnections,peerLink,peerMesh,responseReader,serverConnection}.ts',
+  'src/callers/{connectionInput,connectionLimits}.ts',
+  'src/entry/{callerBody,callerConnection,connectionPool,lingeringConnections,peerLink,peerMesh,responseReader,serverConnection}.ts',
 ]
 
 export default tseslint.config(
--- a/src/entry/keptConnections.ts
+++ b/src/connections/keptConnections.ts
@@ -9,7 +9,7 @@
  */
 
 import { CAUTION_MS } from './reuseLimits.js'
-import type { ConnectionUse } from './serverExchange.js'
+import type { ConnectionUse } from '../entry/serverExchange.js'
 
 /**
  * Cost of a new connection, relative to the usual duration of a request: it decides between servers
--- a/src/entry/__tests__/callerBounds.spec.ts
+++ b/src/entry/__tests__/callerBounds.spec.ts
@@ -4,12 +4,12 @@
 import * as fc from 'fast-check'
 import { ByteBudget } from '../../common/byteBudget.js'
 import { monotonicClock, sleep } from '../../common/clock.js'
-import type { ListenerBounds } from '../callerBounds.js'
-import { DEFAULT_CALLER_BOUNDS } from '../callerBounds.js'
+import type { ListenerBounds } from '../../callers/callerBounds.js'
+import { DEFAULT_CALLER_BOUNDS } from '../../callers/callerBounds.js'
 import type { CallerAnswer, CallerRequest } from '../callerRequest.js'
 import { CallerServer } from '../callerServer.js'
 import { ANSWER_MEMORY_BYTES } from '../connectionPool.js'
-import { ConnectionUse, leastNeeded } from '../connectionLimits.js'
+import { ConnectionUse, leastNeeded } from '../../callers/connectionLimits.js'
 
 const HEADERS = {
   requestId: 'x-id',
--- a/src/entry/callerConnection.ts
+++ b/src/entry/callerConnection.ts
@@ -3,9 +3,9 @@
 import type { Socket } from 'node:net'
 import type { ByteReservation } from '../common/byteBudget.js'
 import { ByteBudget } from '../common/byteBudget.js'
-import type { ListenerBounds } from './callerBounds.js'
-import { ConnectionInput } from './connectionInput.js'
-import { ConnectionUse, FetchTimeout, leastNeeded } from './connectionLimits.js'
+import type { ListenerBounds } from '../callers/callerBounds.js'
+import { ConnectionInput } from '../callers/connectionInput.js'
+import { ConnectionUse, FetchTimeout, leastNeeded } from '../callers/connectionLimits.js'
 import { LingeringConnections } from './lingeringConnections.js'
 
 /** Time in which an answer that was handed to the system reaches its caller, in milliseconds. */
--- a/src/entry/connectionPool.ts
+++ b/src/entry/connectionPool.ts
@@ -2,7 +2,7 @@
 import { ByteBudget } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
 import { ReadTurns } from './readTurns.js'
-import { ReuseLimits } from './reuseLimits.js'
+import { ReuseLimits } from '../connections/reuseLimits.js'
 import type { SharedConnectionResources } from './serverConnection.js'
 import { ServerConnection } from './serverConnection.js'
 import type { PooledOutcome, SendOutcome, ServerHeaders, ServerRequest } from './serverExchange.js'
--- a/src/entry/entryPlatform.ts
+++ b/src/entry/entryPlatform.ts
@@ -1,7 +1,7 @@
 /** Settings of an entry instance, and the interface to the platform that it runs on. */
 import type { HostAndPort } from '../common/listen.js'
 import type { ContentOrder } from './heldItems.js'
-import type { CallerBounds } from './callerBounds.js'
+import type { CallerBounds } from '../callers/callerBounds.js'
 import type { ServerUpdate } from './backendServerRegistry.js'
 import type { CallerHeaders, CredentialHeaders } from './callerRequest.js'
 import type { InstanceRecord } from './instanceRecord.js'
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -7,6 +7,7 @@
 import { FailureKind, failureAnswer } from './callerRequest.js'
 import type { ConnectionPool } from './connectionPool.js'
 import type { Shutdown } from './shutdown.js'
+import { waitForDecision } from './decisionWait.js'
 import type { EntryLog } from './entryLog.js'
 import type { EntryMetrics } from './entryMetrics.js'
 import type { InstanceTable } from './instanceTable.js'
@@ -201,44 +202,26 @@
   }
 
   /** Takes a token of the tenant's quota; returns why the request is refused if there is none. */
-  #acquireToken({
-    tenant,
-    request,
-    deadlineAtMs,
-  }: RequestState): Promise<TokenRefusal | undefined> | undefined {
+  #acquireToken(state: RequestState): Promise<TokenRefusal | undefined> | undefined {
+    const { tenant, request } = state
     if (tenant?.quota === undefined) return undefined
     const { quotas, clock } = this.#dependencies
-    return new Promise((resolve) => {
-      const nowMs = clock()
-      let cancelRequest: () => void = () => undefined
-      const giveUp = (kind: FailureKind): void => {
-        cancelRequest()
-        finish({ kind, retryAfterMs: 0 })
-      }
-      const onAbort = (): void => {
-        giveUp(FailureKind.Abandoned)
-      }
-      const timer = setTimeout(
-        () => {
-          giveUp(FailureKind.QuotaUndecided)
-        },
-        Math.max(0, deadlineAtMs - nowMs - MIN_TIME_TO_SEND_MS),
-      )
-      const finish = (result: TokenRefusal | undefined): void => {
-        clearTimeout(timer)
-        request.signal.removeEventListener('abort', onAbort)
-        resolve(result)
-      }
-      request.signal.addEventListener('abort', onAbort, { once: true })
-      const listener = {
-        onAllowed: () => {
-          finish(undefined)
-        },
-        onRefused: (reason: QuotaRefusal, retryAfterMs: number) => {
-          finish({ kind: FAILURE_BY_QUOTA_REFUSAL[reason], retryAfterMs })
-        },
-      }
-      cancelRequest = quotas.request(tenant.name, listener, nowMs)
+    return waitForDecision<TokenRefusal | undefined>({
+      signal: request.signal,
+      timeoutMs: this.#timeToSendMs(state),
+      ifAborted: { kind: FailureKind.Abandoned, retryAfterMs: 0 },
+      ifTimedOut: { kind: FailureKind.QuotaUndecided, retryAfterMs: 0 },
+      ask: (decide) => {
+        const listener = {
+          onAllowed: () => {
+            decide(undefined)
+          },
+          onRefused: (reason: QuotaRefusal, retryAfterMs: number) => {
+            decide({ kind: FAILURE_BY_QUOTA_REFUSAL[reason], retryAfterMs })
+          },
+        }
+        return quotas.request(tenant.name, listener, clock())
+      },
     })
   }
 
@@ -290,50 +273,42 @@
 
   #acquireSlot(state: RequestState): Promise<SlotResult> {
     const { request, route } = state
-    return new Promise((resolve) => {
-      let cancelRequest: () => void = () => undefined
-      const onAbort = (): void => {
-        cancelRequest()
-        finish({ reason: 'caller disconnected', retryAfterMs: 0, coordinator: '' })
-      }
-      const timer = setTimeout(
-        () => {
-          cancelRequest()
-          finish({ reason: 'no slot before the deadline', retryAfterMs: 0, coordinator: '' })
-        },
-        Math.max(0, state.deadlineAtMs - this.#dependencies.clock() - MIN_TIME_TO_SEND_MS),
-      )
-      const finish = (result: SlotResult): void => {
-        clearTimeout(timer)
-        request.signal.removeEventListener('abort', onAbort)
-        resolve(result)
-      }
-      request.signal.addEventListener('abort', onAbort, { once: true })
-      cancelRequest = this.#dependencies.slots.acquire(
-        {
-          service: state.service,
-          route: route.name,
-          object: route.prefersRecentServer ? objectIdentity(route.name, request.object) : '',
-          priority: state.priority,
-          targetAtMs: state.targetAtMs,
-          deadlineAtMs: state.deadlineAtMs,
-          isReturn: state.isReturn,
-          excludedServers: state.excludedServers,
-          regions: state.regions,
-          ...this.#costDetails(state),
-        },
-        {
-          onGranted: (grant) => {
-            finish({ grant })
+    return waitForDecision<SlotResult>({
+      signal: request.signal,
+      timeoutMs: this.#timeToSendMs(state),
+      ifAborted: { reason: 'caller disconnected', retryAfterMs: 0, coordinator: '' },
+      ifTimedOut: { reason: 'no slot before the deadline', retryAfterMs: 0, coordinator: '' },
+      ask: (decide) =>
+        this.#dependencies.slots.acquire(
+          {
+            service: state.service,
+            route: route.name,
+            object: route.prefersRecentServer ? objectIdentity(route.name, request.object) : '',
+            priority: state.priority,
+            targetAtMs: state.targetAtMs,
+            deadlineAtMs: state.deadlineAtMs,
+            isReturn: state.isReturn,
+            excludedServers: state.excludedServers,
+            regions: state.regions,
+            ...this.#costDetails(state),
           },
-          onRefused: (reason, retryAfterMs, coordinator) => {
-            finish({ reason, retryAfterMs, coordinator })
+          {
+            onGranted: (grant) => {
+              decide({ grant })
+            },
+            onRefused: (reason, retryAfterMs, coordinator) => {
+              decide({ reason, retryAfterMs, coordinator })
+            },
           },
-        },
-      )
+        ),
     })
   }
 
+  /** Time in which the request must be sent, in milliseconds. */
+  #timeToSendMs({ deadlineAtMs }: RequestState): number {
+    return deadlineAtMs - this.#dependencies.clock() - MIN_TIME_TO_SEND_MS
+  }
+
   /** Details that only the policy for tenants weighs; other deployments don't send them. */
   #costDetails({
     request,
--- a/src/entry/serviceCoordinator.ts
+++ b/src/entry/serviceCoordinator.ts
@@ -29,12 +29,12 @@
   usableSlots,
   targetRemoteShare,
 } from './remoteShare.js'
-import { KeptConnections } from './keptConnections.js'
+import { KeptConnections } from '../connections/keptConnections.js'
 import { LimitedCapacity } from './limitedCapacity.js'
 import type { LimitStatement } from './serverLimits.js'
 import type { CoordinatedServer, PaceExpectation, RunningRequest } from './serverState.js'
 import { ServerIndex } from './serverIndex.js'
-import { ServerSelection, instanceOf, isAllowed } from './serverSelection.js'
+import { ServerSelection, instanceOf, isAllowed } from '../placement/serverSelection.js'
 import { ServerState } from './serverState.js'
 import type { ConnectionUse } from './serverExchange.js'
 import type { ServerStatement } from './serverStatement.js'
--- a/src/entry/serverSelection.ts
+++ b/src/placement/serverSelection.ts
@@ -1,14 +1,14 @@
 /** Chooses the server of a request: compares servers of this region and of others by their cost. */
 import { combineHashes, hashText } from '../common/hashing.js'
-import { placementCostMs } from '../placement/objectPlacement.js'
+import { placementCostMs } from './objectPlacement.js'
 import type { SchedulingPolicy } from '../scheduling/schedulingPolicy.js'
 import type { ServerOption } from '../scheduling/serverCost.js'
 import type { Waiter } from '../scheduling/waiter.js'
-import type { DurationEstimates } from './durationEstimates.js'
-import type { KeptConnections } from './keptConnections.js'
-import type { RemoteShare } from './remoteShare.js'
-import type { ServerIndex } from './serverIndex.js'
-import type { ServerState } from './serverState.js'
+import type { DurationEstimates } from '../entry/durationEstimates.js'
+import type { KeptConnections } from '../connections/keptConnections.js'
+import type { RemoteShare } from '../entry/remoteShare.js'
+import type { ServerIndex } from '../entry/serverIndex.js'
+import type { ServerState } from '../entry/serverState.js'
 
 /** Expected durations of a route in one region. */
 interface UsualDurations {
