--- a/src/entry/__tests__/headAnswers.spec.ts
+++ b/src/entry/__tests__/headAnswers.spec.ts
@@ -17,12 +17,14 @@
     expect(head.isReusable).to.equal(true)
   })
 
+  // Guards against bodies of other requests that are taken for the next answer.
   it('is complete with the body for any other request only', () => {
     const get = reader(false)
     expect(get.read(HEAD)).to.equal(ReadState.Partial)
     expect(get.read(Buffer.from('hello'))).to.equal(ReadState.Complete)
   })
 
+  // Guards against the answer of an earlier request that is given to this one.
   it('is not that of an earlier request, whose body is skipped', () => {
     const head = reader(true, AnswerOrigin.Other)
     expect(head.read(HEAD)).to.equal(ReadState.Partial)
--- a/src/entry/__tests__/homeRegions.spec.ts
+++ b/src/entry/__tests__/homeRegions.spec.ts
@@ -82,6 +82,7 @@
     expect(fixture.sentTo('peer-north')).to.deep.equal([])
   })
 
+  // Guards against two round trips between regions for what the own region may serve.
   it('stay with the coordinator of the region if that is a home', () => {
     const fixture = new HomeFixture()
     fixture.request(['south', 'north'])
@@ -107,6 +108,7 @@
   })
 
   describe('without a link to the home region', () => {
+    // Guards against the first requests to a region that are lost because no link is open yet.
     it('are sent once the link opens', () => {
       const fixture = new HomeFixture()
       fixture.isLinked = false
@@ -117,6 +119,7 @@
       expect(fixture.sentTo('peer-south')).to.include(PeerMessageKind.SlotRequest)
     })
 
+    // Guards against callers that wait in vain for a region that is cut off.
     it('are refused after some round trips rather than at their deadline', () => {
       const fixture = new HomeFixture()
       fixture.isLinked = false
--- a/src/placement/__tests__/dispatchOrder.spec.ts
+++ b/src/placement/__tests__/dispatchOrder.spec.ts
@@ -7,6 +7,7 @@
 const LATE_MISS = { isHit: false, durationMs: 640, targetInMs: 300 }
 
 describe('dispatch order', () => {
+  // Guards against slots for long work that is late anyway, while short work becomes late.
   it('lets requests whose server has their object pass one that is late without it', () => {
     expect(new DispatchOrder().isDeferred(LATE_MISS)).to.equal(true)
     expect(new DispatchOrder().isDeferred(HIT)).to.equal(false)
@@ -50,6 +51,7 @@
     /** Part of the ideal that the issue requires of each replay. */
     const REQUIRED_FRACTION = 0.9
 
+    // Guards against overload that keeps work cold.
     it('serves nine tenths in time of the ideal, which runs each object cold once', () => {
       const slotMs = load.servers * load.slots * load.seconds * 1000
       const coldMs = load.objects * load.uncachedMs * MEAN_FACTOR
--- a/src/placement/__tests__/objectPlacement.spec.ts
+++ b/src/placement/__tests__/objectPlacement.spec.ts
@@ -42,11 +42,13 @@
       )
     })
 
+    // Guards against waits for a suspended server, or one at its limit, while others are free.
     it('does not make a request wait for a server that takes no more', () => {
       const unheld = placementCostMs(640, { ...miss, isHeld: false })
       expect(unheld).to.be.below(placementCostMs(640, miss) / 2)
     })
 
+    // Guards against objects that displace others while some servers are nearly empty.
     it('is lower at a server that has room', () => {
       expect(placementCostMs(640, { ...miss, fill: 0 })).to.be.below(placementCostMs(640, miss))
     })
@@ -57,6 +59,7 @@
       expect(placementCostMs(300, inTime)).to.equal(miss.targetInMs)
     })
 
+    // Guards against estimates, such as a gain below 0, that make servers attractive for what they lack.
     it('never falls by being a miss, whatever is estimated', () => {
       const anyTime = fc.integer({ min: -5000, max: 60_000 })
       const cost = fc.integer({ min: 0, max: 60_000 })
@@ -70,6 +73,7 @@
   })
 
   describe('region of an object', () => {
+    // Guards against objects that alternate between regions and are forgotten in both.
     it('is the same for an object while the share does not change', () => {
       for (const measured of [0.25, 0.3, 0.35]) {
         expect(isPlacedRemotely(0.2, { intended: 0.3, measured })).to.equal(true)
@@ -90,6 +94,7 @@
       expect(objectIdentity('timetable', '3a')).to.not.equal(objectIdentity('renewal', '3a'))
     })
 
+    // Guards against requests without an object that are taken for one object of their route.
     it('is empty for a request without an object', () => {
       expect(objectIdentity('timetable', '')).to.equal('')
     })
@@ -99,11 +104,13 @@
     const ideal = (requests: number): number =>
       (requests - MANY_OBJECTS.objects) * (1 - STRAGGLER_FRACTION)
 
+    // Guards against objects that are spread over servers until hardly any is found again.
     it('serves nine tenths of the ideal in time at two thirds of the warm capacity', () => {
       const result = simulateLoad(MANY_OBJECTS)
       expect(result.inTime).to.be.above(REQUIRED_FRACTION * ideal(result.requests))
     })
 
+    // Guards against a burst after which the objects stay spread.
     it('comes back to it after a burst of a few seconds beyond the capacity', () => {
       const rateAt = (second: number): number => (second > 5 && second < 9 ? 200 : 80)
       const calm = simulateLoad(MANY_OBJECTS)
--- a/src/scheduling/__tests__/costAwarePolicy.spec.ts
+++ b/src/scheduling/__tests__/costAwarePolicy.spec.ts
@@ -199,6 +199,7 @@
       )
     })
 
+    // Guards against callers that wait for a refusal that is certain from the start.
     it('tells at once that a request can not end in time', () => {
       const policy = policyOf()
       observeRuns(policy, 300, 1000)
@@ -214,6 +215,7 @@
       expect(costAt(policy, late, 4, 5000)).to.be.below(Number.POSITIVE_INFINITY)
     })
 
+    // Guards against work that is cut and can not be sent again.
     it('prefers a fast server for work that may run once only, even if it waits for it', () => {
       const policy = policyOf()
       observeRuns(policy, 100, 1000)
@@ -247,6 +249,7 @@
       expect(policy.has(overtaken?.key ?? '')).to.equal(false)
     })
 
+    // Guards against requests that are let go while there is room for them.
     it('keeps what can still be served', () => {
       const policy = policyOf()
       const queued = offerAll(
@@ -271,6 +274,7 @@
       )
     }
 
+    // Guards against callers that are refused again although they came as told.
     it('queues a return that comes as it was told, whatever has arrived meanwhile', () => {
       const policy = policyOf()
       const told = refuseBurst(policy, 300, 0).filter(({ retryAfterMs }) => retryAfterMs > 0)
@@ -288,6 +292,7 @@
       }
     })
 
+    // Guards against times to return that callers ignore.
     it('tells callers to return within a third of the time that they have left', () => {
       for (const { retryAfterMs } of refuseBurst(policyOf(), 2000, 0))
         expect(retryAfterMs).to.be.at.most(8000 / 3)
@@ -330,6 +335,7 @@
       )
     })
 
+    // Guards against promises that other callers use up.
     it('recognizes a caller once, and no other caller', () => {
       const ledger = new ReturnLedger()
       const caller = { requestClass: 'c', patienceEndsAtMs: 9000 }
@@ -353,6 +359,7 @@
     expect(spread.quantile(0.5)).to.be.within(0.8, 1.1)
   })
 
+  // Guards against work that is started because it has less time.
   it('never gives a shorter time a higher chance', () => {
     const ratios = fc.array(fc.double({ min: 0.01, max: 40, noNaN: true }), { maxLength: 300 })
     fc.assert(
--- a/src/tenants/__tests__/tenants.spec.ts
+++ b/src/tenants/__tests__/tenants.spec.ts
@@ -17,6 +17,7 @@
 
 describe('tenants', () => {
   describe('authentication', () => {
+    // Guards against customers that are locked out while they change from one key to another.
     it('finds the tenant by each of its keys', () => {
       for (const text of TENANT.keys) {
         const caller = authenticate(key(text), DIRECTORY, false)
@@ -34,6 +35,7 @@
       }
     })
 
+    // Guards against routes that are open without being configured so.
     it('serves callers without a key on anonymous routes only', () => {
       expect(authenticate(NONE, DIRECTORY, true).kind).to.equal(CallerKind.Anonymous)
       expect(authenticate(NONE, DIRECTORY, false).kind).to.equal(CallerKind.Rejected)
@@ -47,6 +49,7 @@
       }
     })
 
+    // Guards against keys that match by more than equality.
     it('accepts no key that is not configured', () => {
       fc.assert(
         fc.property(fc.string(), (text) => {
@@ -58,6 +61,7 @@
   })
 
   describe('priority', () => {
+    // Guards against a route that puts a less urgent tenant before a more urgent one.
     it('is the tenant’s before the route’s, which decides among equal tenants', () => {
       expect(effectivePriority(5, { ...TENANT, priority: 0 })).to.be.below(
         effectivePriority(0, TENANT),
@@ -66,6 +70,7 @@
       expect(effectivePriority(1e9, TENANT)).to.be.below(2)
     })
 
+    // Guards against other priorities in deployments without tenants.
     it('is the route’s without a tenant, or for one without a priority', () => {
       const without: Tenant = { name: 'ferry', keys: [], homeRegions: [] }
       expect(effectivePriority(2, undefined)).to.equal(2)
@@ -74,6 +79,7 @@
   })
 
   describe('homes', () => {
+    // Guards against a request that runs where one of the two does not allow it.
     it('of route and tenant both bind', () => {
       expect(allowedRegions(['north', 'south'], TENANT)).to.deep.equal(['north'])
       expect(allowedRegions([], TENANT)).to.deep.equal(['north'])
@@ -87,7 +93,8 @@
   })
 
   describe('directory', () => {
-    it('finds keys of 100,000 in constant time and bounded memory', () => {
+    // Guards against an index that loses keys of one tenant to another.
+    it('finds keys among 100,000 of 1,000 tenants', () => {
       const tenants = Array.from({ length: 1000 }, (_, index) => ({
         name: `t${index}`,
         keys: Array.from({ length: 100 }, (_value, number) => `key-${index}-${number}`),
