--- a/src/configurationCheck/finding.ts
+++ b/src/configurationCheck/finding.ts
@@ -38,3 +38,6 @@
   readonly problem: string
   readonly remedy: string
 }
+
+/** A problem of an entry whose place the caller knows. */
+export type EntryProblem = Omit<Finding, keyof ConfigurationPlace>
--- a/src/configurationCheck/routeProblems.ts
+++ b/src/configurationCheck/routeProblems.ts
@@ -2,23 +2,17 @@
 import type { Route } from '../entry/routingConfiguration.js'
 import { RouteIndex } from '../entry/routingConfiguration.js'
 import type { CheckOptions } from './configurationCheck.js'
-import type { Finding } from './finding.js'
+import type { EntryProblem, Finding } from './finding.js'
 import { ConfigurationTable, FindingKind } from './finding.js'
 import type { InspectedConfiguration } from './inspection.js'
-import { listNames, unknownRegions } from './regions.js'
+import { unknownHomes } from './regions.js'
 
 interface RouteContext {
   readonly index: RouteIndex
   readonly options: CheckOptions
 }
 
-interface RouteProblem {
-  readonly kind: FindingKind
-  readonly problem: string
-  readonly remedy: string
-}
-
-type RouteCheck = (route: Route, context: RouteContext) => RouteProblem | undefined
+type RouteCheck = (route: Route, context: RouteContext) => EntryProblem | undefined
 
 /** Characters that a path in a request can't hold; a question mark ends it. */
 const NOT_IN_PATHS = /[^\x21-\x7e]|[?#]/
@@ -32,7 +26,7 @@
   withoutService,
   latencyAboveTimeout,
   withoutTime,
-  unknownHomes,
+  ({ homeRegions }, { options }) => unknownHomes(homeRegions, options.regions),
 ]
 
 export function findRouteProblems(
@@ -51,7 +45,7 @@
   )
 }
 
-function hiddenPrefix(route: Route, { index }: RouteContext): RouteProblem | undefined {
+function hiddenPrefix(route: Route, { index }: RouteContext): EntryProblem | undefined {
   const first = index
     .routesOfHost(route.host)
     .find(({ host, prefix }) => host === route.host && prefix === route.prefix)
@@ -64,7 +58,7 @@
 }
 
 /** Instances name a route to each other by its name. */
-function hiddenName(route: Route, { index }: RouteContext): RouteProblem | undefined {
+function hiddenName(route: Route, { index }: RouteContext): EntryProblem | undefined {
   if (index.findByName(route.name) === route) return undefined
   return {
     kind: FindingKind.Contradictory,
@@ -73,7 +67,7 @@
   }
 }
 
-function impossibleHost({ host }: Route, { index }: RouteContext): RouteProblem | undefined {
+function impossibleHost({ host }: Route, { index }: RouteContext): EntryProblem | undefined {
   if (index.routesOfHost(host).some((route) => route.host === host)) return undefined
   return {
     kind: FindingKind.NeverMatches,
@@ -82,7 +76,7 @@
   }
 }
 
-function impossiblePrefix({ prefix }: Route): RouteProblem | undefined {
+function impossiblePrefix({ prefix }: Route): EntryProblem | undefined {
   if (!NOT_IN_PATHS.test(prefix)) return undefined
   return {
     kind: FindingKind.NeverMatches,
@@ -91,7 +85,7 @@
   }
 }
 
-function restriction(route: Route): RouteProblem | undefined {
+function restriction(route: Route): EntryProblem | undefined {
   if (route.restriction === undefined) return undefined
   return {
     kind: FindingKind.Restricted,
@@ -100,7 +94,7 @@
   }
 }
 
-function withoutService(route: Route): RouteProblem | undefined {
+function withoutService(route: Route): EntryProblem | undefined {
   if (route.shares.length > 0 || route.restriction !== undefined) return undefined
   return {
     kind: FindingKind.NeverMatches,
@@ -109,7 +103,7 @@
   }
 }
 
-function latencyAboveTimeout({ targetLatencyMs, timeoutMs }: Route): RouteProblem | undefined {
+function latencyAboveTimeout({ targetLatencyMs, timeoutMs }: Route): EntryProblem | undefined {
   if (targetLatencyMs <= timeoutMs) return undefined
   return {
     kind: FindingKind.Contradictory,
@@ -118,7 +112,7 @@
   }
 }
 
-function withoutTime({ timeoutMs }: Route): RouteProblem | undefined {
+function withoutTime({ timeoutMs }: Route): EntryProblem | undefined {
   if (timeoutMs > 0) return undefined
   return {
     kind: FindingKind.Contradictory,
@@ -126,16 +120,3 @@
     remedy: 'set a timeout above 0',
   }
 }
-
-function unknownHomes(
-  { homeRegions }: Route,
-  { options: { regions } }: RouteContext,
-): RouteProblem | undefined {
-  const unknown = unknownRegions(homeRegions, regions)
-  if (unknown.length === 0) return undefined
-  return {
-    kind: FindingKind.UnknownRegion,
-    problem: `home regions that the deployment does not have: ${listNames(unknown)}`,
-    remedy: 'correct the names of the regions, or remove them',
-  }
-}
--- a/src/configurationCheck/tenantProblems.ts
+++ b/src/configurationCheck/tenantProblems.ts
@@ -2,28 +2,22 @@
 import type { Route } from '../entry/routingConfiguration.js'
 import type { Tenant } from '../tenants/tenant.js'
 import type { CheckOptions } from './configurationCheck.js'
-import type { Finding } from './finding.js'
+import type { EntryProblem, Finding } from './finding.js'
 import { ConfigurationTable, FindingKind } from './finding.js'
 import type { InspectedConfiguration } from './inspection.js'
-import { listNames, unknownRegions } from './regions.js'
+import { listNames, unknownHomes } from './regions.js'
 
 interface TenantContext {
   readonly routes: readonly Route[]
   readonly options: CheckOptions
 }
 
-interface TenantProblem {
-  readonly kind: FindingKind
-  readonly problem: string
-  readonly remedy: string
-}
-
-type TenantCheck = (tenant: Tenant, context: TenantContext) => TenantProblem | undefined
+type TenantCheck = (tenant: Tenant, context: TenantContext) => EntryProblem | undefined
 
 const TENANT_CHECKS: readonly TenantCheck[] = [
   withoutKeys,
   excludedFromRoutes,
-  unknownHomes,
+  ({ homeRegions }, { options }) => unknownHomes(homeRegions, options.regions),
   quotaBelowOneRequest,
 ]
 
@@ -53,7 +47,7 @@
   remedy: 'add tenants, leave the table out, or let a route allow anonymous callers',
 }
 
-function withoutKeys({ keys }: Tenant): TenantProblem | undefined {
+function withoutKeys({ keys }: Tenant): EntryProblem | undefined {
   if (keys.length > 0) return undefined
   return {
     kind: FindingKind.NeverMatches,
@@ -65,7 +59,7 @@
 function excludedFromRoutes(
   { homeRegions }: Tenant,
   { routes }: TenantContext,
-): TenantProblem | undefined {
+): EntryProblem | undefined {
   if (homeRegions.length === 0) return undefined
   const homes = new Set(homeRegions)
   const excluded = routes.filter(
@@ -80,21 +74,8 @@
   }
 }
 
-function unknownHomes(
-  { homeRegions }: Tenant,
-  { options: { regions } }: TenantContext,
-): TenantProblem | undefined {
-  const unknown = unknownRegions(homeRegions, regions)
-  if (unknown.length === 0) return undefined
-  return {
-    kind: FindingKind.UnknownRegion,
-    problem: `home regions that the deployment does not have: ${listNames(unknown)}`,
-    remedy: 'correct the names of the regions, or remove them',
-  }
-}
-
 /** A quota with a burst of 1 or more lets single requests through, however low its rate is. */
-function quotaBelowOneRequest({ quota }: Tenant): TenantProblem | undefined {
+function quotaBelowOneRequest({ quota }: Tenant): EntryProblem | undefined {
   if (quota === undefined || quota.requestsPerSecond >= 1 || quota.burst >= 1) return undefined
   return {
     kind: FindingKind.Contradictory,
--- a/src/placement/__tests__/dispatchOrder.spec.ts
+++ b/src/placement/__tests__/dispatchOrder.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import type { LoadOptions } from '../../../testing/loadSimulation.js'
 import { simulateLoad } from '../../../testing/loadSimulation.js'
+import { MANY_OBJECTS } from './manyObjects.js'
 import { DispatchOrder } from '../dispatchOrder.js'
 
 const HIT = { isHit: true, durationMs: 200, targetInMs: 300 }
@@ -32,19 +32,7 @@
   })
 
   describe('load beyond the room of a service with many objects', () => {
-    const load: LoadOptions = {
-      seed: 41,
-      servers: 10,
-      slots: 3,
-      objects: 130,
-      cacheSize: 16,
-      cachedMs: 200,
-      uncachedMs: 640,
-      targetMs: 550,
-      deadlineMs: 3000,
-      seconds: 30,
-      rateAt: () => 140,
-    }
+    const load = { ...MANY_OBJECTS, rateAt: () => 140 }
     const STRAGGLER_FRACTION = 0.03
     /** Mean duration relative to the usual one, with stragglers that take seven times as long. */
     const MEAN_FACTOR = 1 - STRAGGLER_FRACTION + STRAGGLER_FRACTION * 7
--- a/src/placement/__tests__/objectPlacement.spec.ts
+++ b/src/placement/__tests__/objectPlacement.spec.ts
@@ -1,24 +1,10 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import type { LoadOptions } from '../../../testing/loadSimulation.js'
 import { simulateLoad } from '../../../testing/loadSimulation.js'
 import type { PlacementOption } from '../objectPlacement.js'
+import { MANY_OBJECTS } from './manyObjects.js'
 import { isPlacedRemotely, objectIdentity, placementCostMs } from '../objectPlacement.js'
 
-/** All objects fit into the servers, but only if hardly any is kept by two of them. */
-const MANY_OBJECTS: LoadOptions = {
-  seed: 41,
-  servers: 10,
-  slots: 3,
-  objects: 130,
-  cacheSize: 16,
-  cachedMs: 200,
-  uncachedMs: 640,
-  targetMs: 550,
-  deadlineMs: 3000,
-  seconds: 30,
-  rateAt: () => 80,
-}
 /** Share of what is served in time if each object is run cold once, that must be reached. */
 const REQUIRED_FRACTION = 0.9
 /** Stragglers miss the target wherever they run. */
