feat(entry): rates of tenants as a metric; wiring of quotas in a file of its own

Cause: operators saw tenants in the log only; entryDaemon.ts held the choice of keepers and derived the regions with each call. Change: a gauge by tenant with bounded labels; quotaWiring.ts; regions derived once.

--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -15,7 +15,7 @@
 import type { EntryLog } from './entryLog.js'
 import { EntryMetrics } from './entryMetrics.js'
 import type { InstanceRecord } from './instanceRecord.js'
-import { InstanceTable, coordinatorOrder, storeReaderOrder } from './instanceTable.js'
+import { InstanceTable, storeReaderOrder } from './instanceTable.js'
 import type { HelloMessage, PeerMessage } from './peerMessages.js'
 import { PeerMessageKind } from './peerMessages.js'
 import { handlePeerMessage } from './peerMessageHandlers.js'
@@ -31,8 +31,8 @@
 import { ServerBeliefs } from './serverBeliefs.js'
 import { SharedRetryBudget } from './sharedRetryBudget.js'
 import { SlotClient } from './slotClient.js'
-import { QuotaRefusal } from '../quotas/quotaMessages.js'
-import { TenantQuotas } from '../quotas/tenantQuotas.js'
+import { createTenantQuotas, quotaLogFields } from './quotaWiring.js'
+import type { TenantQuotas } from '../quotas/tenantQuotas.js'
 import type { SimpleAnswer } from './simpleAnswer.js'
 import { startSimpleServer } from './simpleHttpServer.js'
 import { StoreCatchUp } from './storeCatchUp.js'
@@ -64,9 +64,6 @@
  */
 const OLDER_ITEM_REWRITE_MS = 10_000
 
-/** Name by which the keepers of quotas are chosen, as coordinators are by the name of a service. */
-const QUOTA_KEEPER = 'tenant quotas'
-
 /** Timeout of the last store call; shorter than the rest of the grace period. */
 const LAST_STORE_CALL_TIMEOUT_MS = 150
 
@@ -99,6 +96,8 @@
   readonly #answerBudget = new ByteBudget(ANSWER_MEMORY_BYTES)
   readonly #callers: CallerServer
   readonly #metrics: EntryMetrics
+  /** All regions of the deployment. */
+  readonly #regions: readonly string[]
   readonly #evacuatedZones = new Set<string>()
   readonly #simpleServers: Server[] = []
   readonly #timers: NodeJS.Timeout[] = []
@@ -116,6 +115,7 @@
     droppedLogLines: () => number,
   ) {
     this.#settings = settings
+    this.#regions = [...new Set(settings.regionOfZone.values())]
     this.#platform = platform
     this.#clock = clock
     this.#log = log
@@ -182,33 +182,32 @@
       hasTenants: () => this.#routing.current?.tenants !== undefined,
     })
     this.#slots = new SlotClient(this.#table, this.#mesh, this.#coordination, clock)
-    this.#quotas = new TenantQuotas(
+    this.#quotas = createTenantQuotas(
       {
-        selfName: settings.record.name,
-        region: settings.record.region,
+        table: this.#table,
+        routing: this.#routing,
+        peers: this.#mesh,
+        regions: this.#regions,
         slack: settings.quotaSlack,
-        regions: () => [...new Set(settings.regionOfZone.values())],
-        keeperOf: (region, nowMs, excluded) => this.#quotaKeeperOf(region, nowMs, excluded),
-        instanceCount: () => this.#table.countForQuotas(),
-        hasQuotas: () => this.#routing.current?.tenants?.hasQuotas === true,
-        quotaOf: (tenant) => this.#routing.current?.tenants?.findByName(tenant)?.quota,
-        send: (peer, message) => this.#mesh.send(peer, message),
       },
       clock(),
     )
     this.#pool = new ConnectionPool(platform.serverHeaders, clock, this.#answerBudget)
     this.#bodyBudget = new ByteBudget(settings.requestBodyBytes)
-    this.#metrics = new EntryMetrics(() => ({
-      ...this.#slots.stats,
-      storeAgeMs: this.#contact.ageMs(clock()),
-      droppedLogLines: droppedLogLines(),
-      openedConnections: this.#pool.openedCount,
-      version: this.#routing.current?.version ?? 0,
-      bufferedBodyBytes: this.#bodyBudget.usedBytes,
-      acceptedConnections: this.#callers.acceptedConnections,
-      eventLoopTurns: readEventLoopCounters().turns,
-      restrictedRoutes: this.#routing.restrictedRoutes.length,
-    }))
+    this.#metrics = new EntryMetrics(
+      () => ({
+        ...this.#slots.stats,
+        storeAgeMs: this.#contact.ageMs(clock()),
+        droppedLogLines: droppedLogLines(),
+        openedConnections: this.#pool.openedCount,
+        version: this.#routing.current?.version ?? 0,
+        bufferedBodyBytes: this.#bodyBudget.usedBytes,
+        acceptedConnections: this.#callers.acceptedConnections,
+        eventLoopTurns: readEventLoopCounters().turns,
+        restrictedRoutes: this.#routing.restrictedRoutes.length,
+      }),
+      () => this.#quotas.stats(clock()),
+    )
     this.#beliefs = new ServerBeliefs({
       registry: this.#registry,
       log,
@@ -401,16 +400,6 @@
     return this.#callers.openRequests > 0 || this.#callers.deliveringConnections(nowMs) > 0
   }
 
-  /** Instance that gives out the quotas of tenants in a region; this one if it reaches no other. */
-  #quotaKeeperOf(region: string, nowMs: number, excluded?: string): string | undefined {
-    const { self } = this.#table
-    const order = coordinatorOrder(QUOTA_KEEPER, this.#table.liveInstances(region, nowMs))
-    const candidates = order.filter(({ name }) => name !== excluded)
-    if (region !== self.region) return candidates[0]?.name
-    const reached = candidates.find(({ name }) => name === self.name || this.#mesh.isUp(name))
-    return reached?.name ?? self.name
-  }
-
   /** Position of this instance in its region's order of store readers, from 0. */
   #storeReaderPosition(): number {
     const { region, name } = this.#settings.record
@@ -610,7 +599,8 @@
     this.#beliefs.expire(nowMs)
     this.#registry.expireLeavingMarks(nowMs)
     this.#logEventLoop(nowMs)
-    this.#logQuotas(nowMs)
+    const quotas = quotaLogFields(this.#quotas.stats(nowMs))
+    if (quotas !== undefined) this.#log.event('quotas', quotas)
     for (const stats of this.#coordination.stats(nowMs)) {
       if (stats.arrivalsPerSecond < 0.5) continue
       this.#log.event('coordinating', {
@@ -622,23 +612,6 @@
     }
   }
 
-  /** Only a keeper has the state of tenants. */
-  #logQuotas(nowMs: number): void {
-    const { share, largest, refused, ...counts } = this.#quotas.stats(nowMs)
-    if (counts.keptTenants === 0 || share === 0) return
-    this.#log.event('quotas', {
-      ...counts,
-      overLimit: refused[QuotaRefusal.OverLimit],
-      undecided: refused[QuotaRefusal.Undecided],
-      share: Math.round(share * 1000) / 1000,
-      largest: largest.map(
-        ({ tenant, demand, granted, tokens, limit }) =>
-          `${tenant}: ${Math.round(granted)}/s of ${Math.round(demand)}/s, ` +
-          `${Math.round(tokens)} of ${Math.round(limit)} tokens`,
-      ),
-    })
-  }
-
   #logEventLoop(nowMs: number): void {
     const { turns, turnMs, utilization, accepted } = this.#eventLoopActivity.measure(
       readEventLoopCounters(),
@@ -664,10 +637,9 @@
     if (url.pathname !== this.#platform.directoryPath) return undefined
     const { host, region, zone } = this.#platform.directoryQuestion(url)
     const routes = this.#routing.current?.index.routesOfHost(host) ?? []
-    const regions = [...new Set(this.#settings.regionOfZone.values())]
     const question = { region, zone, caller, routes }
     return this.#platform.directoryAnswer(
-      selectEntryAddresses(this.#table, question, regions, this.#clock()),
+      selectEntryAddresses(this.#table, question, this.#regions, this.#clock()),
     )
   }
 
--- a/src/entry/entryMetrics.ts
+++ b/src/entry/entryMetrics.ts
@@ -20,13 +20,31 @@
   readonly eventLoopTurns: number
 }
 
+/** Requests per second of tenants with a quota, at the instance that gives them out. */
+export interface TenantRates {
+  /** The number of tenants named is bounded. */
+  readonly largest: readonly {
+    readonly tenant: string
+    readonly demand: number
+    readonly granted: number
+  }[]
+  readonly otherDemand: number
+  readonly otherGranted: number
+}
+
+/** Label of all tenants that are not named. */
+const OTHER_TENANTS = 'other'
+
 export class EntryMetrics {
   readonly #registry = new Registry()
   readonly #latency: Histogram<'route' | 'status'>
   readonly #failures: Counter<'kind'>
   readonly #statements: Counter<'kind'>
 
-  constructor(readGauges: () => GaugeValues) {
+  constructor(
+    readGauges: () => GaugeValues,
+    readTenants: () => TenantRates | undefined = () => undefined,
+  ) {
     const registers = [this.#registry]
     this.#latency = new Histogram({
       name: 'tamarackdrift_request_milliseconds',
@@ -58,6 +76,7 @@
       })
       this.#registry.registerMetric(created)
     }
+    this.#addTenantGauges(readTenants)
     gauge('waiting', 'waiting_requests', 'Requests that wait for a slot')
     gauge('held', 'held_slots', 'Slots in use by requests of this instance')
     gauge('storeAgeMs', 'store_contact_age_milliseconds', 'Age of store news')
@@ -74,6 +93,28 @@
     )
   }
 
+  #addTenantGauges(readTenants: () => TenantRates | undefined): void {
+    const rates = new Gauge({
+      name: 'tamarackdrift_tenant_requests_per_second',
+      help: 'Requests of tenants with a quota at the instance that gives it out, asked for and granted',
+      labelNames: ['tenant', 'state'],
+      collect() {
+        // A tenant that is not among the largest any more must not keep its last value.
+        this.reset()
+        const tenants = readTenants()
+        if (tenants === undefined) return
+        const { largest, otherDemand, otherGranted } = tenants
+        const others = { tenant: OTHER_TENANTS, demand: otherDemand, granted: otherGranted }
+        for (const { tenant, demand, granted } of [...largest, others]) {
+          this.set({ tenant, state: 'asked' }, demand)
+          this.set({ tenant, state: 'granted' }, granted)
+        }
+      },
+      registers: [],
+    })
+    this.#registry.registerMetric(rates)
+  }
+
   /** Records an answer to a caller. */
   answered(route: string, status: number, durationMs: number): void {
     this.#latency.observe({ route, status: String(status) }, durationMs)
