Review: case 6, a reset answer without a length is passed on as complete

The event 'end' of a Node.js socket also stands for a reset that arrives with the last bytes, so an answer without a length that a server resets on the way is passed on as a complete success.

--- a/review/lib-2/harness.cjs
+++ b/review/lib-2/harness.cjs
@@ -394,7 +394,7 @@
 function sendRequest({ host, port, method = 'GET', target, headers, body, bytesPerSecond }) {
   return new Promise((resolve) => {
     const sentAtMs = nowMs()
-    const socket = net.connect({ host, port })
+    const socket = net.connect({ host, port, allowHalfOpen: true })
     const chunks = []
     let size = 0
     let head
@@ -445,8 +445,12 @@
         setTimeout(() => socket.resume(), (bytes.length * 1000) / bytesPerSecond)
       }
     })
-    socket.on('end', () => finish('end'))
-    socket.on('error', (error) => finish(error.code ?? 'error'))
+    // Node.js also reports an end where a reset arrives right behind the last bytes. A byte that is
+    // written then fails after a reset, and is taken after an orderly end.
+    socket.on('end', () => {
+      socket.write('\n', (error) => finish(error ? 'reset' : 'end'))
+    })
+    socket.on('error', () => finish('reset'))
     socket.on('close', () => finish('close'))
     const lines = [`${method} ${target} HTTP/1.1`]
     for (const [name, value] of Object.entries(headers)) lines.push(`${name}: ${value}`)
