--- a/review/7/case.cjs
+++ b/review/7/case.cjs
@@ -1,5 +1,5 @@
 'use strict'
-/** An entry instance is killed while a client still reads an answer that came without a length. */
+/** Backend servers break off some answers that have no length: they reset the connection. */
 const {
   BackendServer,
   ETNA_BOUNDS,
@@ -13,28 +13,48 @@
   successHead,
 } = require('../lib-2/harness.cjs')
 
-const ANSWER_BYTES = 8 * 1024 * 1024
-/** Reading the answer takes two seconds. */
-const CLIENT_BYTES_PER_SECOND = 4 * 1024 * 1024
+const SERVERS = 8
+/** Share of the servers and of their answers, as in the days of the site file: 0.6 and 0.05. */
+const SPOILING_SERVERS = 4
+const SPOILED_EVERY = 20
+const REQUESTS = 600
+const PAUSE_MS = 20
 const WORK_MS = 80
-const KILL_AFTER_MS = 700
-const CLIENTS = 2
+/** Mean size of the site's answers. */
+const ANSWER_BYTES = 5000
+const BROKEN_OFF_AT = 3000
 
 const zones = { 'sic-a': 'sicilia', 'sic-b': 'sicilia' }
 
-/** Answers without a length and ends the connection, as RULES.md (MIXED) allows. */
-function respond(answer) {
+function bodyFor(requestId) {
+  return Buffer.from(`hint ${requestId} `.padEnd(ANSWER_BYTES, 'x'))
+}
+
+/** Every 20th answer has no length. With the disruption it is reset on the way. */
+function respondAs(isSpoiling, spoiled) {
+  let count = 0
   return ({ requestId }, socket, server) => {
     setTimeout(() => {
-      socket.write(successHead(server, requestId, ['Connection: close']))
-      socket.end(answer)
+      const body = bodyFor(requestId)
+      count += 1
+      if (!isSpoiling || count % SPOILED_EVERY !== 0) {
+        socket.write(successHead(server, requestId, [`Content-Length: ${body.length}`]))
+        socket.write(body)
+        return
+      }
+      const head = Buffer.from(successHead(server, requestId, ['Connection: close']))
+      if (isTroubled) {
+        spoiled.add(requestId)
+        server.record.line(`server ${server.id} resets its answer to ${requestId} on the way`)
+        socket.write(Buffer.concat([head, body.subarray(0, BROKEN_OFF_AT)]))
+        socket.resetAndDestroy()
+      } else socket.end(Buffer.concat([head, body]))
     }, WORK_MS)
   }
 }
 
-void runCase(__dirname, 60_000, async ({ record, temporary, prefix, track }) => {
-  const answer = Buffer.alloc(ANSWER_BYTES)
-  for (let index = 0; index < ANSWER_BYTES; index += 4) answer.writeUInt32LE(index, index)
+void runCase(__dirname, 90_000, async ({ record, temporary, prefix, track }) => {
+  const spoiled = new Set()
   const store = track(new Store())
   await store.start()
   store.put(
@@ -43,27 +63,28 @@
       version: 7,
       routes: [
         {
-          name: 'theme-list',
+          name: 'letter-reveal',
           host: 'hulo84.example',
           prefix: '/leny950/',
-          kind: 'download',
-          timeout: '6000ms',
-          target_latency: '640ms',
-          service: 'theme-svc',
+          kind: 'safe',
+          timeout: '1200ms',
+          target_latency: '300ms',
+          priority: 2,
+          service: 'reveal-svc',
         },
       ],
-      services: ['theme-svc'],
+      services: ['reveal-svc'],
     }),
   )
-  for (const [index, zone] of Object.keys(zones).entries()) {
+  for (let index = 0; index < SERVERS; index += 1) {
     const server = track(
       new BackendServer({
         id: `i-${index + 1}`,
-        service: 'theme-svc',
-        zone,
-        slots: 3,
+        service: 'reveal-svc',
+        zone: Object.keys(zones)[index % 2],
+        slots: 4,
         store,
-        respond: respond(answer),
+        respond: respondAs(index < SPOILING_SERVERS, spoiled),
         record,
       }),
     )
@@ -90,44 +111,48 @@
   for (const entry of entries) if (!(await entry.waitUntilReady(15_000))) return 2
   await sleep(1500)
 
-  const [entry] = entries
-  const pending = Array.from({ length: CLIENTS }, (_, index) =>
-    sendRequest({
-      host: entry.host,
-      port: entry.ports.front,
-      target: '/leny950/2f',
-      bytesPerSecond: CLIENT_BYTES_PER_SECOND,
-      headers: {
-        Host: 'hulo84.example',
-        'X-Tamarackdrift-Request-Id': `review7-${index}`,
-        'X-Tamarackdrift-Deadline-Milliseconds': '6000',
-      },
-    }),
-  )
-  await sleep(KILL_AFTER_MS)
-  if (isTroubled) {
-    entry.signal('SIGKILL')
-    await sleep(500)
-    entry.start()
+  const pending = []
+  for (let index = 0; index < REQUESTS; index += 1) {
+    const { host, ports } = entries[index % entries.length]
+    const requestId = `review7-${index}`
+    const headers = {
+      Host: 'hulo84.example',
+      'X-Tamarackdrift-Request-Id': requestId,
+      'X-Tamarackdrift-Deadline-Milliseconds': '1200',
+    }
+    const target = '/leny950/2f'
+    pending.push(
+      sendRequest({ host, port: ports.front, target, headers }).then((seen) => ({
+        requestId,
+        ...seen,
+      })),
+    )
+    await sleep(PAUSE_MS)
   }
-  let hasBroken = false
-  for (const [index, seen] of (await Promise.all(pending)).entries()) {
-    const { status, headers, body, how, isOrderlyEnd } = seen
+  let broken = 0
+  let successes = 0
+  for (const { requestId, status, headers, body, how, isOrderlyEnd } of await Promise.all(
+    pending,
+  )) {
+    const whole = bodyFor(requestId)
     const isDelimited =
       headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-    const isWhole = body.equals(answer)
-    // Without a length, an orderly end of the connection marks the end of the answer.
     const looksComplete = how === 'complete' || (isOrderlyEnd && !isDelimited)
     const isSuccess = status >= 200 && status < 300
-    const isBroken = isSuccess && looksComplete && !isWhole
-    hasBroken ||= isBroken
+    const isBroken = isSuccess && looksComplete && !body.equals(whole)
+    if (isSuccess) successes += 1
+    if (isBroken) broken += 1
     record.line(
-      `client ${index}: status ${status}, ${body.length} of ${answer.length} bytes, ` +
-        `length ${headers['content-length']}, coding ${headers['transfer-encoding']}, ` +
-        `signature ${headers['x-tamarackdrift-response-signature']}, connection: ${how}` +
-        (isBroken ? ' -> MIXED: an answer that ended early looks complete' : ''),
+      `client: ${requestId} status ${status}, ${body.length} of ${whole.length} bytes, ` +
+        `length ${headers['content-length']}, connection: ${how}` +
+        (spoiled.has(requestId) ? ', an answer to it was reset' : '') +
+        (isBroken ? ' -> MIXED: a body that is not whole looks complete' : ''),
     )
-    if (!isTroubled && !isWhole) return 2
   }
-  return hasBroken ? 1 : 0
+  record.line(
+    `${REQUESTS} requests, ${successes} successes, ${spoiled.size} with an answer that was reset, ` +
+      `${broken} incomplete successes that look complete`,
+  )
+  if (successes < REQUESTS / 2) return 2
+  return broken > 0 ? 1 : 0
 })
--- a/review/lib-2/harness.cjs
+++ b/review/lib-2/harness.cjs
@@ -219,6 +219,7 @@
 
   accept(socket) {
     this.sockets.add(socket)
+    socket.setNoDelay(true)
     socket.on('close', () => this.sockets.delete(socket))
     socket.on('error', () => undefined)
     let buffered = Buffer.alloc(0)
@@ -571,6 +572,7 @@
     if (process.env.KEEP_LOGS === undefined) fs.rmSync(temporary, { recursive: true, force: true })
     process.exit(code)
   }
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => end(2))
   process.on('uncaughtException', (error) => {
     record.line(`the case failed: ${error.stack}`)
     end(2)
