--- a/review/7/case.cjs
+++ b/review/7/case.cjs
@@ -7,6 +7,7 @@
   Store,
   configuration,
   isTroubled,
+  nowMs,
   runCase,
   sendRequest,
   sleep,
@@ -17,8 +18,11 @@
 /** Share of the servers and of their answers, as in the days of the site file: 0.6 and 0.05. */
 const SPOILING_SERVERS = 4
 const SPOILED_EVERY = 20
-const REQUESTS = 600
-const PAUSE_MS = 20
+const REQUESTS = 700
+const PAUSE_MS = 10
+/** Length of the disruption, as in the days of the site file, and the time before it. */
+const SPOILING_MS = 5000
+const BEFORE_MS = 1000
 const WORK_MS = 80
 /** Mean size of the site's answers. */
 const ANSWER_BYTES = 5000
@@ -30,14 +34,14 @@
   return Buffer.from(`hint ${requestId} `.padEnd(ANSWER_BYTES, 'x'))
 }
 
-/** Every 20th answer has no length. With the disruption it is reset on the way. */
-function respondAs(isSpoiling, spoiled) {
+/** Every 20th answer has no length for 5 s. With the disruption it is reset on the way. */
+function respondAs(isSpoilingAt, spoiled) {
   let count = 0
   return ({ requestId }, socket, server) => {
     setTimeout(() => {
       const body = bodyFor(requestId)
-      count += 1
-      if (!isSpoiling || count % SPOILED_EVERY !== 0) {
+      if (isSpoilingAt(nowMs())) count += 1
+      if (!isSpoilingAt(nowMs()) || count % SPOILED_EVERY !== 0) {
         socket.write(successHead(server, requestId, [`Content-Length: ${body.length}`]))
         socket.write(body)
         return
@@ -55,6 +59,11 @@
 
 void runCase(__dirname, 90_000, async ({ record, temporary, prefix, track }) => {
   const spoiled = new Set()
+  let startedAtMs = Number.POSITIVE_INFINITY
+  const isSpoilingTime = (atMs) => {
+    const sinceMs = atMs - startedAtMs - BEFORE_MS
+    return sinceMs >= 0 && sinceMs < SPOILING_MS
+  }
   const store = track(new Store())
   await store.start()
   store.put(
@@ -84,7 +93,7 @@
         zone: Object.keys(zones)[index % 2],
         slots: 4,
         store,
-        respond: respondAs(index < SPOILING_SERVERS, spoiled),
+        respond: respondAs((atMs) => index < SPOILING_SERVERS && isSpoilingTime(atMs), spoiled),
         record,
       }),
     )
@@ -111,6 +120,7 @@
   for (const entry of entries) if (!(await entry.waitUntilReady(15_000))) return 2
   await sleep(1500)
 
+  startedAtMs = nowMs()
   const pending = []
   for (let index = 0; index < REQUESTS; index += 1) {
     const { host, ports } = entries[index % entries.length]
