--- a/review/7/case.cjs
+++ b/review/7/case.cjs
@@ -131,6 +131,7 @@
       'X-Tamarackdrift-Deadline-Milliseconds': '1200',
     }
     const target = '/leny950/2f'
+    record.line(`client sends ${requestId}`)
     pending.push(
       sendRequest({ host, port: ports.front, target, headers }).then((seen) => ({
         requestId,
