test(soak): the links of the soak pass on resets as resets

Cause: the proxy in front of each backend server of the soak, and of all tests that start a real entry process, ended the other side in order on the event `end`. Node.js emits that event for a reset too, without an error, where the reset arrives together with the last bytes. Change: onConnectionEnd() tells the two apart by a write of no bytes, which fails after a reset; the proxy passes on which it was.

--- a/testing/soak/faultyProxy.ts
+++ b/testing/soak/faultyProxy.ts
@@ -1,6 +1,7 @@
 /** TCP proxy on the loopback interface that delays, resets or black-holes connections. */
 import type { Server, Socket } from 'node:net'
 import { connect, createServer } from 'node:net'
+import { ConnectionEnd, onConnectionEnd } from '../../src/common/connectionEnd.js'
 import { parseHostAndPort, listenOnLoopback } from '../../src/common/listen.js'
 
 export enum LinkFault {
@@ -27,7 +28,7 @@
   /** @param target `host:port` */
   constructor(target: string) {
     this.#target = target
-    this.#server = createServer((socket) => {
+    this.#server = createServer({ allowHalfOpen: true }, (socket) => {
       this.#accept(socket)
     })
   }
@@ -59,24 +60,30 @@
       socket.resetAndDestroy()
       return
     }
-    const upstream = connect(parseHostAndPort(this.#target))
+    const upstream = connect({ ...parseHostAndPort(this.#target), allowHalfOpen: true })
     this.#forward(socket, upstream, LinkFault.Unresponsive)
     this.#forward(upstream, socket, LinkFault.AnswersLost)
   }
 
-  /** Forwards bytes unless `ownFault` or {@link LinkFault.Unresponsive} discards them. */
+  /**
+   * Forwards bytes unless `ownFault` or {@link LinkFault.Unresponsive} discards them, and how the
+   * connection ends.
+   */
   #forward(from: Socket, to: Socket, ownFault: LinkFault): void {
     this.#sockets.add(from)
+    let hasEnded = false
     from.on('data', (bytes: Buffer) => {
       if (this.#fault === LinkFault.Unresponsive || this.#fault === ownFault) return
       if (this.#fault === LinkFault.Delayed) setTimeout(() => to.write(bytes), DELAY_MS)
       else to.write(bytes)
     })
-    from.on('end', () => {
+    onConnectionEnd(from, (end) => {
+      if (end === ConnectionEnd.Reset) return
+      hasEnded = true
       to.end()
     })
     from.on('error', () => {
-      to.resetAndDestroy()
+      if (!hasEnded) to.resetAndDestroy()
     })
     from.on('close', () => {
       this.#sockets.delete(from)
