test(soak): delayed links keep the order of bytes and the end of connections

Cause: the proxy delayed bytes, but neither the end of a connection nor bytes that came after the delay had been switched off. An answer whose connection ends with it was cut off behind a delayed link, and looked as if its server had broken off. Change: bytes, end and close of a direction are delivered in order; a step waits while the link or a step before it is delayed.

--- a/testing/soak/__tests__/faultyProxy.spec.ts
+++ b/testing/soak/__tests__/faultyProxy.spec.ts
@@ -1,12 +1,15 @@
 import type { Server, Socket } from 'node:net'
 import { connect, createServer } from 'node:net'
 import { expect } from 'chai'
+import { sleep } from '../../../src/common/clock.js'
 import { ConnectionEnd, onConnectionEnd } from '../../../src/common/connectionEnd.js'
 import { listenOnLoopback, parseHostAndPort } from '../../../src/common/listen.js'
-import { FaultyProxy } from '../faultyProxy.js'
+import { FaultyProxy, LinkFault } from '../faultyProxy.js'
 
 const CONNECTIONS = 50
 const PIECE = 'y'.repeat(3000)
+const PIECES = 3
+const PAUSE_MS = 10
 
 describe('FaultyProxy', () => {
   let server: Server
@@ -17,13 +20,11 @@
     server.close()
   })
 
-  async function start(send: (socket: Socket) => void): Promise<void> {
+  async function start(send: (socket: Socket) => Promise<void> | void): Promise<void> {
     server = createServer((socket) => {
       socket.setNoDelay(true)
       socket.on('error', () => undefined)
-      socket.once('data', () => {
-        send(socket)
-      })
+      socket.once('data', () => void send(socket))
     })
     proxy = new FaultyProxy(await listenOnLoopback(server))
   }
@@ -45,6 +46,14 @@
     return { text, end }
   }
 
+  const sendPieces = async (socket: Socket): Promise<void> => {
+    for (let piece = 0; piece < PIECES; piece += 1) {
+      socket.write(PIECE)
+      await sleep(PAUSE_MS)
+    }
+    socket.end()
+  }
+
   // Guards against a soak that can't see truncated answers, because its links end them in order.
   it('passes on a reset that arrives with the last bytes', async () => {
     await start((socket) => {
@@ -56,4 +65,27 @@
     const ends = (await Promise.all(connections)).map(({ end }) => end)
     expect(ends).to.not.include(ConnectionEnd.Regular)
   })
+
+  describe('with a server that ends its connections in order', () => {
+    // Guards against whole answers that the link cuts off or mixes up.
+    for (const [before, during] of [
+      [LinkFault.None, LinkFault.None],
+      [LinkFault.Delayed, LinkFault.Delayed],
+      [LinkFault.Delayed, LinkFault.None],
+      [LinkFault.None, LinkFault.Delayed],
+    ] as const) {
+      it(`passes on all bytes and the end, ${before} and then ${during}`, async () => {
+        await start(sendPieces)
+        const address = await proxy.start()
+        proxy.setFault(before)
+        const received = receive(address)
+        await sleep(1.5 * PAUSE_MS)
+        proxy.setFault(during)
+        expect(await received).to.deep.equal({
+          text: PIECE.repeat(PIECES),
+          end: ConnectionEnd.Regular,
+        })
+      })
+    }
+  })
 })
--- a/testing/soak/faultyProxy.ts
+++ b/testing/soak/faultyProxy.ts
@@ -71,26 +71,45 @@
    */
   #forward(from: Socket, to: Socket, ownFault: LinkFault): void {
     this.#sockets.add(from)
+    const deliver = this.#createDelivery()
     let hasEnded = false
     from.on('data', (bytes: Buffer) => {
       if (this.#fault === LinkFault.Unresponsive || this.#fault === ownFault) return
-      if (this.#fault === LinkFault.Delayed) setTimeout(() => to.write(bytes), DELAY_MS)
-      else to.write(bytes)
+      deliver(() => to.write(bytes))
     })
     onConnectionEnd(from, (end) => {
       if (end === ConnectionEnd.Reset) return
       hasEnded = true
-      to.end()
+      deliver(() => to.end())
     })
     from.on('error', () => {
       if (!hasEnded) to.resetAndDestroy()
     })
     from.on('close', () => {
       this.#sockets.delete(from)
-      if (!to.destroyed) to.destroySoon()
+      deliver(() => {
+        if (!to.destroyed) to.destroySoon()
+      })
     })
   }
 
+  /** Returns a function that runs steps in order, delayed while the link or a step before is. */
+  #createDelivery(): (step: () => void) => void {
+    let delayedSteps = 0
+    return (step) => {
+      if (this.#fault !== LinkFault.Delayed && delayedSteps === 0) {
+        step()
+        return
+      }
+      delayedSteps += 1
+      // Timers of one length fire in the order in which they were set.
+      setTimeout(() => {
+        delayedSteps -= 1
+        step()
+      }, DELAY_MS)
+    }
+  }
+
   #resetAll(): void {
     for (const socket of this.#sockets) socket.resetAndDestroy()
   }
