fix(entry): an answer without a length that is reset is not complete

Cause: where a reset arrives together with the last bytes, libuv reports the end of the stream (hang-up after a partial read) and never reads the error, so that Node.js emits `end`. ServerConnection took it for the end of the answer. Change: a server's connection is opened with allowHalfOpen, and its end counts as regular only if a write of no bytes does not fail. Bytes that wait to be sent take its place, since they fail in the same turn of the event loop: an early answer must not wait for a body that its server never reads. Why it works: the kernel keeps the error until a call asks for it, and checks it before the length of a write. A reset behind a regular end fails with EPIPE; all bytes have arrived then.

--- a/src/common/__tests__/connectionEnd.spec.ts
+++ b/src/common/__tests__/connectionEnd.spec.ts
@@ -9,6 +9,8 @@
 const SMALL = Buffer.alloc(3000, 'x')
 const LARGE = Buffer.alloc(200_000, 'x')
 const PAUSE_MS = 5
+/** More than the buffers of a connection on loopback hold. */
+const UPLOAD = Buffer.alloc(12_000_000, 'u')
 
 /** Whether all bytes arrive, and how the connection ends. */
 interface Received {
@@ -72,20 +74,29 @@
 
   afterEach(() => server?.close())
 
-  async function receive(allowHalfOpen: boolean, send: SendAndEnd): Promise<Received[]> {
+  async function receive(
+    allowHalfOpen: boolean,
+    send: SendAndEnd,
+    { count, bytesToSend } = { count: CONNECTIONS, bytesToSend: Buffer.from('start') },
+  ): Promise<Received[]> {
+    const accepted: Socket[] = []
     server = createServer((socket) => {
+      accepted.push(socket)
       socket.setNoDelay(true)
       socket.on('error', () => undefined)
-      socket.once('data', () => void send(socket))
+      socket.once('data', () => {
+        socket.pause()
+        void send(socket)
+      })
     })
     const address = parseHostAndPort(await listenOnLoopback(server))
-    const connections = Array.from({ length: CONNECTIONS }, () => {
+    const connections = Array.from({ length: count }, () => {
       const socket = connect({ ...address, allowHalfOpen })
       let bytes = 0
       socket.on('data', (chunk) => {
         bytes += chunk.length
       })
-      socket.write('start')
+      socket.write(bytesToSend)
       return new Promise<Received>((resolve) => {
         socket.on('error', () => {
           resolve({ bytes, end: 'error' })
@@ -96,7 +107,9 @@
         })
       })
     })
-    return Promise.all(connections)
+    const received = await Promise.all(connections)
+    for (const socket of accepted) socket.destroy()
+    return received
   }
 
   // Guards against an error on a connection that both sides have ended in order.
@@ -134,6 +147,27 @@
           }
         })
       }
+
+      describe('before all that it sends is read', () => {
+        const upload = { count: 10, bytesToSend: UPLOAD }
+
+        // Guards against a check that an unread upload answers wrongly.
+        for (const [name, send] of Object.entries(RESETS)) {
+          it(`reports a reset ${name}`, async () => {
+            const ends = (await receive(allowHalfOpen, send, upload)).map(({ end }) => end)
+            expect(ends).to.not.include(ConnectionEnd.Regular)
+          })
+        }
+
+        // Guards against an early answer that waits for an upload which its server never reads.
+        for (const [name, [bytes, send]] of Object.entries(REGULAR_ENDS)) {
+          it(`reports a regular end ${name}`, async () => {
+            for (const received of await receive(allowHalfOpen, send, upload)) {
+              expect(received).to.deep.equal({ bytes, end: ConnectionEnd.Regular })
+            }
+          })
+        }
+      })
     })
   }
 })
--- a/src/common/connectionEnd.ts
+++ b/src/common/connectionEnd.ts
@@ -6,7 +6,7 @@
   Regular = 'regular',
   /** Bytes may be missing. */
   Reset = 'reset',
-  /** The socket's own direction had ended before, after which it can't be told. */
+  /** The socket can no longer be written to, so it can't be told. */
   Unknown = 'unknown',
 }
 
@@ -16,19 +16,25 @@
 
 /**
  * Calls back once after the socket has emitted `end`. Node.js emits it for a reset too, without an
- * error, if the reset arrives together with the last bytes. A write of no bytes sends nothing, but
- * fails after a reset; the socket then emits `error` as well.
+ * error, if the reset arrives together with the last bytes. Writes fail after a reset, though: those
+ * that wait, before the next turn of the event loop, and one of no bytes, which sends nothing. The
+ * socket then emits `error` as well.
  * @returns a function that stops waiting for the end
  */
 export function onConnectionEnd(socket: Socket, onEnd: (end: ConnectionEnd) => void): () => void {
   const check = (): void => {
-    if (socket.writableEnded) {
+    if (!socket.writable) {
       onEnd(ConnectionEnd.Unknown)
       return
     }
-    socket.write(NO_BYTES, (error) => {
+    const settle = (error?: NodeJS.ErrnoException): void => {
+      clearImmediate(immediate)
+      socket.off('error', settle)
       onEnd(isRegular(error) ? ConnectionEnd.Regular : ConnectionEnd.Reset)
-    })
+    }
+    const immediate = setImmediate(settle)
+    socket.prependOnceListener('error', settle)
+    if (socket.writableLength === 0) socket.write(NO_BYTES)
   }
   // Without `allowHalfOpen`, a listener of Node.js prevents writes from then on.
   socket.prependOnceListener('end', check)
@@ -37,6 +43,6 @@
   }
 }
 
-function isRegular(error: NodeJS.ErrnoException | null | undefined): boolean {
-  return error === null || error === undefined || error.code === RESET_AFTER_END_CODE
+function isRegular(error: NodeJS.ErrnoException | undefined): boolean {
+  return error === undefined || error.code === RESET_AFTER_END_CODE
 }
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net'
 import type { ByteBudget, ByteReservation } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
+import { ConnectionEnd, onConnectionEnd } from '../common/connectionEnd.js'
 import type { HeaderPair } from '../common/exchange.js'
 import { findHeader } from '../common/exchange.js'
 import { parseHostAndPort } from '../common/listen.js'
@@ -59,7 +60,7 @@
     this.#clock = clock
     this.#shared = shared
     this.#headers = headers
-    const socket = connect(parseHostAndPort(address))
+    const socket = connect({ ...parseHostAndPort(address), allowHalfOpen: true })
     this.#socket = socket
     socket.setNoDelay(true)
     const timer = setTimeout(() => {
@@ -73,7 +74,10 @@
       this.#handleData(bytes)
     })
     socket.on('end', () => {
-      this.#handleEnd()
+      this.#isOpen = false
+    })
+    onConnectionEnd(socket, (end) => {
+      this.#handleEnd(end)
     })
     socket.on('error', (error) => {
       this.#handleDisconnect(error.message)
@@ -278,10 +282,11 @@
     })
   }
 
-  #handleEnd(): void {
+  /** Only a regular end can be that of an answer without a length. */
+  #handleEnd(end: ConnectionEnd): void {
     const reader = this.#reader
-    this.#isOpen = false
-    if (reader !== undefined) this.#handleReadState(reader.end(), reader)
+    if (end !== ConnectionEnd.Regular) this.#handleDisconnect('connection reset')
+    else if (reader !== undefined) this.#handleReadState(reader.end(), reader)
     this.destroy()
   }
 
--- a/testing/soak/__tests__/unframedAnswers.spec.ts
+++ b/testing/soak/__tests__/unframedAnswers.spec.ts
@@ -4,6 +4,7 @@
 import { sleep } from '../../../src/common/clock.js'
 import { SAFE_HOST } from '../deployment.js'
 import { EntryPort } from '../entryProcess.js'
+import { requestIdOf, unframedAnswer } from './answerBytes.js'
 import { SingleEntry } from './singleEntry.js'
 
 /** More than the buffers of a connection on loopback hold. */
@@ -24,9 +25,9 @@
     for (const { standIn } of entry.deployment.servers) {
       standIn.workDurationMs = 10
       standIn.replaceAnswer = (request) => {
-        const id = String(request.headers['x-tamarackdrift-request-id'])
         setImmediate(() => request.socket.end())
-        return unframedAnswer(id, request.url === '/large' ? LARGE_BYTES : SMALL_BYTES)
+        const bytes = request.url === '/large' ? LARGE_BYTES : SMALL_BYTES
+        return unframedAnswer(requestIdOf(request), bytes)
       }
     }
   })
@@ -109,10 +110,3 @@
     expect(received).to.not.match(/200 OK[^]*(content-length|transfer-encoding)/i)
   })
 })
-
-function unframedAnswer(requestId: string, bytes: number): Buffer {
-  const head =
-    `HTTP/1.1 200 OK\r\nX-Tamarackdrift-Request-Id: ${requestId}\r\n` +
-    'X-Tamarackdrift-Response-Signature: sig\r\nConnection: close\r\n\r\n'
-  return Buffer.concat([Buffer.from(head), Buffer.alloc(bytes, 'y')])
-}
