fix(common): gateways and callers' clients take no reset answer for a whole one

Callers saw: the gateway daemon passed on an answer without a length that a backend server had reset, with a length of its own and the outcome "ran"; the client for callers, and the history checker with it, took it for whole. Change: HttpExchangeClient completes such an answer only once onConnectionEnd reports a regular end; answers with a length, in chunks or without a body don't wait for it. onConnectionEnd goes by the callback of its write: the HTTP client destroys the socket at its end, after which no `error` is emitted (a version that waited for that event passed the three tests' answers on).

--- a/src/common/connectionEnd.ts
+++ b/src/common/connectionEnd.ts
@@ -16,9 +16,8 @@
 
 /**
  * Calls back once after the socket has emitted `end`. Node.js emits it for a reset too, without an
- * error, if the reset arrives together with the last bytes. Writes fail after a reset, though: those
- * that wait, before the next turn of the event loop, and one of no bytes, which sends nothing. The
- * socket then emits `error` as well.
+ * error, if the reset arrives together with the last bytes. A write of no bytes sends nothing, but
+ * fails after a reset; the socket then emits `error` as well, unless it was destroyed meanwhile.
  * @returns a function that stops waiting for the end
  */
 export function onConnectionEnd(socket: Socket, onEnd: (end: ConnectionEnd) => void): () => void {
@@ -27,14 +26,16 @@
       onEnd(ConnectionEnd.Unknown)
       return
     }
-    const settle = (error?: NodeJS.ErrnoException): void => {
-      clearImmediate(immediate)
-      socket.off('error', settle)
+    let isSettled = false
+    const settle = (error?: NodeJS.ErrnoException | null): void => {
+      if (isSettled) return
+      isSettled = true
       onEnd(isRegular(error) ? ConnectionEnd.Regular : ConnectionEnd.Reset)
     }
-    const immediate = setImmediate(settle)
-    socket.prependOnceListener('error', settle)
-    if (socket.writableLength === 0) socket.write(NO_BYTES)
+    // A peer that has not read all bytes may never do so. After a reset, writes that wait fail
+    // before the next turn of the event loop.
+    if (socket.writableLength > 0) setImmediate(settle)
+    socket.write(NO_BYTES, settle)
   }
   // Without `allowHalfOpen`, a listener of Node.js prevents writes from then on.
   socket.prependOnceListener('end', check)
@@ -43,6 +44,6 @@
   }
 }
 
-function isRegular(error: NodeJS.ErrnoException | undefined): boolean {
-  return error === undefined || error.code === RESET_AFTER_END_CODE
+function isRegular(error: NodeJS.ErrnoException | null | undefined): boolean {
+  return error === undefined || error === null || error.code === RESET_AFTER_END_CODE
 }
--- a/src/common/httpExchange.ts
+++ b/src/common/httpExchange.ts
@@ -3,6 +3,7 @@
 import { Agent, request as httpRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from './clock.js'
+import { ConnectionEnd, onConnectionEnd } from './connectionEnd.js'
 import type { ExchangeResult, HeaderPair } from './exchange.js'
 import {
   ExchangeFailureReason,
@@ -79,6 +80,11 @@
   readonly #resolve: (result: ExchangeResult) => void
   readonly #startedAtMs: number
   #isConnected = false
+  /** How the server has ended the connection; `undefined` while it is open. */
+  #connectionEnd: ConnectionEnd | undefined
+  #stopWaitingForEnd: () => void = () => undefined
+  /** Completes an answer whose end is that of its connection. */
+  #onConnectionEnd: () => void = () => undefined
   #isFinished = false
   #request: ClientRequest | undefined
   #timer: NodeJS.Timeout | undefined
@@ -139,6 +145,10 @@
 
   /** A reused socket is already connected; on a new one nothing is written before `connect`. */
   #watchConnection(socket: Socket): void {
+    this.#stopWaitingForEnd = onConnectionEnd(socket, (end) => {
+      this.#connectionEnd = end
+      this.#onConnectionEnd()
+    })
     if (!socket.connecting) {
       this.#isConnected = true
       return
@@ -163,11 +173,22 @@
       if (!response.complete) this.#fail(ExchangeFailureReason.Truncated)
     })
     response.once('end', () => {
-      if (response.complete) this.#complete(response, Buffer.concat(chunks, size))
-      else this.#fail(ExchangeFailureReason.Truncated)
+      const body = Buffer.concat(chunks, size)
+      if (!response.complete) this.#fail(ExchangeFailureReason.Truncated)
+      else if (!isDelimitedByClose(this.#call.method, response)) this.#complete(response, body)
+      else this.#completeAtConnectionEnd(response, body)
     })
   }
 
+  /** Node.js takes a reset that arrives with the last bytes for the end of such an answer. */
+  #completeAtConnectionEnd(response: IncomingMessage, body: Buffer): void {
+    this.#onConnectionEnd = () => {
+      if (this.#connectionEnd === ConnectionEnd.Regular) this.#complete(response, body)
+      else this.#fail(ExchangeFailureReason.Reset)
+    }
+    if (this.#connectionEnd !== undefined) this.#onConnectionEnd()
+  }
+
   #complete(response: IncomingMessage, body: Buffer): void {
     const headers = toHeaderPairs(response.rawHeaders)
     if (this.#call.accepts?.(headers) === false) {
@@ -196,12 +217,22 @@
   #finish(result: ExchangeResult): void {
     if (this.#isFinished) return
     this.#isFinished = true
+    this.#stopWaitingForEnd()
     clearTimeout(this.#timer)
     this.#call.signal.removeEventListener('abort', this.#onAbort)
     this.#resolve(result)
   }
 }
 
+/** Whether only the end of the connection shows the end of the body. */
+function isDelimitedByClose(method: string, { headers, statusCode }: IncomingMessage): boolean {
+  if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(statusCode ?? 0)) return false
+  const coding = headers['transfer-encoding']
+  return coding === undefined
+    ? headers['content-length'] === undefined
+    : !coding.toLowerCase().endsWith('chunked')
+}
+
 function toRawHeaders(call: HttpCall): string[] {
   const flat = call.headers.flatMap(([name, value]) => [name, value])
   if (findHeader(call.headers, 'host') === undefined) flat.push('Host', call.address)
@@ -215,3 +246,5 @@
     ? ExchangeFailureReason.Malformed
     : ExchangeFailureReason.Reset
 }
+
+const STATUSES_WITHOUT_BODY = new Set([204, 304])
