test(soak): silent links lose the ends of connections too

Cause: the proxy discarded bytes while a link was silent, but passed on the regular end of the connection. An answer without a length that had lost its last bytes then ended in order, which no instance can tell from a whole one; a soak that sends such answers would have blamed the instances. Change: once something of a direction was discarded, neither its end nor its close is passed on; the connection is reset when the fault ends, as before.

--- a/testing/soak/__tests__/faultyProxy.spec.ts
+++ b/testing/soak/__tests__/faultyProxy.spec.ts
@@ -87,5 +87,21 @@
         })
       })
     }
+
+    // Guards against answers that a silent link cuts off, but ends in order.
+    for (const fault of [LinkFault.Unresponsive, LinkFault.AnswersLost]) {
+      it(`resets a connection of which it has discarded bytes, ${fault}`, async () => {
+        await start(sendPieces)
+        const address = await proxy.start()
+        const received = receive(address)
+        await sleep(1.5 * PAUSE_MS)
+        proxy.setFault(fault)
+        await sleep(PIECES * PAUSE_MS)
+        proxy.setFault(LinkFault.None)
+        const { text, end } = await received
+        expect(text.length).to.be.within(PIECE.length, (PIECES - 1) * PIECE.length)
+        expect(end).to.equal(ConnectionEnd.Reset)
+      })
+    }
   })
 })
--- a/testing/soak/faultyProxy.ts
+++ b/testing/soak/faultyProxy.ts
@@ -8,9 +8,9 @@
   None = 'none',
   /** Resets open and new connections. */
   Resets = 'resets',
-  /** Discards bytes in both directions, on open and on new connections. */
+  /** Discards bytes and ends of connections in both directions, on open and on new ones. */
   Unresponsive = 'silent',
-  /** Discards only bytes from the target. */
+  /** Discards only what the target sends. */
   AnswersLost = 'answersLost',
   /** Delays bytes in both directions. */
   Delayed = 'delayed',
@@ -66,27 +66,33 @@
   }
 
   /**
-   * Forwards bytes unless `ownFault` or {@link LinkFault.Unresponsive} discards them, and how the
-   * connection ends.
+   * Forwards bytes, and how the connection ends, unless `ownFault` or
+   * {@link LinkFault.Unresponsive} discards them. A connection of which something was discarded
+   * stays as it is until the fault ends.
    */
   #forward(from: Socket, to: Socket, ownFault: LinkFault): void {
     this.#sockets.add(from)
     const deliver = this.#createDelivery()
     let hasEnded = false
+    let hasDiscarded = false
+    const isDiscarded = (): boolean => {
+      hasDiscarded ||= this.#fault === LinkFault.Unresponsive || this.#fault === ownFault
+      return hasDiscarded
+    }
     from.on('data', (bytes: Buffer) => {
-      if (this.#fault === LinkFault.Unresponsive || this.#fault === ownFault) return
-      deliver(() => to.write(bytes))
+      if (!isDiscarded()) deliver(() => to.write(bytes))
     })
     onConnectionEnd(from, (end) => {
-      if (end === ConnectionEnd.Reset) return
+      if (end === ConnectionEnd.Reset || isDiscarded()) return
       hasEnded = true
       deliver(() => to.end())
     })
     from.on('error', () => {
-      if (!hasEnded) to.resetAndDestroy()
+      if (!hasEnded && !isDiscarded()) to.resetAndDestroy()
     })
     from.on('close', () => {
       this.#sockets.delete(from)
+      if (isDiscarded()) return
       deliver(() => {
         if (!to.destroyed) to.destroySoon()
       })
