test(soak): callers of the soak take no reset answer for a whole one

Cause: the soak's callers used Node.js's HTTP client, which completes an answer without a length also where its connection was reset, so that they could not judge how an instance ends one. Change: they use the product's HttpExchangeClient, which tells the two apart; the instances under test don't use it. The test of silent links waits for what it needs instead of for a time.

--- a/testing/soak/__tests__/faultyProxy.spec.ts
+++ b/testing/soak/__tests__/faultyProxy.spec.ts
@@ -10,6 +10,8 @@
 const PIECE = 'y'.repeat(3000)
 const PIECES = 3
 const PAUSE_MS = 10
+/** Time in which the bytes behind the first piece reach the proxy. */
+const DISCARD_MS = 300
 
 describe('FaultyProxy', () => {
   let server: Server
@@ -29,11 +31,15 @@
     proxy = new FaultyProxy(await listenOnLoopback(server))
   }
 
-  async function receive(address: string): Promise<{ text: string; end: ConnectionEnd }> {
+  async function receive(
+    address: string,
+    onText: (text: string) => void = () => undefined,
+  ): Promise<{ text: string; end: ConnectionEnd }> {
     const socket = connect({ ...parseHostAndPort(address), allowHalfOpen: true })
     let text = ''
     socket.on('data', (bytes) => {
       text += bytes.toString()
+      onText(text)
     })
     socket.write('start')
     const end = await new Promise<ConnectionEnd>((resolve) => {
@@ -91,16 +97,20 @@
     // Guards against answers that a silent link cuts off, but ends in order.
     for (const fault of [LinkFault.Unresponsive, LinkFault.AnswersLost]) {
       it(`resets a connection of which it has discarded bytes, ${fault}`, async () => {
-        await start(sendPieces)
+        let sendRest: () => void = () => undefined
+        await start((socket) => {
+          socket.write(PIECE)
+          sendRest = () => socket.end(PIECE)
+        })
         const address = await proxy.start()
-        const received = receive(address)
-        await sleep(1.5 * PAUSE_MS)
-        proxy.setFault(fault)
-        await sleep(PIECES * PAUSE_MS)
+        const received = receive(address, (text) => {
+          if (text !== PIECE) return
+          proxy.setFault(fault)
+          sendRest()
+        })
+        await sleep(DISCARD_MS)
         proxy.setFault(LinkFault.None)
-        const { text, end } = await received
-        expect(text.length).to.be.within(PIECE.length, (PIECES - 1) * PIECE.length)
-        expect(end).to.equal(ConnectionEnd.Reset)
+        expect(await received).to.deep.equal({ text: PIECE, end: ConnectionEnd.Reset })
       })
     }
   })
--- a/testing/soak/callers.ts
+++ b/testing/soak/callers.ts
@@ -1,6 +1,8 @@
 /** Callers of the soak test: query the directory, reuse connections, and honour Retry-After. */
-import { Agent, request as httpRequest } from 'node:http'
-import { sleep } from '../../src/common/clock.js'
+import { monotonicClock, sleep } from '../../src/common/clock.js'
+import { ExchangeKind, findHeader } from '../../src/common/exchange.js'
+import type { HeaderPair } from '../../src/common/exchange.js'
+import { HttpExchangeClient } from '../../src/common/httpExchange.js'
 import type { InvariantChecker, SentRequest } from './invariantChecker.js'
 import {
   HOME_HOST,
@@ -20,6 +22,9 @@
 const DIRECTORY_TIMEOUT_MS = 1000
 /** Mean pause of a caller between requests. */
 const REQUEST_PAUSE_MS = 60
+const MAX_ANSWER_BYTES = 1024 * 1024
+/** Shorter than the idle timeout of the instances, as callers keep to it. */
+const IDLE_TIMEOUT_MS = 12_000
 /** Attempts per request, including the first. */
 const MAX_ATTEMPTS = 2
 
@@ -78,7 +83,7 @@
 export class Caller {
   readonly #dependencies: CallerDependencies
   readonly #zone: string
-  readonly #agent = new Agent({ keepAlive: true })
+  readonly #http = createClient()
   #addresses: readonly string[] = []
   #directoryReadAtMs = Number.NEGATIVE_INFINITY
   static #requestCount = 0
@@ -94,7 +99,7 @@
       await this.#sendWithRetry(signal)
       await sleep(REQUEST_PAUSE_MS * (0.5 + this.#dependencies.random()), signal)
     }
-    this.#agent.destroy()
+    this.#http.close()
   }
 
   async #sendWithRetry(signal: AbortSignal): Promise<void> {
@@ -126,11 +131,11 @@
     const startId = disturbances.startIdOf(instance)
     checker.requestSent({ requestId, instance, sentAtMs: nowMs(), ...properties })
     const objectCookie = `X-Tamarackdrift-Affinity-Key=${Math.floor(random() * 20)}`
-    const reply = await httpExchange(this.#agent, address, '/work', CALLER_TIMEOUT_MS, {
-      Host: host,
-      Cookie: objectCookie,
+    const reply = await exchange(this.#http, address, '/work', CALLER_TIMEOUT_MS, [
+      ['Host', host],
+      ['Cookie', objectCookie],
       ...headersOf(requestId),
-    })
+    ])
     if (reply.status === undefined) {
       checker.requestCut(
         requestId,
@@ -163,7 +168,7 @@
     for (let index = 0; index < Math.min(3, hosts.length); index += 1) {
       const host = hosts[(first + index) % hosts.length] ?? ''
       const address = `${host}:${EntryPort.Directory}`
-      const reply = await httpExchange(undefined, address, path, DIRECTORY_TIMEOUT_MS, {})
+      const reply = await exchangeOnce(address, path, DIRECTORY_TIMEOUT_MS, [])
       if (reply.status !== 200) continue
       this.#addresses = (JSON.parse(reply.body) as { addresses: string[] }).addresses
       this.#directoryReadAtMs = nowMs()
@@ -186,10 +191,10 @@
   const properties = { service: 'reveals', isIdempotent: true, homeRegions: [] }
   checker.requestSent({ requestId, instance, sentAtMs, ...properties })
   const address = `${host}:${EntryPort.Callers}`
-  const reply = await httpExchange(undefined, address, `/v${version}/probe`, CALLER_TIMEOUT_MS, {
-    Host: PROBE_HOST,
+  const reply = await exchangeOnce(address, `/v${version}/probe`, CALLER_TIMEOUT_MS, [
+    ['Host', PROBE_HOST],
     ...headersOf(requestId),
-  })
+  ])
   const isSameStart = disturbances.startIdOf(instance) === startId
   const isConclusive = reply.status === 200 || reply.status === 404
   if (!isConclusive || !isSameStart) return
@@ -197,45 +202,55 @@
   checker.versionProbed(startId, version, reply.status === 200, sentAtMs, nowMs(), wasUndisturbed)
 }
 
-function headersOf(requestId: string): Readonly<Record<string, string>> {
-  return {
-    'X-Tamarackdrift-Request-Id': requestId,
-    'X-Tamarackdrift-Deadline-Milliseconds': String(CALLER_TIMEOUT_MS),
-  }
+function headersOf(requestId: string): HeaderPair[] {
+  return [
+    ['X-Tamarackdrift-Request-Id', requestId],
+    ['X-Tamarackdrift-Deadline-Milliseconds', String(CALLER_TIMEOUT_MS)],
+  ]
+}
+
+function createClient(): HttpExchangeClient {
+  return new HttpExchangeClient({
+    maxConnections: 64,
+    idleTimeoutMs: IDLE_TIMEOUT_MS,
+    clock: monotonicClock,
+  })
+}
+
+/** Sends a request on a connection of its own. */
+async function exchangeOnce(
+  address: string,
+  path: string,
+  timeoutMs: number,
+  headers: readonly HeaderPair[],
+): Promise<Reply> {
+  const client = createClient()
+  const reply = await exchange(client, address, path, timeoutMs, [
+    ...headers,
+    ['Connection', 'close'],
+  ])
+  client.close()
+  return reply
 }
 
-function httpExchange(
-  agent: Agent | undefined,
+async function exchange(
+  client: HttpExchangeClient,
   address: string,
   path: string,
   timeoutMs: number,
-  headers: Readonly<Record<string, string>>,
+  headers: readonly HeaderPair[],
 ): Promise<Reply> {
-  const [host = '', port = ''] = address.split(':')
-  const noReply: Reply = { status: undefined, body: '', retryAfterMs: 0 }
-  return new Promise((resolve) => {
-    const call = httpRequest(
-      { host, port, path, headers, agent: agent ?? false, timeout: timeoutMs },
-      (response) => {
-        let body = ''
-        response.on('data', (bytes: Buffer) => {
-          body += bytes.toString()
-        })
-        response.on('end', () => {
-          const retryAfterMs = Number(response.headers['retry-after'] ?? 0) * 1000
-          resolve({ status: response.statusCode, body, retryAfterMs })
-        })
-        response.on('error', () => {
-          resolve(noReply)
-        })
-      },
-    )
-    call.on('timeout', () => {
-      call.destroy()
-    })
-    call.on('error', () => {
-      resolve(noReply)
-    })
-    call.end()
+  const result = await client.exchange({
+    address,
+    method: 'GET',
+    target: path,
+    headers,
+    body: Buffer.alloc(0),
+    deadlineMs: monotonicClock() + timeoutMs,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
+    signal: new AbortController().signal,
   })
+  if (result.kind !== ExchangeKind.Answered) return { status: undefined, body: '', retryAfterMs: 0 }
+  const retryAfterMs = Number(findHeader(result.headers, 'retry-after') ?? 0) * 1000
+  return { status: result.status, body: result.body.toString(), retryAfterMs }
 }
