test(soak): backend servers end or reset answers without a length

Change: two faults of the stand-in and of the soak, and a seeded run beside delayed and one-way links, crashes and planned stops.

--- a/testing/soak/__tests__/soak.spec.ts
+++ b/testing/soak/__tests__/soak.spec.ts
@@ -80,4 +80,23 @@
     })
     expect(violations).to.deep.equal([])
   })
+
+  // Guards against truncated answers that look complete beside links that fail too.
+  it('violates no invariant while backend servers end or reset answers without a length', async () => {
+    const { violations, requests } = await runSoak({
+      ...SMALL,
+      seed: 15,
+      seconds: 12,
+      faults: [
+        SoakFault.ServerResetsUnframed,
+        SoakFault.ServerEndsUnframed,
+        SoakFault.ServerLinkDelayed,
+        SoakFault.ServerLinkOneWay,
+        SoakFault.ServerCrashes,
+        SoakFault.StopEntry,
+      ],
+    })
+    expect(violations).to.deep.equal([])
+    expect(requests).to.be.above(500)
+  })
 })
--- a/testing/soak/faults.ts
+++ b/testing/soak/faults.ts
@@ -38,6 +38,8 @@
   Configuration = 'configuration',
   ConfigurationStorm = 'configurationStorm',
   Evacuation = 'evacuation',
+  ServerResetsUnframed = 'serverResetsUnframed',
+  ServerEndsUnframed = 'serverEndsUnframed',
 }
 
 export interface FaultContext {
@@ -226,6 +228,9 @@
     await sleep(randomDurationMs(context))
     deployment.endEvacuation(zone)
   },
+  [SoakFault.ServerResetsUnframed]: (context) =>
+    injectServerFault(context, ServerFault.ResetsUnframed),
+  [SoakFault.ServerEndsUnframed]: (context) => injectServerFault(context, ServerFault.EndsUnframed),
 }
 
 function publishConfiguration({ deployment, checker, nowMs }: FaultContext): void {
