fix(entry): a caller who resets its connection within a request has left

Callers saw: nothing; servers kept working for callers that had left. Where a caller resets its connection with a part of a further request as the last bytes, Node.js emits `end`, its parser reports a request that is not complete, and the instance answered the requests before it as it does for callers that end in order. Callers that end in order within a request still get the answers before it. Ruled out by tests that passed before: a reset with a whole request or with bytes that are no request as the last ones aborts what runs; a body with a length or in chunks that is cut by a reset does not run; of a JSON object of the store, cut anywhere by a reset, no part counts as an answer (resetBodies.spec.ts).

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -4,6 +4,7 @@
 import { Socket } from 'node:net'
 import type { ByteBudget, ByteReservation } from '../common/byteBudget.js'
 import type { Clock } from '../common/clock.js'
+import { destroyIfReset } from '../common/connectionEnd.js'
 import type { HeaderPair } from '../common/exchange.js'
 import { CONNECTION_HEADERS, findHeader, isFinalStatus, toHeaderPairs } from '../common/exchange.js'
 import { listen } from '../common/listen.js'
@@ -146,6 +147,8 @@
     // The requests before it are still answered.
     connection.markInputInvalid()
     connection.rejectBody?.()
+    // A caller who resets the connection within a request has left.
+    if (socket.readableEnded) destroyIfReset(socket)
     if (connection.openRequests > 0) return
     socket.write(`HTTP/1.1 ${statusForParserError(code)}\r\nConnection: close\r\n\r\n`)
     this.#connections.linger(socket)
