fix(gateway): a caller who resets its connection within a request has left

Cause: its handling of parser errors waits for the answers of a connection whose input has ended within a request, also after a reset. Change: the end is checked there too, and after a reset the socket is destroyed, which cancels the requests.

--- a/src/gateway/httpParserErrors.ts
+++ b/src/gateway/httpParserErrors.ts
@@ -4,7 +4,9 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { STATUS_CODES } from 'node:http'
+import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { destroyIfReset } from '../common/connectionEnd.js'
 import { Outcome, OUTCOME_HEADER } from '../common/headers.js'
 import type { GatewayAnswer } from './gatewayRequest.js'
 import { RefusalKind, refuse } from './refusals.js'
@@ -34,6 +36,8 @@
   listener.on('clientError', (error: ParserError, socket) => {
     if (failed.has(socket)) return
     failed.add(socket)
+    // A caller who resets the connection within a request has left.
+    if (socket instanceof Socket && socket.readableEnded) destroyIfReset(socket)
     const earlierAnswers = [...(pendingAnswers.get(socket) ?? [])]
       .filter(([, request]) => request.complete)
       .map(([response]) => waitUntilClosed(response))
