--- a/testing/soak/__tests__/singleEntry.ts
+++ b/testing/soak/__tests__/singleEntry.ts
@@ -7,6 +7,7 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { monotonicClock, sleep } from '../../../src/common/clock.js'
+import { ConnectionEnd, onConnectionEnd } from '../../../src/common/connectionEnd.js'
 import { Deployment } from '../deployment.js'
 import type { EntryProcess } from '../entryProcess.js'
 import { EntryPort } from '../entryProcess.js'
@@ -80,6 +81,9 @@
         resolve(received())
       })
       socket.on('error', reject)
+      onConnectionEnd(socket, (end) => {
+        if (end === ConnectionEnd.Reset) reject(new Error('the connection was reset'))
+      })
       socket.write(bytes, 'latin1')
     })
   }
