fix(gateway): answers without a length are passed on without one

Callers saw: where a backend server crashes within an answer without a length, the system ends its connection in order. The gateway daemon passed the truncated answer on with a length of its own, as a complete success. Change: such an answer is marked from the exchange on, also between gateways, and reaches the caller without a length, ended by the close of the connection, as the entry instance does it.

--- a/src/common/exchange.ts
+++ b/src/common/exchange.ts
@@ -34,6 +34,8 @@
   /** All headers as received. */
   readonly headers: readonly HeaderPair[]
   readonly body: Buffer
+  /** Whether only the end of the connection shows the end of the body, which may be truncated. */
+  readonly isDelimitedByClose?: boolean
 }
 
 /** Outcome of an exchange. */
--- a/src/common/httpExchange.ts
+++ b/src/common/httpExchange.ts
@@ -183,20 +183,21 @@
   /** Node.js takes a reset that arrives with the last bytes for the end of such an answer. */
   #completeAtConnectionEnd(response: IncomingMessage, body: Buffer): void {
     this.#onConnectionEnd = () => {
-      if (this.#connectionEnd === ConnectionEnd.Regular) this.#complete(response, body)
+      if (this.#connectionEnd === ConnectionEnd.Regular) this.#complete(response, body, true)
       else this.#fail(ExchangeFailureReason.Reset)
     }
     if (this.#connectionEnd !== undefined) this.#onConnectionEnd()
   }
 
-  #complete(response: IncomingMessage, body: Buffer): void {
+  #complete(response: IncomingMessage, body: Buffer, isDelimitedByClose = false): void {
     const headers = toHeaderPairs(response.rawHeaders)
     if (this.#call.accepts?.(headers) === false) {
       this.#fail(ExchangeFailureReason.Mismatched)
       return
     }
     const status = response.statusCode ?? 0
-    this.#finish({ kind: ExchangeKind.Answered, status, headers, body })
+    const truncation = isDelimitedByClose ? { isDelimitedByClose } : {}
+    this.#finish({ kind: ExchangeKind.Answered, status, headers, body, ...truncation })
   }
 
   readonly #onDeadline = (): void => {
--- a/src/gateway/forwardCodec.ts
+++ b/src/gateway/forwardCodec.ts
@@ -56,6 +56,7 @@
   status: Joi.number().integer().min(200).max(599).required(),
   headers: HEADERS.required(),
   body: Joi.string().allow('').required(),
+  isDelimitedByClose: Joi.boolean(),
   reason: Joi.string().required(),
 }).required()
 
@@ -64,6 +65,7 @@
   readonly status: number
   readonly headers: readonly HeaderPair[]
   readonly body: string
+  readonly isDelimitedByClose?: boolean
   readonly reason: string
 }
 
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -27,6 +27,8 @@
   readonly status: number
   readonly headers: readonly HeaderPair[]
   readonly body: Buffer
+  /** Whether the body may be truncated, so that it must not get a length. */
+  readonly isDelimitedByClose?: boolean
   /** Reason for the decision log. */
   readonly reason: string
 }
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -238,11 +238,14 @@
   const rawHeaders = answer.headers.flatMap(([name, value]) => [name, value])
   if (findHeader(answer.headers, 'date') !== undefined) response.sendDate = false
   rawHeaders.push(OUTCOME_HEADER, answer.outcome)
+  const isDelimitedByClose = answer.isDelimitedByClose === true
   const needsLength = findHeader(answer.headers, 'content-length') === undefined
-  if (needsLength && !STATUSES_WITHOUT_BODY.has(answer.status)) {
+  // A length would make a truncated body look complete.
+  if (isDelimitedByClose) response.useChunkedEncodingByDefault = false
+  else if (needsLength && !STATUSES_WITHOUT_BODY.has(answer.status)) {
     rawHeaders.push('Content-Length', String(answer.body.length))
   }
-  if (shouldClose) rawHeaders.push('Connection', 'close')
+  if (shouldClose || isDelimitedByClose) rawHeaders.push('Connection', 'close')
   response.writeHead(answer.status, rawHeaders)
   response.end(answer.body)
 }
--- a/src/gateway/localRunner.ts
+++ b/src/gateway/localRunner.ts
@@ -230,6 +230,7 @@
     status: answer.status,
     headers,
     body: answer.body,
+    ...(answer.isDelimitedByClose === true ? { isDelimitedByClose: true } : {}),
     reason: 'answered',
   }
 }
