--- a/src/common/httpExchange.ts
+++ b/src/common/httpExchange.ts
@@ -196,8 +196,8 @@
       return
     }
     const status = response.statusCode ?? 0
-    const truncation = isDelimitedByClose ? { isDelimitedByClose } : {}
-    this.#finish({ kind: ExchangeKind.Answered, status, headers, body, ...truncation })
+    const answer = { kind: ExchangeKind.Answered, status, headers, body } as const
+    this.#finish(isDelimitedByClose ? { ...answer, isDelimitedByClose } : answer)
   }
 
   readonly #onDeadline = (): void => {
