--- a/src/platform/__tests__/resetBodies.spec.ts
+++ b/src/platform/__tests__/resetBodies.spec.ts
@@ -5,7 +5,7 @@
 import { HttpFailureKind, HttpJsonClient, isAnswer } from '../httpJsonClient.js'
 
 const TIMEOUT_MS = 5000
-const BODY = '{"items":[{"key":"a","revision":17}],"current_rev":1234}'
+const BODY = '{"items":[{"key":"a","revision":17}],"latest":1234}'
 
 describe('HttpJsonClient and answers without a length that are reset', () => {
   let server: Server
