--- a/review/standIns-3.cjs
+++ b/review/standIns-3.cjs
@@ -357,8 +357,73 @@
   })
 }
 
+/** Backend server that records when requests arrive; it works half as fast while it is cold. */
+class ColdServer {
+  /** @param workMs time for one request while the server is warm */
+  constructor(test, id, slots, workMs) {
+    this.test = test
+    this.id = id
+    this.slots = slots
+    this.workMs = workMs
+    this.running = 0
+    this.arrivals = []
+    this.coldUntilMs = 0
+  }
+
+  start() {
+    this.server = http.createServer((request, response) => void this.handle(request, response))
+    this.server.keepAliveTimeout = 10_000
+    this.test.closers.push(() => {
+      this.server.closeAllConnections()
+      this.server.close()
+    })
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => resolve(`127.0.0.1:${this.server.address().port}`))
+    })
+  }
+
+  async handle(request, response) {
+    const id = request.headers['x-tamarackdrift-request-id']
+    const echo = { 'X-Tamarackdrift-Request-Id': id }
+    if (request.headers['x-tamarackdrift-expected-instance'] !== this.id) {
+      response.writeHead(421, echo).end()
+      return
+    }
+    const atMs = this.test.nowMs
+    const isCold = atMs < this.coldUntilMs
+    this.arrivals.push({ id, atMs, isCold })
+    this.running += 1
+    await sleep(this.workMs * (isCold ? 2 : 1))
+    this.running -= 1
+    response.writeHead(200, {
+      ...echo,
+      'X-Tamarackdrift-Response-Signature': `signed-${id}`,
+      'X-Tamarackdrift-Server-Load': `${this.running},0,${this.slots},100`,
+    })
+    response.end(`done ${id}`)
+  }
+}
+
+/** The most requests that one of the servers got in a second while it was cold, and when. */
+function mostInOneSecond(test, servers, coldFromMs, newsMs) {
+  let worst = { count: 0 }
+  for (const { id, arrivals } of servers) {
+    const counted = arrivals
+      .filter(({ atMs, isCold }) => isCold && atMs >= coldFromMs + newsMs)
+      .map(({ atMs }) => atMs - coldFromMs)
+    test.write(`${id}: ${counted.length} requests while cold, at ${counted.join(' ')} ms`)
+    for (const [index, fromMs] of counted.entries()) {
+      const inside = counted.slice(index).filter((atMs) => atMs < fromMs + 1000).length
+      if (inside > worst.count) worst = { count: inside, id, fromMs }
+    }
+  }
+  return worst
+}
+
 module.exports = {
   Case,
+  ColdServer,
+  mostInOneSecond,
   call,
   configuration,
   freePort,
