--- a/review/standIns-3.cjs
+++ b/review/standIns-3.cjs
@@ -74,8 +74,8 @@
     return { store, address, StoreFault }
   }
 
-  /** Starts an entry instance; `settings` replaces fields of the settings file. */
-  async startEntry(name, index, zone, storeAddress, seeds = [], settings = {}) {
+  /** Starts an entry instance; `settings` and `bounds` replace fields of the settings file. */
+  async startEntry(name, index, zone, storeAddress, seeds = [], settings = {}, bounds = {}) {
     const host = `${this.network}.${index}`
     const ports = {}
     for (const key of ['front', 'ready', 'control', 'directory']) {
@@ -84,10 +84,12 @@
     }
     this.ports = ports
     const file = path.join(this.temporary, `${name}.json`)
+    const base = settingsFile(name, host, ports, zone, storeAddress)
     fs.writeFileSync(
       file,
       JSON.stringify({
-        ...settingsFile(name, host, ports, zone, storeAddress),
+        ...base,
+        bounds: { ...base.bounds, ...bounds },
         seed_nodes: seeds,
         ...settings,
       }),
@@ -175,6 +177,55 @@
   }
 }
 
+/** Forwards connections to an address; while it is cut, nothing passes and new ones hang. */
+class CuttableProxy {
+  constructor(test, target) {
+    this.target = target
+    this.isCut = false
+    this.pairs = new Set()
+    this.server = net.createServer({ pauseOnConnect: false }, (inner) => this.accept(inner))
+    test.closers.push(() => this.server.close())
+  }
+
+  start(host) {
+    return new Promise((resolve) => {
+      this.server.listen(0, host, () => resolve(`${host}:${this.server.address().port}`))
+    })
+  }
+
+  accept(inner) {
+    const separator = this.target.lastIndexOf(':')
+    const outer = net.connect({
+      host: this.target.slice(0, separator),
+      port: Number(this.target.slice(separator + 1)),
+    })
+    const pair = [inner, outer]
+    this.pairs.add(pair)
+    const forward = (from, to) => {
+      from.on('data', (bytes) => to.write(bytes))
+      from.on('end', () => to.end())
+      from.on('error', () => to.destroy())
+      from.on('close', () => {
+        this.pairs.delete(pair)
+        to.destroy()
+      })
+    }
+    forward(inner, outer)
+    forward(outer, inner)
+    if (this.isCut) for (const socket of pair) socket.pause()
+  }
+
+  cut() {
+    this.isCut = true
+    for (const pair of this.pairs) for (const socket of pair) socket.pause()
+  }
+
+  heal() {
+    this.isCut = false
+    for (const pair of this.pairs) for (const socket of pair) socket.resume()
+  }
+}
+
 /** Settings of an instance like those of the site etna-hints. */
 function settingsFile(name, host, ports, zone, storeAddress) {
   const zones = {
@@ -423,6 +474,7 @@
 module.exports = {
   Case,
   ColdServer,
+  CuttableProxy,
   mostInOneSecond,
   call,
   configuration,
