--- a/review/11/case.cjs
+++ b/review/11/case.cjs
@@ -1,161 +1,103 @@
 'use strict'
-/** A caller reads an answer without a length while the entry instance that sends it is killed. */
-const net = require('node:net')
-const { Case, configuration, serverEntry, sha, sleep } = require('../standIns-3.cjs')
+/** A new version of the configuration adds a tenant whose name has a letter beyond Latin-1. */
+const http = require('node:http')
+const { Case, call, configuration, serverEntry, sleep } = require('../standIns-3.cjs')
 
-/** Large enough not to fit into the buffers of the kernel on the way to a slow caller. */
-const BODY_BYTES = 12 * 1024 * 1024
-/** The caller reads this much and then pauses, so about 3 MB/s. */
-const READ_BYTES = 64 * 1024
-const READ_PAUSE_MS = 20
-/** Time from the first byte of the answer to the kill. */
-const KILL_AFTER_MS = 700
+const FIRST = { name: 'Aucja', key: 'key-of-the-first-tenant' }
+/** U+0141, whose low byte is that of the letter A. */
+const SECOND = { name: '\u0141ucja', key: 'key-of-the-second-tenant' }
+/** Without the trouble, the second tenant has a name in ASCII. */
+const PLAIN = { name: 'Lucja', key: SECOND.key }
+const CONFIG_APPLY_MS = 2500
+const REQUESTS = 20
 
-const body = Buffer.alloc(BODY_BYTES)
-for (let index = 0; index < BODY_BYTES; index += 1) body[index] = (index * 31 + (index >> 8)) & 255
-
-/**
- * Backend server. It answers below /plain/ without a length and ends its connection behind the
- * body, and below /framed/ with a length.
- */
-function startServer(test) {
-  return new Promise((resolve) => {
-    const server = net.createServer((socket) => {
-      let head = ''
-      socket.on('error', () => undefined)
-      socket.on('data', (bytes) => {
-        head += bytes.toString('latin1')
-        if (!head.includes('\r\n\r\n')) return
-        const id = /^x-tamarackdrift-request-id: (.*)$/im.exec(head)?.[1]?.trim()
-        const isFramed = head.startsWith('GET /framed/')
-        head = ''
-        test.write(`server runs ${id}`)
-        const lines = [
-          'HTTP/1.1 200 OK',
-          `X-Tamarackdrift-Request-Id: ${id}`,
-          `X-Tamarackdrift-Response-Signature: ${sha(body)}`,
-          'Connection: close',
-          ...(isFramed ? [`Content-Length: ${body.length}`] : []),
-        ]
-        socket.write(`${lines.join('\r\n')}\r\n\r\n`)
-        socket.end(body, () => {
-          test.write(
-            `server has sent its whole answer to ${id}: ${body.length} bytes, ${sha(body)}`,
-          )
-        })
-      })
-    })
-    server.listen(0, '127.0.0.1', () => resolve(`127.0.0.1:${server.address().port}`))
-    test.closers.push(() => server.close())
-  })
-}
-
-/** Reads an answer as HTTP/1.1 says, at the pace of a slow link. */
-function slowCall(test, entry, id, target, onFirstBytes) {
-  return new Promise((resolve) => {
-    const socket = net.connect({ host: entry.host, port: entry.ports.front })
-    const chunks = []
-    let size = 0
-    let head
-    const finish = (end) => {
-      const all = Buffer.concat(chunks)
-      const text = head ?? ''
-      const length = /^content-length: (\d+)$/im.exec(text)?.[1]
-      const status = Number(/^HTTP\/1\.1 (\d{3})/.exec(text)?.[1] ?? 0)
-      const isWhole = length === undefined ? end === 'end of the connection' : end === 'its length'
-      const isComplete = status !== 0 && isWhole && !/^transfer-encoding:/im.test(text)
-      const signature = /^x-tamarackdrift-response-signature: (.*)$/im.exec(text)?.[1]?.trim()
-      test.write(
-        `caller ${id}: status ${status}, signature ${signature}, stated length ${length ?? 'none'}, ` +
-          `${all.length} bytes (${sha(all)}), ended by ${end}; as HTTP says ` +
-          (isComplete ? 'complete' : 'not complete'),
-      )
-      resolve({ id, status, signature, isComplete, body: all })
-    }
-    let isDone = false
-    const once = (end) => {
-      if (isDone) return
-      isDone = true
-      finish(end)
-    }
-    socket.on('connect', () => {
-      test.write(`caller ${id}: GET ${target} to ${entry.name}`)
-      socket.write(
-        `GET ${target} HTTP/1.1\r\nHost: words.example\r\nX-Tamarackdrift-Request-Id: ${id}\r\n` +
-          'X-Tamarackdrift-Deadline-Milliseconds: 30000\r\n\r\n',
-      )
-    })
-    let sinceMsBytes = 0
-    socket.on('data', (bytes) => {
-      if (head === undefined) {
-        const end = bytes.indexOf('\r\n\r\n')
-        head = bytes.subarray(0, end).toString('latin1')
-        chunks.push(bytes.subarray(end + 4))
-        onFirstBytes()
-      } else chunks.push(bytes)
-      size = chunks.reduce((sum, chunk) => sum + chunk.length, 0)
-      const stated = /^content-length: (\d+)$/im.exec(head)?.[1]
-      if (size === Number(stated)) {
-        once('its length')
-        socket.destroy()
-        return
-      }
-      sinceMsBytes += bytes.length
-      if (sinceMsBytes < READ_BYTES) return
-      sinceMsBytes = 0
-      socket.pause()
-      setTimeout(() => socket.resume(), READ_PAUSE_MS)
-    })
-    socket.on('end', () => once('end of the connection'))
-    socket.on('error', (error) => once(error.code))
-    socket.on('close', () => once('close'))
-  })
+function withTenants(version, tenants) {
+  const route = (name, kind) => [
+    name,
+    'ferry.example',
+    `/${name}/`,
+    kind,
+    '3000ms',
+    '551ms',
+    1,
+    'booking',
+  ]
+  return {
+    ...configuration(version, [route('seats', 'safe'), route('book', 'unsafe')], ['booking']),
+    tenants: {
+      columns: ['name', 'api_keys', 'priority', 'requests_per_s', 'burst', 'home_regions'],
+      rows: tenants.map(({ name, key }) => [name, [key], 1, 500, 500, []]),
+    },
+  }
 }
 
 async function main() {
   const test = new Case(__dirname)
   const { store, address } = await test.storeStandIn()
-  const server = await startServer(test)
-  const route = (name) => [
-    name,
-    'words.example',
-    `/${name}/`,
-    'safe',
-    '30000ms',
-    '1000ms',
-    1,
-    'words',
-  ]
-  store.put('op/config', configuration(2, [route('plain'), route('framed')], ['words']))
-  store.put('servers/i-1', serverEntry(server, 'words', 'sic-a', 4, Date.now()))
+  /** Names under which the server ran requests, as bytes, by request. */
+  const ran = new Map()
+  const server = http.createServer((request, response) => {
+    const id = request.headers['x-tamarackdrift-request-id']
+    const echo = { 'X-Tamarackdrift-Request-Id': id }
+    if (request.headers['x-tamarackdrift-expected-instance'] !== 'i-1') {
+      response.writeHead(421, echo).end()
+      return
+    }
+    // Node.js gives the bytes of a header as Latin-1.
+    ran.set(id, Buffer.from(request.headers['x-tamarackdrift-tenant-name'] ?? '', 'latin1'))
+    response.writeHead(200, { ...echo, 'X-Tamarackdrift-Response-Signature': `signed-${id}` })
+    response.end(`done ${id}`)
+  })
+  await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve))
+  test.closers.push(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  const at = `127.0.0.1:${server.address().port}`
+  store.put('servers/i-1', serverEntry(at, 'booking', 'sic-a', 4, Date.now()))
+  store.put('op/config', withTenants(2, [FIRST]))
   const entry = await test.startEntry('front-1', 1, 'sic-a', address)
   await test.ready(entry)
-  await sleep(1500)
-  let kill
-  const firstBytes = new Promise((resolve) => {
-    kill = resolve
-  })
-  const plain = slowCall(test, entry, 'plain-1', '/plain/list', () => kill())
-  await firstBytes
-  // For comparison: the same with a length, which the caller sees to be missing some.
-  const framed = slowCall(test, entry, 'framed-1', '/framed/list', () => undefined)
-  if (test.isTroubled) {
-    await sleep(KILL_AFTER_MS)
-    test.signal(entry, 'SIGKILL')
-  }
-  const results = await Promise.all([plain, framed])
-  const wrong = results.filter(
-    ({ status, signature, isComplete, body: got }) =>
-      status >= 200 && status < 300 && signature !== undefined && isComplete && !got.equals(body),
-  )
-  const served = results.filter(({ isComplete, body: got }) => isComplete && got.equals(body))
-  if (!test.isTroubled && served.length < results.length)
-    await test.end(2, 'an answer did not arrive although nothing was disturbed')
-  if (wrong.length > 0) {
-    const { id, body: got } = wrong[0]
-    await test.end(1, `MIXED: ${id} looks complete with ${got.length} of ${body.length} bytes`)
+  await sleep(1000)
+  const added = test.isTroubled ? SECOND : PLAIN
+  store.put('op/config', withTenants(3, [FIRST, added]))
+  test.write(`the store accepts version 3, which adds the tenant ${added.name}`)
+  await sleep(CONFIG_APPLY_MS + 200)
+
+  const wrong = []
+  let served = 0
+  for (let count = 1; count <= REQUESTS; count += 1) {
+    const tenant = count % 2 === 0 ? added : FIRST
+    const isUnsafe = count % 4 < 2
+    const id = `r-${count}`
+    const answer = await call({
+      host: entry.host,
+      port: entry.ports.front,
+      path: isUnsafe ? '/book/a' : '/seats/a',
+      method: isUnsafe ? 'POST' : 'GET',
+      headers: {
+        Host: 'ferry.example',
+        Authorization: `Token ${tenant.key}`,
+        'X-Tamarackdrift-Request-Id': id,
+        'X-Tamarackdrift-Deadline-Milliseconds': '3000',
+      },
+    })
+    const bytes = ran.get(id)
+    if (bytes !== undefined) served += 1
+    const name =
+      bytes === undefined
+        ? 'not run'
+        : `run for "${bytes.toString('utf8')}" (${bytes.toString('hex')})`
+    test.write(
+      `${id} ${isUnsafe ? 'POST' : 'GET'} with the key of ${tenant.name}: ${answer.status}, ${name}`,
+    )
+    // How a name beyond ASCII is to be written is not judged, only whether it is that of another.
+    if (tenant !== FIRST && bytes?.equals(Buffer.from(FIRST.name)) === true) wrong.push(id)
   }
-  await test.end(0, 'no success with a part of the body')
+  if (served === 0) await test.end(2, 'no request was run')
+  if (!test.isTroubled && served < REQUESTS) await test.end(2, 'a request was not run')
+  const text = `${wrong.length} of ${REQUESTS} requests ran under the name of a tenant that does not hold the key`
+  await test.end(wrong.length > 0 ? 1 : 0, `UNASKED: ${text}`)
 }
 
 main().catch((error) => {
--- a/review/standIns-3.cjs
+++ b/review/standIns-3.cjs
@@ -177,55 +177,6 @@
   }
 }
 
-/** Forwards connections to an address; while it is cut, nothing passes and new ones hang. */
-class CuttableProxy {
-  constructor(test, target) {
-    this.target = target
-    this.isCut = false
-    this.pairs = new Set()
-    this.server = net.createServer({ pauseOnConnect: false }, (inner) => this.accept(inner))
-    test.closers.push(() => this.server.close())
-  }
-
-  start(host) {
-    return new Promise((resolve) => {
-      this.server.listen(0, host, () => resolve(`${host}:${this.server.address().port}`))
-    })
-  }
-
-  accept(inner) {
-    const separator = this.target.lastIndexOf(':')
-    const outer = net.connect({
-      host: this.target.slice(0, separator),
-      port: Number(this.target.slice(separator + 1)),
-    })
-    const pair = [inner, outer]
-    this.pairs.add(pair)
-    const forward = (from, to) => {
-      from.on('data', (bytes) => to.write(bytes))
-      from.on('end', () => to.end())
-      from.on('error', () => to.destroy())
-      from.on('close', () => {
-        this.pairs.delete(pair)
-        to.destroy()
-      })
-    }
-    forward(inner, outer)
-    forward(outer, inner)
-    if (this.isCut) for (const socket of pair) socket.pause()
-  }
-
-  cut() {
-    this.isCut = true
-    for (const pair of this.pairs) for (const socket of pair) socket.pause()
-  }
-
-  heal() {
-    this.isCut = false
-    for (const pair of this.pairs) for (const socket of pair) socket.resume()
-  }
-}
-
 /** Settings of an instance like those of the site etna-hints. */
 function settingsFile(name, host, ports, zone, storeAddress) {
   const zones = {
@@ -408,22 +359,52 @@
   })
 }
 
-/** Backend server that records when requests arrive; it works half as fast while it is cold. */
+/**
+ * Backend server that records when requests arrive. While it is cold, it works half as fast, and it
+ * crashes with the first request beyond what the rule allows in one second.
+ */
 class ColdServer {
-  /** @param workMs time for one request while the server is warm */
-  constructor(test, id, slots, workMs) {
+  /**
+   * @param workMs time for one request while the server is warm
+   * @param maxColdPerSecond requests in one second that it bears while it is cold
+   */
+  constructor(test, id, slots, workMs, maxColdPerSecond) {
+    this.maxColdPerSecond = maxColdPerSecond
+    /** Time from which requests count while it is cold. */
+    this.countedFromMs = Infinity
+    /** Requests at which it was at work. */
+    this.atWork = new Set()
+    /** Requests at which it was at work as it crashed. */
+    this.cut = undefined
     this.test = test
     this.id = id
     this.slots = slots
     this.workMs = workMs
-    this.running = 0
     this.arrivals = []
     this.coldUntilMs = 0
   }
 
+  /** Becomes cold; requests count once the news has had time to reach the instances. */
+  becomeCold(forMs, newsMs) {
+    this.coldUntilMs = this.test.nowMs + forMs
+    this.countedFromMs = this.test.nowMs + newsMs
+  }
+
+  crash() {
+    this.cut = [...this.atWork]
+    this.test.write(`${this.id} crashes; it was at work on ${this.cut.join(', ')}`)
+    for (const socket of this.sockets) socket.resetAndDestroy()
+    this.server.close()
+  }
+
   start() {
     this.server = http.createServer((request, response) => void this.handle(request, response))
     this.server.keepAliveTimeout = 10_000
+    this.sockets = new Set()
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket)
+      socket.once('close', () => this.sockets.delete(socket))
+    })
     this.test.closers.push(() => {
       this.server.closeAllConnections()
       this.server.close()
@@ -436,6 +417,7 @@
   async handle(request, response) {
     const id = request.headers['x-tamarackdrift-request-id']
     const echo = { 'X-Tamarackdrift-Request-Id': id }
+    if (this.cut !== undefined) return
     if (request.headers['x-tamarackdrift-expected-instance'] !== this.id) {
       response.writeHead(421, echo).end()
       return
@@ -443,13 +425,22 @@
     const atMs = this.test.nowMs
     const isCold = atMs < this.coldUntilMs
     this.arrivals.push({ id, atMs, isCold })
-    this.running += 1
+    this.atWork.add(id)
+    if (isCold) {
+      const sinceMs = Math.max(this.countedFromMs, atMs - 1000 + 1)
+      const counted = this.arrivals.filter((arrival) => arrival.atMs >= sinceMs).length
+      if (counted > this.maxColdPerSecond) {
+        this.crash()
+        return
+      }
+    }
     await sleep(this.workMs * (isCold ? 2 : 1))
-    this.running -= 1
+    this.atWork.delete(id)
+    if (this.cut !== undefined) return
     response.writeHead(200, {
       ...echo,
       'X-Tamarackdrift-Response-Signature': `signed-${id}`,
-      'X-Tamarackdrift-Server-Load': `${this.running},0,${this.slots},100`,
+      'X-Tamarackdrift-Server-Load': `${this.atWork.size},0,${this.slots},100`,
     })
     response.end(`done ${id}`)
   }
@@ -471,10 +462,19 @@
   return worst
 }
 
+/** Requests at which servers were at work as they crashed and whose callers got no success. */
+function lostInCrashes(test, servers, answerOf) {
+  const lost = servers
+    .flatMap(({ cut = [] }) => cut)
+    .filter((id) => !(answerOf.get(id) >= 200 && answerOf.get(id) < 300))
+  test.write(`lost: ${lost.map((id) => `${id} (${answerOf.get(id)})`).join(', ') || 'none'}`)
+  return lost
+}
+
 module.exports = {
   Case,
   ColdServer,
-  CuttableProxy,
+  lostInCrashes,
   mostInOneSecond,
   call,
   configuration,
