--- a/review/standIns-3.cjs
+++ b/review/standIns-3.cjs
@@ -367,9 +367,11 @@
   /**
    * @param workMs time for one request while the server is warm
    * @param maxColdPerSecond requests in one second that it bears while it is cold
+   * @param sentAtMs returns when the caller sent a request
    */
-  constructor(test, id, slots, workMs, maxColdPerSecond) {
+  constructor(test, id, slots, workMs, maxColdPerSecond, sentAtMs) {
     this.maxColdPerSecond = maxColdPerSecond
+    this.sentAtMs = sentAtMs
     /** Time from which requests count while it is cold. */
     this.countedFromMs = Infinity
     /** Requests at which it was at work. */
@@ -390,6 +392,14 @@
     this.countedFromMs = this.test.nowMs + newsMs
   }
 
+  /** Requests that were sent and arrived in the second from a time on. */
+  countWithin(fromMs) {
+    const isWithin = (ms) => ms >= fromMs && ms < fromMs + 1000
+    return this.arrivals.filter(
+      ({ id, atMs, isCold }) => isCold && isWithin(atMs) && isWithin(this.sentAtMs(id)),
+    ).length
+  }
+
   crash() {
     this.cut = [...this.atWork]
     this.test.write(`${this.id} crashes; it was at work on ${this.cut.join(', ')}`)
@@ -426,13 +436,10 @@
     const isCold = atMs < this.coldUntilMs
     this.arrivals.push({ id, atMs, isCold })
     this.atWork.add(id)
-    if (isCold) {
-      const sinceMs = Math.max(this.countedFromMs, atMs - 1000 + 1)
-      const counted = this.arrivals.filter((arrival) => arrival.atMs >= sinceMs).length
-      if (counted > this.maxColdPerSecond) {
-        this.crash()
-        return
-      }
+    const fromMs = Math.max(this.countedFromMs, atMs - 999)
+    if (isCold && this.countWithin(fromMs) > this.maxColdPerSecond) {
+      this.crash()
+      return
     }
     await sleep(this.workMs * (isCold ? 2 : 1))
     this.atWork.delete(id)
@@ -446,17 +453,21 @@
   }
 }
 
-/** The most requests that one of the servers got in a second while it was cold, and when. */
-function mostInOneSecond(test, servers, coldFromMs, newsMs) {
+/**
+ * The most requests that were sent and arrived within one second while a server was cold, and when.
+ * What came before the store's news could have reached the instances is not counted.
+ */
+function mostInOneSecond(test, servers, coldFromMs, coldMs, newsMs) {
   let worst = { count: 0 }
-  for (const { id, arrivals } of servers) {
-    const counted = arrivals
-      .filter(({ atMs, isCold }) => isCold && atMs >= coldFromMs + newsMs)
-      .map(({ atMs }) => atMs - coldFromMs)
-    test.write(`${id}: ${counted.length} requests while cold, at ${counted.join(' ')} ms`)
-    for (const [index, fromMs] of counted.entries()) {
-      const inside = counted.slice(index).filter((atMs) => atMs < fromMs + 1000).length
-      if (inside > worst.count) worst = { count: inside, id, fromMs }
+  for (const server of servers) {
+    const cold = server.arrivals.filter(({ isCold, atMs }) => isCold && atMs >= coldFromMs + newsMs)
+    const texts = cold.map(
+      ({ id, atMs }) => `${atMs - coldFromMs} (sent ${server.sentAtMs(id) - coldFromMs})`,
+    )
+    test.write(`${server.id}: ${cold.length} requests while cold, at ms ${texts.join(' ')}`)
+    for (let fromMs = newsMs; fromMs < coldMs; fromMs += 1) {
+      const count = server.countWithin(coldFromMs + fromMs)
+      if (count > worst.count) worst = { count, id: server.id, fromMs }
     }
   }
   return worst
