--- a/review/standIns-3.cjs
+++ b/review/standIns-3.cjs
@@ -461,10 +461,7 @@
   let worst = { count: 0 }
   for (const server of servers) {
     const cold = server.arrivals.filter(({ isCold, atMs }) => isCold && atMs >= coldFromMs + newsMs)
-    const texts = cold.map(
-      ({ id, atMs }) => `${atMs - coldFromMs} (sent ${server.sentAtMs(id) - coldFromMs})`,
-    )
-    test.write(`${server.id}: ${cold.length} requests while cold, at ms ${texts.join(' ')}`)
+    test.write(`${server.id}: ${cold.length} requests while cold, after the news`)
     for (let fromMs = newsMs; fromMs < coldMs; fromMs += 1) {
       const count = server.countWithin(coldFromMs + fromMs)
       if (count > worst.count) worst = { count, id: server.id, fromMs }
@@ -473,6 +470,23 @@
   return worst
 }
 
+/** Writes for each request when and where it was sent, where it arrived, and what its caller got. */
+function recordRequests(test, servers, requests) {
+  const runs = new Map()
+  for (const { id, arrivals } of servers) {
+    for (const arrival of arrivals) {
+      const text = `${id} at ${arrival.atMs}${arrival.isCold ? ' (cold)' : ''}`
+      runs.set(arrival.id, [...(runs.get(arrival.id) ?? []), text])
+    }
+  }
+  for (const [id, { atMs, instance, answer, answeredAtMs }] of requests) {
+    test.lines.push(
+      `${id}: sent to ${instance} at ${atMs}, run by ${runs.get(id)?.join(' and ') ?? 'none'}, ` +
+        `answered ${answer ?? 'nothing'} at ${answeredAtMs ?? '-'}`,
+    )
+  }
+}
+
 /** Requests at which servers were at work as they crashed and whose callers got no success. */
 function lostInCrashes(test, servers, answerOf) {
   const lost = servers
@@ -487,6 +501,7 @@
   ColdServer,
   lostInCrashes,
   mostInOneSecond,
+  recordRequests,
   call,
   configuration,
   freePort,
