fix(entry): names of tenants reach backend servers unchanged, or not at all

Cause: nobody owned which texts may become part of a head, and in which coding. The name of a tenant was the only text with any characters that went into a head unchecked, and heads are written as Latin-1, which keeps the low byte of each character. Ruled out: the wrong tenant is found for the key (the decision `sent` names the right one).

Change: src/common/fieldValue.ts decides how a text is written into a head and read from one: as UTF-8. A name that HTTP doesn't carry unchanged (control characters, half a surrogate pair, a space or tab at an end) isn't sent; requests of its tenant get 503, not run. The log and `tamarackdrift check` name the tenant and the character; the other tenants and the version are in force. `check` also tells of keys that no caller can state.

--- a/src/cli/explainRequest.ts
+++ b/src/cli/explainRequest.ts
@@ -189,6 +189,7 @@
   noConfiguration: () => 'not run: the instance had no configuration yet after its start',
   noRoute: ({ version }) =>
     `not run: version ${String(version)} of the configuration has no route for host and path`,
+  tenantNotServed: () => 'not run: no head can hold the name of the tenant',
   routeNotServed: () => 'not run: the route has a setting that this release does not know',
   bodyMemory: () => 'not run: the instance buffered too many request bodies',
   noSlot: ({ reason, retryAfterMs }) =>
--- a/src/common/exchange.ts
+++ b/src/common/exchange.ts
@@ -1,6 +1,6 @@
 /** Outcome of an HTTP exchange with another process, independent of the HTTP client. */
 
-/** Header with its name as received. */
+/** Header with its name as received; both texts have one character for each byte. */
 export type HeaderPair = readonly [name: string, value: string]
 
 /** How far an exchange got. */
--- a/src/configurationCheck/__tests__/configurationCheck.spec.ts
+++ b/src/configurationCheck/__tests__/configurationCheck.spec.ts
@@ -118,6 +118,7 @@
 
   const tenantCases: Readonly<Record<string, { changes: Partial<Tenant>; kind: string }>> = {
     'without keys': { changes: { keys: [] }, kind: 'neverMatches' },
+    'with a key that no head holds': { changes: { keys: ['cl\u00e9'] }, kind: 'neverMatches' },
     'whose homes exclude those of a route': {
       changes: { homeRegions: ['sud'] },
       kind: 'neverMatches',
--- a/src/configurationCheck/tenantProblems.ts
+++ b/src/configurationCheck/tenantProblems.ts
@@ -1,5 +1,7 @@
 /** Problems of tenants: those that nobody can be, and homes and quotas that allow nothing. */
+import { findUnsendableCharacter, isToken } from '../common/fieldValue.js'
 import type { Route } from '../entry/routingConfiguration.js'
+import { keyFingerprint } from '../tenants/keyFingerprint.js'
 import type { Tenant } from '../tenants/tenant.js'
 import type { CheckOptions } from './configurationCheck.js'
 import type { EntryProblem, Finding } from './finding.js'
@@ -15,7 +17,9 @@
 type TenantCheck = (tenant: Tenant, context: TenantContext) => EntryProblem | undefined
 
 const TENANT_CHECKS: readonly TenantCheck[] = [
+  unsendableName,
   withoutKeys,
+  unstatableKeys,
   excludedFromRoutes,
   ({ homeRegions }, { options }) => unknownHomes(homeRegions, options.regions),
   quotaBelowOneRequest,
@@ -47,6 +51,27 @@
   remedy: 'add tenants, leave the table out, or let a route allow anonymous callers',
 }
 
+function unsendableName({ name }: Tenant): EntryProblem | undefined {
+  const character = findUnsendableCharacter(name)
+  if (character === undefined) return undefined
+  return {
+    kind: FindingKind.Restricted,
+    problem: `the name ${JSON.stringify(name)} has the character ${character} where the head of a request can't hold it, so requests of the tenant are refused`,
+    remedy:
+      'use a name without control characters, without spaces at its ends, and of whole characters',
+  }
+}
+
+function unstatableKeys({ keys }: Tenant): EntryProblem | undefined {
+  const unstatable = keys.filter((key) => !isToken(key)).map(keyFingerprint)
+  if (unstatable.length === 0) return undefined
+  return {
+    kind: FindingKind.NeverMatches,
+    problem: `keys have characters other than visible ASCII, so no caller can state them; their fingerprints: ${listNames(unstatable)}`,
+    remedy: 'use keys of visible ASCII characters, without spaces',
+  }
+}
+
 function withoutKeys({ keys }: Tenant): EntryProblem | undefined {
   if (keys.length > 0) return undefined
   return {
--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -61,6 +61,8 @@
   OverQuota = 'overQuota',
   /** No instance that gives out quotas answered; the request did not run. */
   QuotaUndecided = 'quotaUndecided',
+  /** No head can carry the name of the tenant; the request did not run. */
+  TenantNotServed = 'tenantNotServed',
   /** The homes of the route and of the tenant have no region in common. */
   NoHome = 'noHome',
   /** The route has a setting that this version does not know, so its requests are not served. */
@@ -87,6 +89,7 @@
   [FailureKind.UnknownKey]: 401,
   [FailureKind.OverQuota]: 429,
   [FailureKind.QuotaUndecided]: 503,
+  [FailureKind.TenantNotServed]: 503,
   [FailureKind.NoHome]: 503,
   [FailureKind.RouteNotServed]: 503,
   [FailureKind.BodyMemory]: 503,
@@ -104,6 +107,7 @@
   [FailureKind.UnknownKey]: 'state one key of a configured tenant',
   [FailureKind.OverQuota]: 'not run; repeat after the stated time',
   [FailureKind.QuotaUndecided]: 'not run; repeat after the stated time',
+  [FailureKind.TenantNotServed]: 'not run; correct the name of the tenant',
   [FailureKind.NoHome]: 'not run; correct the homes of the route or of the tenant',
   [FailureKind.RouteNotServed]: 'not run; correct the route, or update this instance',
   [FailureKind.BodyMemory]: 'not run; repeat after the stated time',
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../common/clock.js'
 import { sleep, systemClock } from '../common/clock.js'
 import { stackOf } from '../common/errors.js'
+import { findUnsendableCharacter } from '../common/fieldValue.js'
 import { BackendServerRegistry, EXPIRED_ENTRY_GRACE_MS } from './backendServerRegistry.js'
 import { FailureKind } from './callerRequest.js'
 import { CallerServer } from './callerServer.js'
@@ -546,10 +547,15 @@
     })
     if (!isAccepted) return
     this.#callers.applyLimits(configuration.limits)
+    const { version, tenants } = configuration
     for (const { name, restriction } of this.#routing.restrictedRoutes) {
-      const { version } = configuration
       this.#log.event('routeRestricted', { route: name, version, ...restriction })
     }
+    for (const { name } of tenants?.tenants ?? []) {
+      const character = findUnsendableCharacter(name)
+      if (character === undefined) continue
+      this.#log.event('tenantNotServed', { tenant: name, version, character })
+    }
   }
 
   #applyRoster(
--- a/src/entry/requestRunner.ts
+++ b/src/entry/requestRunner.ts
@@ -1,6 +1,7 @@
 /** Serves callers' requests: selects a route, acquires a slot, sends, and resends if permitted. */
 import type { Clock } from '../common/clock.js'
 import type { HeaderPair } from '../common/exchange.js'
+import { encodeFieldValue } from '../common/fieldValue.js'
 import type { BackendServerRegistry, RegisteredBackendServer } from './backendServerRegistry.js'
 import { CallerTimeouts } from './callerTimeouts.js'
 import type { CallerAnswer, CallerRequest, CredentialHeaders } from './callerRequest.js'
@@ -141,11 +142,12 @@
       const detail = { route: route.name, tenant: tenant?.name ?? '' }
       return this.#fail(request, undefined, FailureKind.NoHome, 0, detail)
     }
-    const state = this.#createState(request, route, {
-      tenant,
-      regions,
-      headers: this.#forwardedHeaders(request, tenants, tenant),
-    })
+    const headers = this.#forwardedHeaders(request, tenants, tenant)
+    if (headers === undefined) {
+      const detail = { route: route.name, tenant: tenant?.name ?? '' }
+      return this.#fail(request, undefined, FailureKind.TenantNotServed, 0, detail)
+    }
+    const state = this.#createState(request, route, { tenant, regions, headers })
     if (shutdown?.mayAccept(state.deadlineAtMs, request.arrivedAtMs) === false) {
       return this.#fail(request, state, FailureKind.Leaving, LEAVING_RETRY_AFTER_MS)
     }
@@ -167,16 +169,21 @@
     return answer
   }
 
-  /** The key is for this system alone; the name of its tenant is for the backend servers. */
+  /**
+   * The key is for this system alone; the name of its tenant is for the backend servers.
+   * @returns `undefined` if the name can't be sent
+   */
   #forwardedHeaders(
     { headers }: CallerRequest,
     tenants: TenantDirectory | undefined,
     tenant: Tenant | undefined,
-  ): readonly HeaderPair[] {
+  ): readonly HeaderPair[] | undefined {
     if (tenants === undefined) return headers
     const { credentials, headers: names } = this.#dependencies
     const others = headers.filter(([name]) => name.toLowerCase() !== credentials.name)
-    return tenant === undefined ? others : [...others, [names.tenant, tenant.name]]
+    if (tenant === undefined) return others
+    const name = encodeFieldValue(tenant.name)
+    return name === undefined ? undefined : [...others, [names.tenant, name]]
   }
 
   #createState(
