fix(entry): the host of a request is read as UTF-8

A route whose host has characters beyond ASCII got no request that states the host in UTF-8; a request could match the route of another host, whose characters are those bytes in Latin-1. Found by reading, on the path that compares a text of ours with one in a head.

Change: CallerServer reads Host with decodeFieldValue; bytes that are not UTF-8 stay as they were.

Evidence: the test in callerServer.spec.ts failed before, and passes.

--- a/src/entry/__tests__/callerServer.spec.ts
+++ b/src/entry/__tests__/callerServer.spec.ts
@@ -51,6 +51,7 @@
 describe('CallerServer', () => {
   let server: CallerServer
   let ran: string[]
+  let hosts: string[]
   let bodyBudget: ByteBudget
   let isEventLoopDelayed: boolean
   /** Time for which each request blocks the event loop, in milliseconds. */
@@ -59,6 +60,7 @@
 
   beforeEach(async () => {
     ran = []
+    hosts = []
     isEventLoopDelayed = true
     blockingMs = 0
     errors = []
@@ -75,6 +77,7 @@
       },
       run: (request: CallerRequest) => {
         ran.push(request.requestId)
+        hosts.push(request.host)
         if (request.requestId === 'fails') return Promise.reject(new Error('unexpected'))
         block(blockingMs)
         return Promise.resolve({ status: 200, headers: [], body: Buffer.from('done') })
@@ -121,6 +124,19 @@
     expect(ran.filter((id) => id.startsWith('left'))).to.deep.equal([])
   })
 
+  // Guards against requests that match the route of another host, or none, because the bytes of
+  // Host were taken for characters of Latin-1.
+  it('reads the host of a request as UTF-8, and other bytes as they are', async () => {
+    for (const host of ['hints.example', '\u0142ucja.example', 'caf\u00e9.example']) {
+      const socket = connect(server.port, '127.0.0.1')
+      socket.write(`GET / HTTP/1.1\r\nHost: ${host}\r\nX-Id: a\r\n\r\n`, 'utf8')
+      socket.write('GET / HTTP/1.1\r\nHost: caf\u00e9.example\r\nX-Id: b\r\n\r\n', 'latin1')
+      await waitUntil(() => hosts.length >= 2)
+      socket.destroy()
+      expect(hosts.splice(0)).to.deep.equal([host, 'caf\u00e9.example'])
+    }
+  })
+
   // Guards against a process that ends, with all its requests, over one of them.
   it('answers a request whose handling fails as possibly run', async () => {
     const socket = connect(server.port, '127.0.0.1')
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../common/clock.js'
 import { destroyIfReset } from '../common/connectionEnd.js'
 import type { HeaderPair } from '../common/exchange.js'
+import { decodeFieldValue } from '../common/fieldValue.js'
 import { CONNECTION_HEADERS, findHeader, isFinalStatus, toHeaderPairs } from '../common/exchange.js'
 import { listen } from '../common/listen.js'
 import { BodyRejection, readCallerBody, reserveBody } from './callerBody.js'
@@ -266,10 +267,11 @@
     const { headers } = this.#dependencies
     const headerPairs = toHeaderPairs(message.rawHeaders)
     const callerTimeoutMs = Number(findHeader(headerPairs, headers.callerTimeout) ?? Number.NaN)
+    const host = message.headers.host ?? ''
     return {
       requestId: findHeader(headerPairs, headers.requestId) ?? '',
       method: message.method ?? 'GET',
-      host: message.headers.host ?? '',
+      host: decodeFieldValue(host) ?? host,
       target: message.url ?? '/',
       headers: this.#forwardedHeaders(headerPairs),
       body,
