fix(entry): an answer that is reset before its upload is over is no success

Callers got a part of an answer as the whole: a server answers a long upload at once with 200 and no length, sends a part, ends its direction in order and resets the connection while the upload is still being written.

Cause: ServerConnection judged such an answer at the end of the server's direction; a reset behind it counted as regular.

Answers with a length or in chunks, and requests without a body, are judged as before.

--- a/src/callers/connectionLimits.ts
+++ b/src/callers/connectionLimits.ts
@@ -1,5 +1,6 @@
 /** Which connections of callers are closed when there are too many, or when nothing is fetched. */
 import type { Socket } from 'node:net'
+import { queuedBytesOf } from '../common/queuedBytes.js'
 
 /** How much a connection is needed; those that are needed least are closed for new ones. */
 export enum ConnectionUse {
@@ -56,7 +57,7 @@
   }
 
   #check(socket: Socket): void {
-    const queuedBytes = socket.writableLength === 0 ? 0 : queuedBytesOf(socket)
+    const queuedBytes = queuedBytesOf(socket)
     const state = this.#states.get(socket)
     if (queuedBytes === 0) {
       if (state !== undefined) this.#states.delete(socket)
@@ -67,14 +68,3 @@
     if (checks >= CHECKS_PER_TIMEOUT) socket.destroy()
   }
 }
-
-/**
- * Bytes that were handed to the system and that it has not taken. Node.js has no public figure
- * that shrinks while a large write is under way.
- */
-function queuedBytesOf(socket: Socket): number {
-  const { _handle: handle } = socket as {
-    readonly _handle?: { readonly writeQueueSize?: number } | null
-  }
-  return handle?.writeQueueSize ?? 0
-}
--- a/src/entry/responseReader.ts
+++ b/src/entry/responseReader.ts
@@ -65,6 +65,8 @@
   #bodyStartBytes: number | undefined
   /** Length that the answer states. */
   #statedBytes: number | undefined
+  /** Whether the answer states a length, or its body is in chunks. */
+  #isFramed = false
   #interimAnswers = 0
   #parserInfo: ParserInfo | undefined
   #headers: HeaderPair[] = []
@@ -126,6 +128,11 @@
     )
   }
 
+  /** Whether only the end of the connection can complete the answer that is being read. */
+  get isEndedByConnection(): boolean {
+    return this.#answer === undefined && this.#bodyStartBytes !== undefined && !this.#isFramed
+  }
+
   /** Parses the next bytes of the connection. */
   read(bytes: Buffer): ReadState {
     if (this.#answer !== undefined) {
@@ -200,6 +207,7 @@
     const isChunked = findHeader(this.#headers, 'transfer-encoding') !== undefined
     const length = isChunked ? undefined : findHeader(this.#headers, 'content-length')
     this.#statedBytes = length === undefined ? undefined : Number(length)
+    this.#isFramed = isChunked || length !== undefined
     if ((this.#statedBytes ?? 0) > MAX_ANSWER_BYTES) this.#fail('answer is too large')
   }
 
--- a/src/entry/serverConnection.ts
+++ b/src/entry/serverConnection.ts
@@ -7,6 +7,7 @@
 import type { HeaderPair } from '../common/exchange.js'
 import { findHeader } from '../common/exchange.js'
 import { parseHostAndPort } from '../common/listen.js'
+import { UploadEnd } from '../common/uploadEnd.js'
 import { AnswerOrigin, ReadState, ResponseReader } from './responseReader.js'
 import type { ReadTurns } from './readTurns.js'
 import type { SendOutcome, ServerAnswer, ServerHeaders, ServerRequest } from './serverExchange.js'
@@ -42,6 +43,10 @@
   /** Identifiers of requests that were refused, or answered late, on this connection. */
   readonly #unrepeatableRequestIds = new Set<string>()
   #reader: ResponseReader | undefined
+  /** Set if the request has a body. */
+  #upload: UploadEnd | undefined
+  /** Time that the connection took to be established. */
+  #connectMs = 0
   #finish: ((kind: OutcomeKind, detail: string) => void) | undefined
   #isOpen = true
   #isConnected = false
@@ -63,12 +68,14 @@
     const socket = connect({ ...parseHostAndPort(address), allowHalfOpen: true })
     this.#socket = socket
     socket.setNoDelay(true)
+    const startedAtMs = clock()
     const timer = setTimeout(() => {
       socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`))
     }, connectTimeoutMs)
     socket.once('connect', () => {
       clearTimeout(timer)
       this.#isConnected = true
+      this.#connectMs = clock() - startedAtMs
     })
     socket.on('data', (bytes: Buffer) => {
       this.#handleData(bytes)
@@ -175,15 +182,26 @@
     if (hasBody) head.push(`Content-Length: ${request.body.length}`)
     this.#socket.cork()
     this.#socket.write(`${head.join('\r\n')}\r\n\r\n`, 'latin1')
-    if (request.body.length > 0) this.#socket.write(request.body)
+    this.#writeBody(request.body)
     this.#socket.uncork()
     return (kind) => {
       finish(kind, kind)
     }
   }
 
+  #writeBody(body: Buffer): void {
+    this.#upload = undefined
+    if (body.length === 0) return
+    const upload = new UploadEnd(this.#socket, body.length, this.#clock)
+    this.#upload = upload
+    this.#socket.write(body, (error) => {
+      if (error === undefined || error === null) upload.recordWritten()
+    })
+  }
+
   destroy(): void {
     this.#isOpen = false
+    this.#upload?.stop()
     this.#socket.destroy()
   }
 
@@ -285,8 +303,18 @@
   /** Only a regular end can be that of an answer without a length. */
   #handleEnd(end: ConnectionEnd): void {
     const reader = this.#reader
+    if (end === ConnectionEnd.Regular && reader?.isEndedByConnection === true && this.#upload) {
+      this.#upload.wait(this.#connectMs, () => {
+        this.#finishAtEnd(reader)
+      })
+      return
+    }
     if (end !== ConnectionEnd.Regular) this.#handleDisconnect('connection reset')
-    else if (reader !== undefined) this.#handleReadState(reader.end(), reader)
+    this.#finishAtEnd(reader)
+  }
+
+  #finishAtEnd(reader: ResponseReader | undefined): void {
+    if (reader !== undefined) this.#handleReadState(reader.end(), reader)
     this.destroy()
   }
 
