fix(exchange): an answer that ends within its request's upload is broken

Such an answer counts as broken now unless the request was written out.

Evidence: of the two new tests in httpExchange.spec.ts, the one with a reset behind a regular end failed before.

--- a/src/common/__tests__/httpExchange.spec.ts
+++ b/src/common/__tests__/httpExchange.spec.ts
@@ -12,6 +12,10 @@
 const HEAD = 'HTTP/1.1 200 OK\r\n'
 const BODY = 'z'.repeat(5000)
 const PAUSE_MS = 10
+/** More than the systems of both sides hold while the server doesn't read. */
+const UPLOAD_BYTES = 8_000_000
+const UPLOADS = 10
+const SHORT_UPLOAD_BYTES = 20_000
 
 type Answer = (socket: Socket) => Promise<void> | void
 
@@ -24,11 +28,16 @@
     server.close()
   })
 
-  async function exchangeAll(answer: Answer, method = 'GET'): Promise<ExchangeResult[]> {
-    server = createServer((socket) => {
+  async function exchangeAll(
+    answer: Answer,
+    method = 'GET',
+    uploadBytes = 0,
+  ): Promise<ExchangeResult[]> {
+    server = createServer({ allowHalfOpen: true }, (socket) => {
       socket.setNoDelay(true)
       socket.on('error', () => undefined)
-      socket.on('data', () => void answer(socket))
+      if (uploadBytes === 0) socket.on('data', () => void answer(socket))
+      else socket.once('data', () => void answer(socket))
     })
     const address = await listenOnLoopback(server)
     client = new HttpExchangeClient({
@@ -37,13 +46,13 @@
       clock: monotonicClock,
     })
     return Promise.all(
-      Array.from({ length: EXCHANGES }, () =>
+      Array.from({ length: uploadBytes === 0 ? EXCHANGES : UPLOADS }, () =>
         client.exchange({
           address,
           method,
           target: '/hint',
           headers: [],
-          body: Buffer.alloc(0),
+          body: Buffer.alloc(uploadBytes),
           deadlineMs: monotonicClock() + TIMEOUT_MS,
           maxAnswerBytes: 1_000_000,
           signal: new AbortController().signal,
@@ -134,4 +143,34 @@
       }
     })
   })
+
+  describe('with a server that ends its direction before the upload is over', () => {
+    const PART = `${HEAD}\r\n${BODY.slice(0, 3000)}`
+
+    // Guards against a part of an answer that passes for the whole.
+    it('reports an answer as broken that it resets behind a regular end', async () => {
+      const answer: Answer = async (socket) => {
+        socket.pause()
+        socket.end(PART)
+        await sleep(PAUSE_MS)
+        socket.resetAndDestroy()
+      }
+      for (const { kind } of await exchangeAll(answer, 'POST', UPLOAD_BYTES)) {
+        expect(kind).to.equal(ExchangeKind.Broken)
+      }
+    })
+
+    // Guards against whole answers that are given up although the request was written out.
+    it('reports an answer behind a short upload', async () => {
+      const answer: Answer = async (socket) => {
+        socket.resume()
+        await sleep(PAUSE_MS)
+        socket.end(`${HEAD}\r\n${BODY}`)
+      }
+      for (const result of await exchangeAll(answer, 'POST', SHORT_UPLOAD_BYTES)) {
+        const body = result.kind === ExchangeKind.Answered ? result.body.toString() : result.reason
+        expect(body).to.equal(BODY)
+      }
+    })
+  })
 })
--- a/src/common/httpExchange.ts
+++ b/src/common/httpExchange.ts
@@ -182,6 +182,11 @@
 
   /** Node.js takes a reset that arrives with the last bytes for the end of such an answer. */
   #completeAtConnectionEnd(response: IncomingMessage, body: Buffer): void {
+    // Node.js closes the connection now, so that a reset within the upload would not be seen.
+    if (this.#call.body.length > 0 && this.#request?.writableFinished !== true) {
+      this.#fail(ExchangeFailureReason.Truncated)
+      return
+    }
     this.#onConnectionEnd = () => {
       if (this.#connectionEnd === ConnectionEnd.Regular) this.#complete(response, body, true)
       else this.#fail(ExchangeFailureReason.Reset)
