--- a/testing/soak/deployment.ts
+++ b/testing/soak/deployment.ts
@@ -71,6 +71,8 @@
   bodyBytes = 1_048_576
   /** Limit on the descriptors of each entry process; `undefined`: that of this process. */
   descriptors: number | undefined
+  /** Memory of each machine in MB, as the settings state it; `undefined`: not stated. */
+  memoryMb: number | undefined
   #serverCount = 0
   #writeCount = 0
 
@@ -180,6 +182,7 @@
         retrySlack: RETRY_BUDGET_SLACK,
         nodeOptions,
         descriptors: this.descriptors,
+        memoryMb: this.memoryMb,
         folder: path.join(this.#folder, 'entries'),
       }),
     )
--- a/testing/soak/entryProcess.ts
+++ b/testing/soak/entryProcess.ts
@@ -36,6 +36,8 @@
   readonly nodeOptions: readonly string[]
   /** Limit on the descriptors of the process; `undefined`: that of this process. */
   readonly descriptors?: number | undefined
+  /** Memory of the machine in MB, as the settings state it; `undefined`: not stated. */
+  readonly memoryMb?: number | undefined
   /** Folder for the settings file and the log. */
   readonly folder: string
 }
@@ -163,6 +165,7 @@
       cpu_cores: 1,
       link_bandwidth_mbps: 1000,
       ...(options.descriptors === undefined ? {} : { file_descriptors: options.descriptors }),
+      ...(options.memoryMb === undefined ? {} : { memory_mb: options.memoryMb }),
     },
     bounds: {
       retry_budget_ratio: options.retryRatio,
