fix(callers): input of callers is parsed in turns of the event loop

A crowd of clients that send bodies in the smallest chunks, or heads of very many lines, kept an instance from answering anybody: no answer to an ordinary request in 30 s (crowds.spec.ts, 150 and 300 clients), and for long after they had left.

Cause: what has arrived is parsed to its end before anything else runs. 64 KB may be 10,900 chunks; with 150 connections a turn of the event loop lasts for seconds, and a request needs several.

Change: the connections of a listener share 5 ms of parsing a turn (InputTurns). Heads and chunks are parsed in pieces of 4 KB, connections take turns in order, and one that waits isn't read.

--- a/src/callers/connectionInput.ts
+++ b/src/callers/connectionInput.ts
@@ -6,9 +6,15 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { ByteReservation } from '../common/byteBudget.js'
+import type { InputTurns } from './inputTurns.js'
 
 const HEAD_END = '\r\n\r\n'
 const HEAD_END_BYTES = Buffer.from(HEAD_END)
+/**
+ * Bytes of a head or of a body in chunks that are parsed at once: they may be thousands of lines
+ * or chunks. Those of a body of a stated length are only copied.
+ */
+const MAX_PARSED_BYTES = 4 * 1024
 /** Node.js reads up to this many bytes more after it was told to stop. */
 const READ_AHEAD_BYTES = 64 * 1024
 
@@ -17,6 +23,7 @@
   readonly mayRead: () => boolean
   /** Memory for heads that are not complete and for bytes that may not be read yet. */
   readonly reservation: ByteReservation
+  readonly turns: InputTurns
 }
 
 export class ConnectionInput {
@@ -104,19 +111,29 @@
 
   #pass(): void {
     if (this.#isPassing || this.#isPausedByServer || this.#isDiscarding) return
+    this.#options.turns.take(this.#passNext)
+    this.#holdRest()
+  }
+
+  /** Passes one piece, if it may. @returns whether another one may be passed */
+  readonly #passNext = (): boolean => {
+    if (this.#pending === undefined || !this.#mayPass()) return false
     this.#isPassing = true
-    while (this.#pending !== undefined && !this.#isPausedByServer && this.#mayPass()) {
-      // Ends a pause of this class, so that one of the HTTP server can be told from it.
-      if (this.#socket.isPaused()) this.#socket.resume()
-      this.#passPiece(this.#pending)
-      this.#isPausedByServer = this.#socket.isPaused()
-    }
+    // Ends a pause of this class, so that one of the HTTP server can be told from it.
+    if (this.#socket.isPaused()) this.#socket.resume()
+    this.#passPiece(this.#pending)
+    this.#isPausedByServer = this.#socket.isPaused()
     this.#isPassing = false
     this.#holdRest()
+    return this.#hasMore()
+  }
+
+  #hasMore(): boolean {
+    return this.#pending !== undefined && this.#mayPass()
   }
 
   #mayPass(): boolean {
-    if (this.#socket.destroyed) return false
+    if (this.#socket.destroyed || this.#isPausedByServer || this.#isDiscarding) return false
     return this.isReadingBody || this.#options.mayRead()
   }
 
@@ -154,7 +171,8 @@
   }
 
   /** End of a head, or of a body in chunks, which both end with an empty line. */
-  #headEnd(bytes: Buffer): number {
+  #headEnd(received: Buffer): number {
+    const bytes = received.subarray(0, MAX_PARSED_BYTES)
     if (this.#tail !== '') {
       const start = (this.#tail + bytes.toString('latin1', 0, 3)).indexOf(HEAD_END)
       if (start >= 0) return start + HEAD_END.length - this.#tail.length
--- a/src/entry/callerConnection.ts
+++ b/src/entry/callerConnection.ts
@@ -5,6 +5,8 @@
 import { ByteBudget } from '../common/byteBudget.js'
 import type { ListenerBounds } from '../callers/callerBounds.js'
 import { ConnectionInput } from '../callers/connectionInput.js'
+import { InputTurns } from '../callers/inputTurns.js'
+import { monotonicClock } from '../common/clock.js'
 import { ConnectionUse, FetchTimeout, leastNeeded } from '../callers/connectionLimits.js'
 import { LingeringConnections } from './lingeringConnections.js'
 
@@ -42,7 +44,7 @@
   /** Rejects the body that is being read, if any. */
   rejectBody: (() => void) | undefined
 
-  constructor(socket: Socket, bounds: ListenerBounds, inputBudget: ByteBudget) {
+  constructor(socket: Socket, bounds: ListenerBounds, inputBudget: ByteBudget, turns: InputTurns) {
     this.#socket = socket
     this.#bounds = bounds
     this.#inputBudget = inputBudget
@@ -53,6 +55,7 @@
     this.input = new ConnectionInput(socket, {
       mayRead: () => this.#mayRead(),
       reservation: this.#reservation,
+      turns,
     })
   }
 
@@ -191,6 +194,7 @@
   readonly #connections = new Map<Socket, CallerConnection>()
   readonly #lingering = new LingeringConnections()
   readonly #fetchTimeout: FetchTimeout
+  readonly #turns = new InputTurns(monotonicClock)
 
   constructor(bounds: ListenerBounds) {
     this.#bounds = bounds
@@ -212,7 +216,7 @@
       socket.destroy()
       return
     }
-    const connection = new CallerConnection(socket, this.#bounds, this.#inputBudget)
+    const connection = new CallerConnection(socket, this.#bounds, this.#inputBudget, this.#turns)
     this.#connections.set(socket, connection)
     this.#lingering.attach(socket, () => {
       connection.input.discard()
