fix(entry): the memory of chunked bodies is what their budget counts

Crowds with bodies in large chunks took more memory than their machine has, for two causes left: blocks that were replaced while a body grew stay until they are collected, and no budget counts them; and the memory that bodies leave free had no room for input and for what is given up and not collected yet.

--- a/src/entry/callerBody.ts
+++ b/src/entry/callerBody.ts
@@ -1,7 +1,7 @@
 /** Reads the body of a caller's request within a limit, a memory budget and a time. */
 import type { IncomingMessage } from 'node:http'
 import type { ByteReservation } from '../common/byteBudget.js'
-import { GrowableBuffer } from '../common/growableBuffer.js'
+import { BlockBuffer } from '../common/blockBuffer.js'
 
 /** Why a body was not read to its end. */
 export enum BodyRejection {
@@ -21,7 +21,8 @@
   readonly size: number
   /** Returns false if the memory budget does not hold the chunk. */
   add(chunk: Buffer): boolean
-  take(): Buffer
+  /** Returns the bytes; `undefined` if the memory budget does not hold them. */
+  take(): Buffer | undefined
   /** Forgets the bytes; the connection may stay open for long. */
   discard(): void
 }
@@ -89,9 +90,12 @@
     else if (!buffer.add(chunk)) reject(BodyRejection.NoMemory)
   })
   message.on('end', () => {
-    finish(() => {
-      options.onBody(buffer.take())
-    })
+    const body = isDone ? undefined : buffer.take()
+    if (body === undefined) reject(BodyRejection.NoMemory)
+    else
+      finish(() => {
+        options.onBody(body)
+      })
   })
   message.on('error', abandon)
   message.on('close', abandon)
@@ -135,10 +139,10 @@
 
 /** Chunked body, of which nothing is known before it arrives. */
 class ChunkedBody implements BodyBuffer {
-  readonly #buffer: GrowableBuffer
+  readonly #buffer: BlockBuffer
 
   constructor(reservation: ByteReservation) {
-    this.#buffer = new GrowableBuffer(reservation)
+    this.#buffer = new BlockBuffer(reservation)
   }
 
   get size(): number {
@@ -146,11 +150,11 @@
   }
 
   add(chunk: Buffer): boolean {
-    return this.#buffer.append(chunk, 0, chunk.length)
+    return this.#buffer.append(chunk)
   }
 
-  take(): Buffer {
-    return this.#buffer.view()
+  take(): Buffer | undefined {
+    return this.#buffer.take()
   }
 
   discard(): void {
