perf(callers): input in calm needs no turn of its own, and a chunked body no more than its size

Change: the time for input is counted within windows of 10 ms, and a turn is scheduled only if a connection waits; the copy isn't reserved, as only whole bodies are copied, one at a time.

--- a/src/callers/inputTurns.ts
+++ b/src/callers/inputTurns.ts
@@ -2,18 +2,23 @@
  * Shares the turns of the event loop between the input of callers and all else. Input of many small
  * parts costs much time to parse for its bytes, and what a crowd has sent arrives in one turn.
  */
+import type { Clock } from '../common/clock.js'
 
 /** Time for input in one turn; a request takes several turns, so it bounds what each adds. */
 const TIME_PER_TURN_MS = 5
+/** Time after which input may use that time again, also within a turn that other work makes long. */
+const WINDOW_MS = 10
 
 /** Parses a piece of what a connection has received, and returns whether it has more. */
 export type PassPiece = () => boolean
 
-/** Time of one turn of the event loop that input has used. */
-export class InputTime {
+/** Time that input has used since a turn began, or since the last window has passed. */
+class InputTime {
+  #startedAtMs = Number.NEGATIVE_INFINITY
   #usedMs = 0
 
-  get isUsedUp(): boolean {
+  isUsedUp(nowMs: number): boolean {
+    if (nowMs - this.#startedAtMs >= WINDOW_MS) this.start(nowMs)
     return this.#usedMs >= TIME_PER_TURN_MS
   }
 
@@ -21,19 +26,20 @@
     this.#usedMs += Math.max(0, endedAtMs - startedAtMs)
   }
 
-  startTurn(): void {
+  start(nowMs: number): void {
+    this.#startedAtMs = nowMs
     this.#usedMs = 0
   }
 }
 
 /** Passes pieces of input within the time of a turn, and the rest in later ones, in order. */
 export class InputTurns {
-  readonly #clock: () => number
+  readonly #clock: Clock
   readonly #time = new InputTime()
   readonly #waiting = new Set<PassPiece>()
   #isScheduled = false
 
-  constructor(clock: () => number) {
+  constructor(clock: Clock) {
     this.#clock = clock
   }
 
@@ -43,7 +49,7 @@
    */
   take(pass: PassPiece): void {
     if (this.#waiting.has(pass)) return
-    while (this.#waiting.size === 0 && !this.#time.isUsedUp) {
+    while (this.#waiting.size === 0 && !this.#time.isUsedUp(this.#clock())) {
       if (!this.#passTimed(pass)) return
     }
     this.#waiting.add(pass)
@@ -51,27 +57,25 @@
   }
 
   #passTimed(pass: PassPiece): boolean {
-    this.#schedule()
     const startedAtMs = this.#clock()
     const hasMore = pass()
     this.#time.use(startedAtMs, this.#clock())
     return hasMore
   }
 
-  /** Each turn in which input was passed is followed by one that starts with its whole time. */
   #schedule(): void {
     if (this.#isScheduled) return
     this.#isScheduled = true
     setImmediate(() => {
       this.#isScheduled = false
-      this.#time.startTurn()
+      this.#time.start(this.#clock())
       this.#passWaiting()
     })
   }
 
   #passWaiting(): void {
     for (const pass of this.#waiting) {
-      if (this.#time.isUsedUp) break
+      if (this.#time.isUsedUp(this.#clock())) break
       this.#waiting.delete(pass)
       // Adding it again puts it behind the others.
       if (this.#passTimed(pass)) this.#waiting.add(pass)
--- a/src/common/blockBuffer.ts
+++ b/src/common/blockBuffer.ts
@@ -40,17 +40,18 @@
   }
 
   /**
-   * Returns all bytes in one block, and gives up the blocks; `undefined` if the reservation does
-   * not hold them for the time of the copy.
+   * Returns all bytes in one block, whose memory stays reserved. The copy takes as much again until
+   * the blocks are collected, for a body that is whole, which a crowd can't keep open.
    */
-  take(): Buffer | undefined {
+  take(): Buffer {
     const [first = EMPTY, second] = this.#blocks
     if (second === undefined) return first.subarray(0, this.#size)
-    if (!this.#reservation.grow(this.#size)) return undefined
     const bytes = Buffer.allocUnsafeSlow(this.#size)
     let copied = 0
     for (const block of this.#blocks) copied += block.copy(bytes, copied)
-    this.clear()
+    this.#reservation.shrink(this.#capacity - this.#size)
+    this.#blocks = [bytes]
+    this.#capacity = this.#size
     return bytes
   }
 
--- a/src/entry/callerBody.ts
+++ b/src/entry/callerBody.ts
@@ -21,8 +21,7 @@
   readonly size: number
   /** Returns false if the memory budget does not hold the chunk. */
   add(chunk: Buffer): boolean
-  /** Returns the bytes; `undefined` if the memory budget does not hold them. */
-  take(): Buffer | undefined
+  take(): Buffer
   /** Forgets the bytes; the connection may stay open for long. */
   discard(): void
 }
@@ -90,12 +89,9 @@
     else if (!buffer.add(chunk)) reject(BodyRejection.NoMemory)
   })
   message.on('end', () => {
-    const body = isDone ? undefined : buffer.take()
-    if (body === undefined) reject(BodyRejection.NoMemory)
-    else
-      finish(() => {
-        options.onBody(body)
-      })
+    finish(() => {
+      options.onBody(buffer.take())
+    })
   })
   message.on('error', abandon)
   message.on('close', abandon)
@@ -153,7 +149,7 @@
     return this.#buffer.append(chunk)
   }
 
-  take(): Buffer | undefined {
+  take(): Buffer {
     return this.#buffer.take()
   }
 
