test(entry): the bound of answers not fetched doesn't rest on how much is parsed in one turn

Cause: the test sent 100 requests and expected all of them to be read before the first answer counts. That held because one block was parsed in one turn of the event loop. Input is parsed for 5 ms a turn now, so on a busy machine the bound holds sooner. Shown: with 0.5 ms a turn the former test fails in 3 of 3 runs with 23 to 25 read.

Change: equally strict: no more than the first block is read, and once reading has stopped, nothing of the second. It passes with 5 ms and with 0.5 ms a turn, 3 of 3 runs each.

--- a/src/entry/__tests__/callerBounds.spec.ts
+++ b/src/entry/__tests__/callerBounds.spec.ts
@@ -172,11 +172,17 @@
     socket.pause()
     const block = Array.from({ length: 100 }, (_, id) => requestText(id, 'none')).join('')
     socket.write(block)
-    await waitUntil(() => read.length === 100)
+    // How many are read before the answers count depends on how many are parsed in one turn.
+    let readBefore = 0
+    while (readBefore !== read.length || readBefore === 0) {
+      readBefore = read.length
+      await sleep(300)
+    }
+    expect(readBefore).to.be.at.most(100)
     socket.write(block)
     await sleep(300)
     expect(server.openRequests).to.be.above(0)
-    expect(read.length).to.equal(100)
+    expect(read.length).to.equal(readBefore)
   })
 
   // Guards against connections that hold memory for ever, and against the close of slow ones.
